--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/membership/HostList.java
@@ -0,0 +1,11 @@
+package org.oleandertrack.coordination.membership;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** The platform's list of hosts, which lags behind reality. Thread safe. */
+public interface HostList {
+
+    /** Reads the list; the future fails if the platform does not answer. */
+    CompletableFuture<List<HostEntry>> list();
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/membership/HostRole.java
@@ -0,0 +1,7 @@
+package org.oleandertrack.coordination.membership;
+
+/** What runs on a host. */
+public enum HostRole {
+    ENTRY,
+    SIDECAR
+}
--- /dev/null
+++ b/platform-http/src/main/java/org/oleandertrack/platform/http/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's services over HTTP and JSON. */
+package org.oleandertrack.platform.http;
--- /dev/null
+++ b/protocol/src/main/java/org/oleandertrack/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** The inner protocol between the system's processes: protobuf frames over TCP. */
+package org.oleandertrack.protocol;
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package org.oleandertrack.server.cli;
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/package-info.java
@@ -0,0 +1,2 @@
+/** The daemons and the command line. */
+package org.oleandertrack.server;
