--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/entry/CallResponder.java
@@ -0,0 +1,51 @@
+package org.oleandertrack.server.entry;
+
+import jakarta.ws.rs.core.Response;
+import jakarta.ws.rs.core.StreamingOutput;
+import java.util.concurrent.Executor;
+import org.oleandertrack.core.result.Execution;
+import org.oleandertrack.core.result.ResultCode;
+import org.oleandertrack.core.result.ResultException;
+import org.oleandertrack.protocol.message.Header;
+import org.oleandertrack.protocol.message.ResponseHead;
+import org.tinylog.Logger;
+
+/** Turns a call into an HTTP answer that is written as it arrives. Thread safe. */
+final class CallResponder {
+
+    private final CallService mCalls;
+    private final CallLimiter mLimiter;
+    private final Executor mExecutor;
+
+    CallResponder(CallService calls, CallLimiter limiter, Executor executor) {
+        mCalls = calls;
+        mLimiter = limiter;
+        mExecutor = executor;
+    }
+
+    /** Runs a call on another thread and answers with its status, headers and stream. */
+    Response respond(CallerRequest request) {
+        ResponsePipe pipe = new ResponsePipe();
+        CallLimiter.Permit permit = mLimiter.acquire(request.body().size());
+        mExecutor.execute(() -> runInto(pipe, request, permit));
+        ResponseHead head = pipe.awaitHead();
+        Response.ResponseBuilder builder = Response.status(head.getStatus());
+        for (Header header : head.getHeadersList()) {
+            builder.header(header.getName(), header.getValue());
+        }
+        return builder.entity((StreamingOutput) pipe::writeTo).build();
+    }
+
+    private void runInto(ResponsePipe pipe, CallerRequest request, CallLimiter.Permit permit) {
+        try (permit) {
+            mCalls.run(request, pipe);
+        } catch (ResultException e) {
+            pipe.fail(e);
+        } catch (RuntimeException e) {
+            Logger.error(e, "unexpected failure of a call to {}", request.destination());
+            pipe.fail(
+                    new ResultException(
+                            ResultCode.INTERNAL_ERROR, Execution.UNKNOWN, e.toString(), 0));
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/entry/CallerRequestFactory.java
@@ -0,0 +1,258 @@
+package org.oleandertrack.server.entry;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.oleandertrack.core.result.ResultCode;
+import org.oleandertrack.core.result.ResultException;
+import org.oleandertrack.protocol.message.CallKind;
+import org.oleandertrack.protocol.message.Header;
+
+/** Validates requests of callers. Thread safe. */
+final class CallerRequestFactory {
+
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9_.-]{1,128}");
+    private static final Pattern PROGRAM = Pattern.compile("[A-Za-z0-9_.-]{1,128}(/[A-Za-z0-9_.-]{1,128}){0,7}");
+    private static final int MAX_KEY_CHARS = 256;
+    private static final long MAX_TOKENS = 1L << 40;
+    private static final long MAX_TIMEOUT_MILLIS = 24L * 3_600_000;
+    private static final String DEFAULT_CLASS = "default";
+    private static final Set<String> REPEATABLE_METHODS =
+            Set.of("GET", "HEAD", "PUT", "DELETE", "OPTIONS");
+    private static final String MODEL_PATH = "/v1/chat/completions";
+
+    private final ObjectMapper mMapper;
+    private final long mDefaultTimeoutMillis;
+    private final long mDefaultMaxTokens;
+
+    CallerRequestFactory(ObjectMapper mapper, long defaultTimeoutMillis, long defaultMaxTokens) {
+        mMapper = mapper;
+        mDefaultTimeoutMillis = defaultTimeoutMillis;
+        mDefaultMaxTokens = defaultMaxTokens;
+    }
+
+    // Operations
+
+    /** Creates a model call from a body in the chat completion shape. */
+    CallerRequest modelCall(Map<String, List<String>> headers, byte[] body) {
+        ObjectNode json = parse(body);
+        String model = requireText(json, "model");
+        requireMessages(json);
+        boolean streamed = optionalBoolean(json, "stream");
+        long maxTokens = maxTokens(json);
+        CallerHeaderReader reader = new CallerHeaderReader(headers);
+        boolean repeatable = reader.flag(CallerHeaders.REPEATABLE).orElse(true);
+        Optional<String> program = program(reader);
+        prepareForEngine(json, reader, program, streamed, maxTokens);
+        return new CallerRequest(
+                CallKind.CALL_KIND_MODEL,
+                organisation(reader),
+                reader.matching(CallerHeaders.PROGRAM_CLASS, NAME).orElse(DEFAULT_CLASS),
+                program,
+                turn(reader, program),
+                reader.number(CallerHeaders.BUDGET_TOKENS, 1, MAX_TOKENS),
+                timeoutMillis(reader),
+                repeatable,
+                idempotencyKey(reader, repeatable),
+                reader.flag(CallerHeaders.END).orElse(false),
+                "POST",
+                MODEL_PATH,
+                List.of(header("Content-Type", "application/json")),
+                ByteString.copyFromUtf8(json.toString()),
+                streamed,
+                model,
+                maxTokens);
+    }
+
+    /** Creates a plain service call that passes method, path, headers and body through. */
+    CallerRequest serviceCall(
+            String service,
+            String method,
+            String path,
+            Map<String, List<String>> headers,
+            byte[] body) {
+        if (!NAME.matcher(service).matches()) {
+            throw new ResultException(
+                    ResultCode.UNKNOWN_SERVICE, "'" + service + "' is not a service name");
+        }
+        CallerHeaderReader reader = new CallerHeaderReader(headers);
+        boolean repeatable =
+                reader.flag(CallerHeaders.REPEATABLE).orElse(REPEATABLE_METHODS.contains(method));
+        return new CallerRequest(
+                CallKind.CALL_KIND_SERVICE,
+                organisation(reader),
+                reader.matching(CallerHeaders.PROGRAM_CLASS, NAME).orElse(DEFAULT_CLASS),
+                program(reader),
+                0,
+                Optional.empty(),
+                timeoutMillis(reader),
+                repeatable,
+                idempotencyKey(reader, repeatable),
+                false,
+                method,
+                path,
+                targetHeaders(headers),
+                ByteString.copyFrom(body),
+                false,
+                service,
+                0);
+    }
+
+    // Helpers
+
+    private ObjectNode parse(byte[] body) {
+        try {
+            JsonNode node = mMapper.readTree(new String(body, StandardCharsets.UTF_8));
+            if (node instanceof ObjectNode object) {
+                return object;
+            }
+            throw new ResultException(
+                    ResultCode.INVALID_JSON, "the request body is not a JSON object");
+        } catch (JsonProcessingException e) {
+            throw new ResultException(
+                    ResultCode.INVALID_JSON,
+                    "the request body is not valid JSON at line "
+                            + (e.getLocation() == null ? 0 : e.getLocation().getLineNr())
+                            + ", column "
+                            + (e.getLocation() == null ? 0 : e.getLocation().getColumnNr()));
+        }
+    }
+
+    private static String requireText(ObjectNode json, String field) {
+        JsonNode node = json.path(field);
+        if (!node.isTextual() || node.asText().isEmpty()) {
+            throw new ResultException(
+                    ResultCode.INVALID_REQUEST, "field '" + field + "' must be a non-empty string");
+        }
+        return node.asText();
+    }
+
+    private static void requireMessages(ObjectNode json) {
+        JsonNode messages = json.path("messages");
+        if (!messages.isArray() || messages.isEmpty()) {
+            throw new ResultException(
+                    ResultCode.INVALID_REQUEST, "field 'messages' must be a non-empty array");
+        }
+        for (JsonNode message : messages) {
+            if (!message.isObject() || !message.path("role").isTextual()) {
+                throw new ResultException(
+                        ResultCode.INVALID_REQUEST,
+                        "each element of 'messages' must be an object with a 'role'");
+            }
+        }
+    }
+
+    private static boolean optionalBoolean(ObjectNode json, String field) {
+        JsonNode node = json.path(field);
+        if (!node.isMissingNode() && !node.isNull() && !node.isBoolean()) {
+            throw new ResultException(
+                    ResultCode.INVALID_REQUEST, "field '" + field + "' must be true or false");
+        }
+        return node.asBoolean(false);
+    }
+
+    private long maxTokens(ObjectNode json) {
+        String field = json.has("max_completion_tokens") ? "max_completion_tokens" : "max_tokens";
+        JsonNode node = json.path(field);
+        if (node.isMissingNode() || node.isNull()) {
+            return mDefaultMaxTokens;
+        }
+        if (!node.isIntegralNumber() || node.asLong() < 1 || node.asLong() > MAX_TOKENS) {
+            throw new ResultException(
+                    ResultCode.INVALID_REQUEST,
+                    "field '" + field + "' must be an integer of at least 1");
+        }
+        return node.asLong();
+    }
+
+    /** The bound is always sent, because the budget reserves it before the run. */
+    private static void prepareForEngine(
+            ObjectNode json,
+            CallerHeaderReader reader,
+            Optional<String> program,
+            boolean streamed,
+            long maxTokens) {
+        json.remove("max_completion_tokens");
+        json.put("max_tokens", maxTokens);
+        if (streamed) {
+            json.putObject("stream_options").put("include_usage", true);
+        }
+        program.ifPresent(
+                id -> json.put("cache_owner", organisation(reader) + "/" + id));
+    }
+
+    private static String organisation(CallerHeaderReader reader) {
+        return reader.matching(CallerHeaders.ORGANISATION, NAME)
+                .orElseThrow(
+                        () ->
+                                new ResultException(
+                                        ResultCode.MISSING_HEADER,
+                                        "header " + CallerHeaders.ORGANISATION + " is required"));
+    }
+
+    private static Optional<String> program(CallerHeaderReader reader) {
+        Optional<String> program = reader.matching(CallerHeaders.PROGRAM, PROGRAM);
+        Optional<String> parent = reader.matching(CallerHeaders.PARENT, PROGRAM);
+        if (parent.isPresent()
+                && !program.map(id -> id.startsWith(parent.get() + "/")).orElse(false)) {
+            throw new ResultException(
+                    ResultCode.INVALID_PARENT,
+                    "the id of a sub-agent must begin with its parent's id and a slash");
+        }
+        return program;
+    }
+
+    private static int turn(CallerHeaderReader reader, Optional<String> program) {
+        Optional<Long> turn = reader.number(CallerHeaders.TURN, 1, Integer.MAX_VALUE);
+        if (program.isPresent() && turn.isEmpty()) {
+            throw new ResultException(
+                    ResultCode.MISSING_HEADER,
+                    "header " + CallerHeaders.TURN + " is required with a program");
+        }
+        if (program.isEmpty() && turn.isPresent()) {
+            throw new ResultException(
+                    ResultCode.MISSING_HEADER,
+                    "header " + CallerHeaders.PROGRAM + " is required with a turn");
+        }
+        return turn.map(Long::intValue).orElse(0);
+    }
+
+    private long timeoutMillis(CallerHeaderReader reader) {
+        return reader.number(CallerHeaders.DEADLINE_MILLIS, 1, MAX_TIMEOUT_MILLIS)
+                .orElse(mDefaultTimeoutMillis);
+    }
+
+    private static Optional<String> idempotencyKey(CallerHeaderReader reader, boolean repeatable) {
+        Optional<String> key = reader.text(CallerHeaders.IDEMPOTENCY_KEY, MAX_KEY_CHARS);
+        if (!repeatable && key.isEmpty()) {
+            throw new ResultException(
+                    ResultCode.IDEMPOTENCY_KEY_REQUIRED,
+                    "header " + CallerHeaders.IDEMPOTENCY_KEY + " is required for this call");
+        }
+        return key;
+    }
+
+    private static List<Header> targetHeaders(Map<String, List<String>> headers) {
+        List<Header> result = new ArrayList<>();
+        headers.forEach(
+                (name, values) -> {
+                    if (!CallerHeaders.isInternal(name)) {
+                        values.forEach(value -> result.add(header(name, value)));
+                    }
+                });
+        return result;
+    }
+
+    private static Header header(String name, String value) {
+        return Header.newBuilder().setName(name).setValue(value).build();
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/entry/DispatchGrant.java
@@ -0,0 +1,21 @@
+package org.oleandertrack.server.entry;
+
+import java.util.Set;
+
+/**
+ * The right to dispatch a call, given by the owner of its shard. Immutable.
+ *
+ * @param attemptId identity of the call's first attempt; retries add a number
+ * @param shard the program's shard
+ * @param fence the holder's fencing number for the shard
+ * @param startDeadlineNanos latest start of an attempt on the local monotonic clock
+ * @param priorityLevel level of attained service, 0 the most urgent
+ * @param allowedTargets names of the targets that the program class may use; empty for all
+ */
+record DispatchGrant(
+        String attemptId,
+        int shard,
+        long fence,
+        long startDeadlineNanos,
+        int priorityLevel,
+        Set<String> allowedTargets) {}
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/entry/ResponsePipe.java
@@ -0,0 +1,134 @@
+package org.oleandertrack.server.entry;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.ArrayDeque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.oleandertrack.core.result.Execution;
+import org.oleandertrack.core.result.ResultCode;
+import org.oleandertrack.core.result.ResultException;
+import org.oleandertrack.server.http.ErrorBody;
+import org.oleandertrack.protocol.message.ResponseHead;
+
+/**
+ * Carries an answer from the thread that runs the call to the thread that writes to the caller.
+ * Bounded in bytes. Thread safe.
+ */
+final class ResponsePipe implements ResponseSink {
+
+    private static final int MAX_BUFFERED_BYTES = 256 << 10;
+
+    private final CompletableFuture<ResponseHead> mHead = new CompletableFuture<>();
+    private final CompletableFuture<Void> mCancelled = new CompletableFuture<>();
+    private final ArrayDeque<ByteString> mParts = new ArrayDeque<>();
+    private int mBufferedBytes;
+    private boolean mEnded;
+    private ResultException mFailure;
+
+    // Operations of the producer
+
+    @Override
+    public void head(ResponseHead head) {
+        mHead.complete(head);
+    }
+
+    @Override
+    public synchronized void body(ByteString data) {
+        while (mBufferedBytes > MAX_BUFFERED_BYTES && !mCancelled.isDone()) {
+            awaitChange();
+        }
+        if (mCancelled.isDone()) {
+            throw new ResultException(
+                    ResultCode.CANCELLED, Execution.RUN, "the caller left", 0);
+        }
+        mParts.add(data);
+        mBufferedBytes += data.size();
+        notifyAll();
+    }
+
+    @Override
+    public synchronized void end() {
+        mEnded = true;
+        notifyAll();
+    }
+
+    /** Ends the answer with a failure; one before the head becomes the whole answer. */
+    synchronized void fail(ResultException failure) {
+        mFailure = failure;
+        mEnded = true;
+        mHead.completeExceptionally(failure);
+        notifyAll();
+    }
+
+    // Operations of the consumer
+
+    /** Waits for the head; throws the failure if there is none. */
+    ResponseHead awaitHead() {
+        try {
+            return mHead.join();
+        } catch (CompletionException e) {
+            throw e.getCause() instanceof ResultException result ? result : e;
+        }
+    }
+
+    /** Writes the parts as they arrive, each followed by a flush. */
+    void writeTo(OutputStream output) throws IOException {
+        try {
+            for (ByteString part = take(); part != null; part = take()) {
+                part.writeTo(output);
+                output.flush();
+            }
+        } catch (IOException e) {
+            cancel();
+            throw e;
+        }
+        if (mFailure != null) {
+            output.write(ErrorBody.asEvent(mFailure));
+            output.flush();
+        }
+    }
+
+    /** Tells the producer that the caller has left. */
+    synchronized void cancel() {
+        mCancelled.complete(null);
+        notifyAll();
+    }
+
+    // Accessors
+
+    @Override
+    public boolean isUncommitted() {
+        return !mHead.isDone();
+    }
+
+    @Override
+    public CompletableFuture<Void> cancelled() {
+        return mCancelled;
+    }
+
+    // Helpers
+
+    private synchronized ByteString take() {
+        while (mParts.isEmpty() && !mEnded) {
+            awaitChange();
+        }
+        ByteString part = mParts.poll();
+        if (part != null) {
+            mBufferedBytes -= part.size();
+            notifyAll();
+        }
+        return part;
+    }
+
+    private void awaitChange() {
+        try {
+            wait();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new ResultException(
+                    ResultCode.INTERNAL_ERROR, Execution.UNKNOWN, "interrupted", 0);
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/entry/ServiceResourceFactory.java
@@ -0,0 +1,58 @@
+package org.oleandertrack.server.entry;
+
+import jakarta.ws.rs.container.ContainerRequestContext;
+import jakarta.ws.rs.core.Response;
+import jakarta.ws.rs.core.UriInfo;
+import java.util.List;
+import org.glassfish.jersey.process.Inflector;
+import org.glassfish.jersey.server.model.Resource;
+
+/** Builds the callers' interface for plain services, which takes any method and path. */
+final class ServiceResourceFactory {
+
+    private static final List<String> METHODS =
+            List.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
+    private static final String SERVICES = "/services/";
+    private static final String SERVICE = "service";
+
+    private final CallerRequestFactory mRequests;
+    private final RequestBodyReader mBodies;
+    private final CallResponder mResponder;
+
+    ServiceResourceFactory(
+            CallerRequestFactory requests, RequestBodyReader bodies, CallResponder responder) {
+        mRequests = requests;
+        mBodies = bodies;
+        mResponder = responder;
+    }
+
+    Resource create() {
+        Resource.Builder builder = Resource.builder("services/{" + SERVICE + "}{path: (/.*)?}");
+        Inflector<ContainerRequestContext, Response> handler = this::passThrough;
+        for (String method : METHODS) {
+            builder.addMethod(method).handledBy(handler);
+        }
+        return builder.build();
+    }
+
+    private Response passThrough(ContainerRequestContext context) {
+        byte[] body = mBodies.read(context.getEntityStream());
+        String service = context.getUriInfo().getPathParameters().getFirst(SERVICE);
+        return mResponder.respond(
+                mRequests.serviceCall(
+                        service,
+                        context.getMethod(),
+                        targetPath(service, context.getUriInfo()),
+                        context.getHeaders(),
+                        body));
+    }
+
+    /** Returns path and query as the caller wrote them, without decoding. */
+    private static String targetPath(String service, UriInfo uri) {
+        String rawPath = uri.getRequestUri().getRawPath();
+        String path = rawPath.substring(rawPath.indexOf(SERVICES) + SERVICES.length());
+        String rest = path.substring(Math.min(path.length(), service.length()));
+        String query = uri.getRequestUri().getRawQuery();
+        return (rest.isEmpty() ? "/" : rest) + (query == null ? "" : "?" + query);
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry host: callers' interface, programs, placement, forwarding and operators' interface. */
+package org.oleandertrack.server.entry;
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/http/HttpService.java
@@ -0,0 +1,119 @@
+package org.oleandertrack.server.http;
+
+import io.dropwizard.core.Configuration;
+import io.dropwizard.core.server.DefaultServerFactory;
+import io.dropwizard.core.setup.Environment;
+import io.dropwizard.jetty.GzipHandlerFactory;
+import io.dropwizard.jetty.HttpConnectorFactory;
+import io.dropwizard.jersey.validation.Validators;
+import io.dropwizard.logging.common.ExternalLoggingFactory;
+import io.dropwizard.request.logging.ExternalRequestLogFactory;
+import io.dropwizard.util.DataSize;
+import io.dropwizard.util.Duration;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.health.HealthCheckRegistry;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.dropwizard.jackson.Jackson;
+import java.util.List;
+import java.util.function.Consumer;
+import org.eclipse.jetty.server.NetworkConnector;
+import org.eclipse.jetty.server.Server;
+
+/** A Dropwizard HTTP server with a part for calls and a part for administration. */
+public final class HttpService {
+
+    private static final int FIRST_CONNECTOR = 0;
+
+    private final HttpServiceConfig mConfig;
+    private final Consumer<Environment> mSetup;
+    private Server mServer;
+
+    /**
+     * Creates a server that is not started yet.
+     *
+     * @param setup registers resources and servlets
+     */
+    public HttpService(HttpServiceConfig config, Consumer<Environment> setup) {
+        mConfig = config;
+        mSetup = setup;
+    }
+
+    // Life-cycle
+
+    /** Starts the server; returns when it accepts connections. */
+    public void start() throws Exception {
+        Configuration configuration = new Configuration();
+        configuration.setLoggingFactory(new ExternalLoggingFactory());
+        configuration.setServerFactory(serverFactory());
+        Environment environment = environment(configuration);
+        mSetup.accept(environment);
+        mServer = configuration.getServerFactory().build(environment);
+        mServer.setErrorHandler(new NumberedErrorHandler());
+        mServer.setStopAtShutdown(false);
+        mServer.start();
+    }
+
+    /** Stops the server; requests under way end first, within the grace period. */
+    public void stop() throws Exception {
+        if (mServer != null) {
+            mServer.stop();
+        }
+    }
+
+    // Accessors
+
+    /** Returns the port for calls, after the start; the administration port if there is none. */
+    public int port() {
+        return localPort(FIRST_CONNECTOR);
+    }
+
+    /** Returns the administration port, after the start. */
+    public int adminPort() {
+        return localPort(mServer.getConnectors().length - 1);
+    }
+
+    // Helpers
+
+    private int localPort(int index) {
+        return ((NetworkConnector) mServer.getConnectors()[index]).getLocalPort();
+    }
+
+    private Environment environment(Configuration configuration) {
+        ObjectMapper mapper = Jackson.newObjectMapper();
+        return new Environment(
+                mConfig.name(),
+                mapper,
+                Validators.newValidatorFactory(),
+                new MetricRegistry(),
+                getClass().getClassLoader(),
+                new HealthCheckRegistry(),
+                configuration);
+    }
+
+    private DefaultServerFactory serverFactory() {
+        DefaultServerFactory factory = new DefaultServerFactory();
+        factory.setRequestLogFactory(new ExternalRequestLogFactory());
+        factory.setEnableVirtualThreads(true);
+        factory.setRegisterDefaultExceptionMappers(false);
+        factory.setShutdownGracePeriod(Duration.milliseconds(mConfig.shutdownGraceMillis()));
+        // Compression would collect parts of a streamed answer.
+        GzipHandlerFactory gzip = new GzipHandlerFactory();
+        gzip.setEnabled(false);
+        factory.setGzipFilterFactory(gzip);
+        factory.setApplicationConnectors(
+                mConfig.port().isPresent()
+                        ? List.of(connector(mConfig.port().get()))
+                        : List.of());
+        factory.setAdminConnectors(List.of(connector(mConfig.adminPort())));
+        return factory;
+    }
+
+    private HttpConnectorFactory connector(int port) {
+        HttpConnectorFactory connector = new HttpConnectorFactory();
+        connector.setBindHost(mConfig.address());
+        connector.setPort(port);
+        connector.setMaxRequestHeaderSize(DataSize.bytes(mConfig.maxHeaderBytes()));
+        connector.setIdleTimeout(Duration.milliseconds(mConfig.idleTimeoutMillis()));
+        return connector;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/http/NumberedErrorHandler.java
@@ -0,0 +1,63 @@
+package org.oleandertrack.server.http;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.handler.ErrorHandler;
+import org.eclipse.jetty.util.Callback;
+import org.oleandertrack.core.result.ResultCode;
+import org.oleandertrack.core.result.ResultException;
+
+/**
+ * Answers requests that fail before they reach a resource, such as those with oversized headers,
+ * with a numbered error like all others. Thread safe.
+ */
+final class NumberedErrorHandler extends ErrorHandler {
+
+    @Override
+    protected void generateResponse(
+            Request request,
+            Response response,
+            int status,
+            String message,
+            Throwable cause,
+            Callback callback) {
+        ResultException failure = new ResultException(codeFor(status), describe(status, message));
+        byte[] body = ErrorBody.asJson(failure);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        response.getHeaders().put(ErrorBody.RESULT_CODE_HEADER, failure.code().number());
+        response.getHeaders().put(ErrorBody.EXECUTION_HEADER, failure.execution().text());
+        Content.Sink.write(response, true, new String(body, StandardCharsets.UTF_8), callback);
+    }
+
+    @Override
+    public ByteBuffer badMessageError(
+            int status, String reason, org.eclipse.jetty.http.HttpFields.Mutable fields) {
+        ResultException failure = new ResultException(codeFor(status), describe(status, reason));
+        fields.put(HttpHeader.CONTENT_TYPE, "application/json");
+        fields.put(ErrorBody.RESULT_CODE_HEADER, failure.code().number());
+        fields.put(ErrorBody.EXECUTION_HEADER, failure.execution().text());
+        return ByteBuffer.wrap(ErrorBody.asJson(failure));
+    }
+
+    private static ResultCode codeFor(int status) {
+        return switch (status) {
+            case HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE_431 -> ResultCode.HEADER_TOO_LARGE;
+            case HttpStatus.PAYLOAD_TOO_LARGE_413 -> ResultCode.BODY_TOO_LARGE;
+            case HttpStatus.NOT_FOUND_404, HttpStatus.METHOD_NOT_ALLOWED_405 ->
+                    ResultCode.UNKNOWN_PATH;
+            default ->
+                    HttpStatus.isClientError(status)
+                            ? ResultCode.INVALID_REQUEST
+                            : ResultCode.INTERNAL_ERROR;
+        };
+    }
+
+    private static String describe(int status, String message) {
+        return message == null || message.isEmpty() ? HttpStatus.getMessage(status) : message;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/UsageScanner.java
@@ -0,0 +1,63 @@
+package org.oleandertrack.server.sidecar;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.oleandertrack.protocol.message.Usage;
+
+/**
+ * Finds the token usage in a chat completion answer, whole or streamed. Keeps only the end of the
+ * answer, where both forms carry it. Not thread safe.
+ */
+final class UsageScanner {
+
+    /** The usage stands in the last event before the end mark, well under this size. */
+    private static final int KEPT_BYTES = 8 << 10;
+
+    private static final String USAGE_FIELD = "\"usage\"";
+
+    private final ObjectMapper mMapper;
+    private ByteString mTail = ByteString.EMPTY;
+
+    UsageScanner(ObjectMapper mapper) {
+        mMapper = mapper;
+    }
+
+    /** Adds the next part of the answer. */
+    void add(ByteString data) {
+        ByteString joined = mTail.concat(data);
+        int excess = Math.max(0, joined.size() - KEPT_BYTES);
+        mTail = joined.substring(excess);
+    }
+
+    /** Returns the usage, if the answer carried one. */
+    Optional<Usage> usage() {
+        String text = mTail.toString(StandardCharsets.UTF_8);
+        int field = text.lastIndexOf(USAGE_FIELD);
+        if (field < 0) {
+            return Optional.empty();
+        }
+        int object = text.indexOf('{', field);
+        if (object < 0) {
+            return Optional.empty();
+        }
+        try (var parser = mMapper.createParser(text.substring(object))) {
+            JsonNode node = mMapper.readTree(parser);
+            return Optional.of(toUsage(node));
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static Usage toUsage(JsonNode node) {
+        return Usage.newBuilder()
+                .setPromptTokens(node.path("prompt_tokens").asLong())
+                .setGeneratedTokens(node.path("completion_tokens").asLong())
+                .setCachedPromptTokens(
+                        node.path("prompt_tokens_details").path("cached_tokens").asLong())
+                .build();
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/package-info.java
@@ -0,0 +1,2 @@
+/** The process beside a target: checks, queues and runs calls and streams the answers back. */
+package org.oleandertrack.server.sidecar;
