--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/settings/ShardSettings.java
@@ -0,0 +1,49 @@
+package org.oleandertrack.server.settings;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import jakarta.validation.constraints.AssertTrue;
+import jakarta.validation.constraints.Max;
+import jakarta.validation.constraints.Min;
+
+/** Number of shards and the timing of member leases. Immutable after loading. */
+public final class ShardSettings {
+
+    @JsonProperty("count")
+    @Min(1)
+    @Max(65_536)
+    private int mCount = 64;
+
+    @JsonProperty("leaseMillis")
+    @Min(100)
+    @Max(60_000)
+    private int mLeaseMillis = 6_000;
+
+    @JsonProperty("renewMillis")
+    @Min(20)
+    @Max(20_000)
+    private int mRenewMillis = 2_000;
+
+    // Accessors
+
+    /** Returns the number of shards, which is the same on every entry host of a region. */
+    public int count() {
+        return mCount;
+    }
+
+    /** Returns how long a member lease lasts in milliseconds. */
+    public int leaseMillis() {
+        return mLeaseMillis;
+    }
+
+    /** Returns the time between two renewals of the lease in milliseconds. */
+    public int renewMillis() {
+        return mRenewMillis;
+    }
+
+    // Checks
+
+    @AssertTrue(message = "leaseMillis: at least twice renewMillis")
+    boolean isLeaseMillisSufficient() {
+        return mLeaseMillis >= 2L * mRenewMillis;
+    }
+}
