--- a/server/src/main/java/org/oleandertrack/server/cli/DefaultDaemonFactory.java
+++ b/server/src/main/java/org/oleandertrack/server/cli/DefaultDaemonFactory.java
@@ -1,18 +1,23 @@
 package org.oleandertrack.server.cli;
 
+import com.google.inject.Guice;
+import org.oleandertrack.server.entry.EntryDaemon;
+import org.oleandertrack.server.entry.EntryModule;
 import org.oleandertrack.server.settings.EntrySettings;
 import org.oleandertrack.server.settings.SidecarSettings;
+import org.oleandertrack.server.sidecar.SidecarDaemon;
+import org.oleandertrack.server.sidecar.SidecarModule;
 
 /** The daemons of the product. */
 final class DefaultDaemonFactory implements DaemonFactory {
 
     @Override
     public Daemon entry(EntrySettings settings) {
-        throw new UnsupportedOperationException("the entry daemon is not part of this build");
+        return Guice.createInjector(new EntryModule(settings)).getInstance(EntryDaemon.class);
     }
 
     @Override
     public Daemon sidecar(SidecarSettings settings) {
-        throw new UnsupportedOperationException("the sidecar daemon is not part of this build");
+        return Guice.createInjector(new SidecarModule(settings)).getInstance(SidecarDaemon.class);
     }
 }
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarModule.java
@@ -0,0 +1,153 @@
+package org.oleandertrack.server.sidecar;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
+import org.oleandertrack.core.fencing.FenceTable;
+import org.oleandertrack.protocol.CallHandler;
+import org.oleandertrack.protocol.LocalNode;
+import org.oleandertrack.protocol.NodeStatus;
+import org.oleandertrack.protocol.PeerServer;
+import org.oleandertrack.protocol.message.Role;
+import org.oleandertrack.server.http.AdminServlets;
+import org.oleandertrack.server.http.HttpService;
+import org.oleandertrack.server.http.HttpServiceConfig;
+import org.oleandertrack.server.metrics.MetricsRegistry;
+import org.oleandertrack.server.settings.PeerLimits;
+import org.oleandertrack.server.settings.PeerSettings;
+import org.oleandertrack.server.settings.SidecarSettings;
+
+/** Puts the parts of the process beside a target together. */
+public final class SidecarModule extends AbstractModule {
+
+    private static final int MAX_HEADER_BYTES = 16 << 10;
+    private static final long IDLE_TIMEOUT_MILLIS = 30_000;
+    private static final long SHUTDOWN_GRACE_MILLIS = 1_000;
+
+    private final SidecarSettings mSettings;
+
+    public SidecarModule(SidecarSettings settings) {
+        mSettings = settings;
+    }
+
+    @Provides
+    @Singleton
+    LongSupplier nanoClock() {
+        return System::nanoTime;
+    }
+
+    @Provides
+    @Singleton
+    LocalNode localNode() {
+        long incarnation = new SecureRandom().nextLong(1, Long.MAX_VALUE);
+        return new LocalNode(
+                mSettings.node(),
+                Role.ROLE_SIDECAR,
+                incarnation,
+                mSettings.zone(),
+                mSettings.target().name());
+    }
+
+    @Provides
+    @Singleton
+    AtomicBoolean leaving() {
+        return new AtomicBoolean();
+    }
+
+    @Provides
+    @Singleton
+    ScheduledExecutorService timer() {
+        return Executors.newSingleThreadScheduledExecutor(
+                Thread.ofPlatform().daemon().name("call-timeouts").factory());
+    }
+
+    @Provides
+    @Singleton
+    CallGate callGate() {
+        return new CallGate(
+                mSettings.target().maxConcurrentCalls(), mSettings.target().maxQueuedCalls());
+    }
+
+    @Provides
+    @Singleton
+    TargetClient targetClient() {
+        HttpClient client =
+                HttpClient.newBuilder()
+                        .version(HttpClient.Version.HTTP_1_1)
+                        .followRedirects(HttpClient.Redirect.NEVER)
+                        .connectTimeout(
+                                Duration.ofMillis(mSettings.target().connectTimeoutMillis()))
+                        .build();
+        return new TargetClient(client, URI.create(mSettings.target().url()), new ObjectMapper());
+    }
+
+    @Provides
+    @Singleton
+    CallHandler callHandler(
+            TargetClient target,
+            CallGate gate,
+            ScheduledExecutorService timer,
+            LongSupplier nanoClock) {
+        return new SidecarCallHandler(
+                target, gate, new FenceTable(), new AttemptRegistry(), timer, nanoClock);
+    }
+
+    @Provides
+    @Singleton
+    PeerServer peerServer(
+            LocalNode node,
+            CallHandler calls,
+            CallGate gate,
+            AtomicBoolean leaving,
+            LongSupplier nanoClock) {
+        PeerSettings peer = mSettings.peer();
+        return new PeerServer(
+                node,
+                PeerLimits.from(peer),
+                calls,
+                (from, frame, reply) -> {},
+                nanoClock,
+                () -> new NodeStatus(gate.load(), 0, 0, leaving.get()));
+    }
+
+    @Provides
+    @Singleton
+    HttpService http(AtomicBoolean leaving, MetricsRegistry metrics) {
+        HttpServiceConfig config =
+                new HttpServiceConfig(
+                        "sidecar",
+                        mSettings.http().address(),
+                        Optional.empty(),
+                        mSettings.http().adminPort(),
+                        MAX_HEADER_BYTES,
+                        IDLE_TIMEOUT_MILLIS,
+                        SHUTDOWN_GRACE_MILLIS);
+        return new HttpService(
+                config,
+                environment ->
+                        AdminServlets.register(
+                                environment, metrics.servlet(), () -> !leaving.get()));
+    }
+
+    @Provides
+    @Singleton
+    SidecarDaemon daemon(
+            LocalNode node,
+            PeerServer peerServer,
+            CallGate gate,
+            HttpService http,
+            AtomicBoolean leaving,
+            ScheduledExecutorService timer) {
+        return new SidecarDaemon(mSettings, node, peerServer, gate, http, leaving, timer);
+    }
+}
--- /dev/null
+++ b/system-tests/src/main/java/org/oleandertrack/system/LocalDeployment.java
@@ -0,0 +1,227 @@
+package org.oleandertrack.system;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * A deployment on loopback: platform, targets, sidecars and entry hosts, each its own process.
+ * Processes listen on free ports, and the host list is filled in from what they report. Not thread
+ * safe.
+ */
+public final class LocalDeployment implements AutoCloseable {
+
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final Pattern STANDIN_READY = Pattern.compile("^ready (\\d+)");
+    private static final Pattern SIDECAR_READY =
+            Pattern.compile("listening as sidecar .*peerPort=(\\d+) adminPort=(\\d+)");
+    private static final Pattern ENTRY_READY =
+            Pattern.compile(
+                    "listening as entry host .*httpPort=(\\d+) adminPort=(\\d+) peerPort=(\\d+)");
+    private static final int STANDIN_HEAP_MEGABYTES = 128;
+    private static final int SIDECAR_HEAP_MEGABYTES = 32;
+    private static final int ENTRY_HEAP_MEGABYTES = 256;
+
+    private final DeploymentFiles mFiles;
+    private final HttpCaller mHttp;
+    private final ObjectMapper mMapper = new ObjectMapper();
+    private final Map<String, ManagedProcess> mProcesses = new LinkedHashMap<>();
+    private final Map<String, ObjectNode> mHosts = new LinkedHashMap<>();
+    private final Map<String, URI> mAddresses = new LinkedHashMap<>();
+    private final Map<String, URI> mAdminAddresses = new LinkedHashMap<>();
+    private final Map<String, TargetSpec> mTargets = new LinkedHashMap<>();
+    private String mExtraEntrySettings = "";
+
+    /** Creates a deployment that keeps settings and logs in the given folder. */
+    public LocalDeployment(DeploymentFiles files, HttpCaller http) {
+        mFiles = files;
+        mHttp = http;
+    }
+
+    // Life-cycle
+
+    /** Starts the platform's stand-in. */
+    public void startPlatform() {
+        mAddresses.put("platform", startStandin("platform", List.of("platform")));
+    }
+
+    /** Starts a model engine stand-in with the given extra arguments. */
+    public void startEngine(String name, String models, String... arguments) {
+        List<String> command = new ArrayList<>(List.of("engine", "--models", models));
+        command.addAll(List.of(arguments));
+        mAddresses.put(name, startStandin(name, command));
+        mTargets.put(name, new TargetSpec(name, models, ""));
+    }
+
+    /** Starts a plain service stand-in with the given extra arguments. */
+    public void startService(String name, String service, String... arguments) {
+        List<String> command = new ArrayList<>(List.of("service"));
+        command.addAll(List.of(arguments));
+        mAddresses.put(name, startStandin(name, command));
+        mTargets.put(name, new TargetSpec(name, "", service));
+    }
+
+    /** Starts the process beside a target and lists it. */
+    public void startSidecar(String node, String zone, String target) {
+        TargetSpec spec = mTargets.get(target);
+        Path settings =
+                mFiles.write(
+                        node + ".toml",
+                        SettingsText.sidecar(node, zone, spec, mAddresses.get(target)));
+        ManagedProcess process =
+                startServer(node, "sidecar", settings, SIDECAR_READY, SIDECAR_HEAP_MEGABYTES);
+        Matcher ready = process.awaitReady();
+        mAdminAddresses.put(node, loopback(ready.group(2)));
+        list(node, "SIDECAR", zone, ready.group(1), spec);
+    }
+
+    /** Starts an entry host and lists it. */
+    public void startEntry(String node, String zone) {
+        Path settings =
+                mFiles.write(
+                        node + ".toml",
+                        SettingsText.entry(node, zone, mAddresses.get("platform"))
+                                + mExtraEntrySettings);
+        ManagedProcess process =
+                startServer(node, "entry", settings, ENTRY_READY, ENTRY_HEAP_MEGABYTES);
+        Matcher ready = process.awaitReady();
+        mAddresses.put(node, loopback(ready.group(1)));
+        mAdminAddresses.put(node, loopback(ready.group(2)));
+        list(node, "ENTRY", zone, ready.group(3), new TargetSpec("", "", ""));
+    }
+
+    /** Stops all processes in the reverse order of their start; fails if one ends with an error. */
+    public void stopAll() {
+        List<String> names = new ArrayList<>(mProcesses.keySet());
+        for (String name : names.reversed()) {
+            int exitCode = mProcesses.remove(name).stop();
+            if (exitCode != 0 && exitCode != 143) {
+                throw new IllegalStateException(name + " ended with exit code " + exitCode);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        mProcesses.values().forEach(ManagedProcess::close);
+        mProcesses.clear();
+    }
+
+    // Operations
+
+    /** Sets TOML text that is appended to the settings of entry hosts started afterwards. */
+    public void appendToEntrySettings(String toml) {
+        mExtraEntrySettings = toml;
+    }
+
+    /** Sends the host list to the platform's stand-in. */
+    public void publishHosts() {
+        ObjectNode body = mMapper.createObjectNode();
+        ArrayNode hosts = body.putArray("hosts");
+        mHosts.values().forEach(hosts::add);
+        body.put("lagMillis", 0);
+        mHttp.postJson(address("platform").resolve("/control/hosts"), body.toString());
+    }
+
+    /** Marks a host as leaving in the platform's list, without telling the host. */
+    public void markLeaving(String node) {
+        mHosts.get(node).put("leaving", true);
+        publishHosts();
+    }
+
+    /** Waits until an entry host is ready for work. */
+    public void awaitReady(String entryNode) {
+        mHttp.awaitStatus(mAdminAddresses.get(entryNode).resolve("/ready"), 200);
+    }
+
+    /** Sends a control command to a stand-in. */
+    public String control(String name, String path, String json) {
+        return mHttp.postJson(address(name).resolve(path), json);
+    }
+
+    // Accessors
+
+    /** Returns the HTTP address of a stand-in or of an entry host. */
+    public URI address(String name) {
+        return mAddresses.get(name);
+    }
+
+    /** Returns the administration address of a daemon. */
+    public URI adminAddress(String name) {
+        return mAdminAddresses.get(name);
+    }
+
+    public ManagedProcess process(String name) {
+        return mProcesses.get(name);
+    }
+
+    // Helpers
+
+    private URI startStandin(String name, List<String> arguments) {
+        ManagedProcess process =
+                ManagedProcess.start(
+                        name,
+                        ManagedProcess.javaCommand(
+                                mFiles.standinsJar(), STANDIN_HEAP_MEGABYTES, arguments),
+                        STANDIN_READY,
+                        mFiles.log(name));
+        mProcesses.put(name, process);
+        return loopback(process.awaitReady().group(1));
+    }
+
+    private ManagedProcess startServer(
+            String node, String role, Path settings, Pattern ready, int heapMegabytes) {
+        ManagedProcess process =
+                ManagedProcess.start(
+                        node,
+                        ManagedProcess.javaCommand(
+                                mFiles.serverJar(),
+                                heapMegabytes,
+                                List.of(role, "--settings", settings.toString())),
+                        ready,
+                        mFiles.log(node));
+        mProcesses.put(node, process);
+        return process;
+    }
+
+    private void list(String node, String role, String zone, String port, TargetSpec spec) {
+        ObjectNode host = mMapper.createObjectNode();
+        host.put("hostId", node);
+        host.put("role", role);
+        host.put("zone", zone);
+        host.put("address", LOOPBACK);
+        host.put("port", Integer.parseInt(port));
+        host.put("target", spec.name());
+        host.put("models", spec.models());
+        host.put("service", spec.service());
+        host.put("leaving", false);
+        mHosts.put(node, host);
+    }
+
+    private static URI loopback(String port) {
+        return URI.create("http://" + LOOPBACK + ":" + port);
+    }
+
+    /** What stands behind a sidecar. */
+    record TargetSpec(String name, String models, String service) {}
+
+    /** Returns a folder's files for a deployment of the built jars. */
+    static String read(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/system-tests/src/main/java/org/oleandertrack/system/ManagedProcess.java
@@ -0,0 +1,172 @@
+package org.oleandertrack.system;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A child process whose output goes to a log file and tells when it is ready. Thread safe. */
+public final class ManagedProcess implements AutoCloseable {
+
+    private static final long READY_SECONDS = 60;
+    private static final long STOP_SECONDS = 60;
+
+    private final String mName;
+    private final Process mProcess;
+    private final CompletableFuture<Matcher> mReady = new CompletableFuture<>();
+
+    private ManagedProcess(String name, Process process) {
+        mName = name;
+        mProcess = process;
+    }
+
+    // Life-cycle
+
+    /**
+     * Starts a process.
+     *
+     * @param ready matches the output line that says that the process serves
+     */
+    public static ManagedProcess start(
+            String name, List<String> command, Pattern ready, Path logFile) {
+        try {
+            Files.createDirectories(logFile.getParent());
+            Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
+            ManagedProcess managed = new ManagedProcess(name, process);
+            Thread.ofPlatform()
+                    .daemon()
+                    .name("output-" + name)
+                    .start(() -> managed.readOutput(ready, logFile));
+            return managed;
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot start " + name, e);
+        }
+    }
+
+    /** Returns the command line of one of the project's shaded jars. */
+    public static List<String> javaCommand(Path jar, int heapMegabytes, List<String> arguments) {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.add("-Xmx" + heapMegabytes + "m");
+        command.add("-XX:+UseSerialGC");
+        command.add("-XX:TieredStopAtLevel=1");
+        command.add("-jar");
+        command.add(jar.toString());
+        command.addAll(arguments);
+        return command;
+    }
+
+    /** Waits until the process serves and returns the match of its ready line. */
+    public Matcher awaitReady() {
+        try {
+            return mReady.get(READY_SECONDS, TimeUnit.SECONDS);
+        } catch (Exception e) {
+            throw new IllegalStateException(mName + " did not become ready", e);
+        }
+    }
+
+    /** Asks the process to stop (SIGTERM), waits and returns its exit code. */
+    public int stop() {
+        resume();
+        mProcess.destroy();
+        return awaitExit();
+    }
+
+    /** Kills the process (SIGKILL) and waits for its end. */
+    public void kill() {
+        mProcess.destroyForcibly();
+        awaitExit();
+    }
+
+    /** Stops the execution of the process (SIGSTOP) without ending it. */
+    public void freeze() {
+        signal("STOP");
+    }
+
+    /** Lets a frozen process go on (SIGCONT). */
+    public void resume() {
+        if (mProcess.isAlive()) {
+            signal("CONT");
+        }
+    }
+
+    @Override
+    public void close() {
+        if (mProcess.isAlive()) {
+            resume();
+            kill();
+        }
+    }
+
+    // Accessors
+
+    public String name() {
+        return mName;
+    }
+
+    public boolean isAlive() {
+        return mProcess.isAlive();
+    }
+
+    public long pid() {
+        return mProcess.pid();
+    }
+
+    // Helpers
+
+    private void readOutput(Pattern ready, Path logFile) {
+        try (BufferedReader reader = mProcess.inputReader(StandardCharsets.UTF_8);
+                var writer =
+                        Files.newBufferedWriter(
+                                logFile,
+                                StandardOpenOption.CREATE,
+                                StandardOpenOption.APPEND)) {
+            for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+                writer.write(line);
+                writer.newLine();
+                writer.flush();
+                Matcher matcher = ready.matcher(line);
+                if (!mReady.isDone() && matcher.find()) {
+                    mReady.complete(matcher);
+                }
+            }
+        } catch (IOException e) {
+            mReady.completeExceptionally(e);
+        }
+        mReady.completeExceptionally(
+                new IllegalStateException(mName + " ended; see " + logFile));
+    }
+
+    private int awaitExit() {
+        try {
+            if (!mProcess.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
+                throw new IllegalStateException(mName + " did not end");
+            }
+            return mProcess.exitValue();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void signal(String name) {
+        try {
+            new ProcessBuilder("kill", "-" + name, Long.toString(mProcess.pid()))
+                    .start()
+                    .waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/system-tests/src/main/java/org/oleandertrack/system/package-info.java
@@ -0,0 +1,2 @@
+/** Starts whole deployments as separate processes on loopback, for the demo and for tests. */
+package org.oleandertrack.system;
