Add stand-ins for the platform, the model engine and the plain service

Tests and the demo need the outside systems of docs/platform-api.md. The module serves each of them as a small process with a control interface for faults and counts.

--- /dev/null
+++ b/standins/src/main/java/org/oleandertrack/standins/engine/LoadHistory.java
@@ -0,0 +1,49 @@
+package org.oleandertrack.standins.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.LongSupplier;
+import org.oleandertrack.standins.http.Json;
+
+/** Reports the load as it was some time ago. Thread-safe. */
+final class LoadHistory {
+
+    private record Sample(long atNanos, long running, long waiting, long cacheUsedTokens) {}
+
+    private final LongSupplier mNanoClock;
+    private final long mLagNanos;
+    private final long mCapacityTokens;
+    private final Deque<Sample> mSamples = new ArrayDeque<>();
+
+    LoadHistory(LongSupplier nanoClock, long lagMillis, long capacityTokens) {
+        mNanoClock = nanoClock;
+        mLagNanos = lagMillis * 1_000_000;
+        mCapacityTokens = capacityTokens;
+        mSamples.add(new Sample(nanoClock.getAsLong() - mLagNanos, 0, 0, 0));
+    }
+
+    synchronized void record(long running, long waiting, long cacheUsedTokens) {
+        mSamples.add(new Sample(mNanoClock.getAsLong(), running, waiting, cacheUsedTokens));
+        removeOutdated();
+    }
+
+    synchronized JsonNode report() {
+        removeOutdated();
+        Sample sample = mSamples.getFirst();
+        return Json.object()
+                .put("running", sample.running())
+                .put("waiting", sample.waiting())
+                .put("cache_used_tokens", sample.cacheUsedTokens())
+                .put("cache_capacity_tokens", mCapacityTokens);
+    }
+
+    private void removeOutdated() {
+        long reportedAtNanos = mNanoClock.getAsLong() - mLagNanos;
+        Sample latest = mSamples.getFirst();
+        while (!mSamples.isEmpty() && mSamples.getFirst().atNanos() - reportedAtNanos <= 0) {
+            latest = mSamples.removeFirst();
+        }
+        mSamples.addFirst(latest);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/oleandertrack/standins/http/ConnectionAbortException.java
@@ -0,0 +1,13 @@
+package org.oleandertrack.standins.http;
+
+import java.io.IOException;
+
+/** Thrown by a handler to close the connection without completing the answer. */
+public final class ConnectionAbortException extends IOException {
+
+    private static final long serialVersionUID = 1L;
+
+    public ConnectionAbortException(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/oleandertrack/standins/http/Gate.java
@@ -0,0 +1,45 @@
+package org.oleandertrack.standins.http;
+
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+
+/** A gate at which requests wait while it is closed. Thread-safe. */
+public final class Gate {
+
+    private final ReentrantLock mLock = new ReentrantLock();
+    private final Condition mOpened = mLock.newCondition();
+    private boolean mClosed;
+
+    /** Opens or closes the gate; opening releases all that wait. */
+    public void setClosed(boolean closed) {
+        mLock.lock();
+        try {
+            mClosed = closed;
+            mOpened.signalAll();
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    /**
+     * Waits until the gate is open.
+     *
+     * @return whether it was closed when the call began
+     * @throws ConnectionAbortException if the thread is interrupted
+     */
+    public boolean pass() throws ConnectionAbortException {
+        mLock.lock();
+        try {
+            boolean waited = mClosed;
+            while (mClosed) {
+                mOpened.await();
+            }
+            return waited;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new ConnectionAbortException("interrupted while held");
+        } finally {
+            mLock.unlock();
+        }
+    }
+}
