--- a/server/src/main/java/org/oleandertrack/server/entry/AttemptRunner.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/AttemptRunner.java
@@ -30,7 +30,7 @@
      */
     AttemptResult run(PeerConnection connection, Call head, ByteString body, ResponseSink sink) {
         AttemptStream stream = AttemptStream.start(connection, head, body);
-        sink.cancelled().thenRun(stream::callerGone);
+        CompletableFuture<Void> callerGone = sink.cancelled().thenRun(stream::callerGone);
         Execution execution = Execution.UNKNOWN;
         long waitMillis = head.getTimeoutMillis();
         while (true) {
@@ -121,7 +121,6 @@
     }
 
     private static AttemptResult failed(ResultCode code, Execution execution, String message) {
-        return new AttemptResult.Failed(
-                code, execution, message, 0, Usage.getDefaultInstance());
+        return new AttemptResult.Failed(code, execution, message, 0, Usage.getDefaultInstance());
     }
 }
--- a/server/src/main/java/org/oleandertrack/server/entry/CallHeads.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/CallHeads.java
@@ -40,9 +40,7 @@
                 head.getProgramClass(),
                 optional(head.getProgram()),
                 head.getTurn(),
-                head.getBudgetTokens() > 0
-                        ? Optional.of(head.getBudgetTokens())
-                        : Optional.empty(),
+                head.getBudgetTokens() > 0 ? Optional.of(head.getBudgetTokens()) : Optional.empty(),
                 head.getTimeoutMillis(),
                 head.getRepeatable(),
                 optional(head.getIdempotencyKey()),
--- a/server/src/main/java/org/oleandertrack/server/entry/CallLimiter.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/CallLimiter.java
@@ -79,7 +79,6 @@
     }
 
     private static ResultException refusal(ResultCode code) {
-        return new ResultException(code, code.summary())
-                .withRetryAfterMillis(RETRY_AFTER_MILLIS);
+        return new ResultException(code, code.summary()).withRetryAfterMillis(RETRY_AFTER_MILLIS);
     }
 }
--- a/server/src/main/java/org/oleandertrack/server/entry/CallRouter.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/CallRouter.java
@@ -72,10 +72,7 @@
         AttemptResult result = mRunner.run(connection, head, request.body(), sink);
         if (result instanceof AttemptResult.Failed failed) {
             throw new ResultException(
-                    failed.code(),
-                    failed.execution(),
-                    failed.message(),
-                    failed.retryAfterMillis());
+                    failed.code(), failed.execution(), failed.message(), failed.retryAfterMillis());
         }
         sink.end();
     }
--- a/server/src/main/java/org/oleandertrack/server/entry/CallerRequestFactory.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/CallerRequestFactory.java
@@ -21,7 +21,8 @@
 final class CallerRequestFactory {
 
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9_.-]{1,128}");
-    private static final Pattern PROGRAM = Pattern.compile("[A-Za-z0-9_.-]{1,128}(/[A-Za-z0-9_.-]{1,128}){0,7}");
+    private static final Pattern PROGRAM =
+            Pattern.compile("[A-Za-z0-9_.-]{1,128}(/[A-Za-z0-9_.-]{1,128}){0,7}");
     private static final int MAX_KEY_CHARS = 256;
     private static final long MAX_TOKENS = 1L << 40;
     private static final long MAX_TIMEOUT_MILLIS = 24L * 3_600_000;
@@ -186,8 +187,7 @@
         if (streamed) {
             json.putObject("stream_options").put("include_usage", true);
         }
-        program.ifPresent(
-                id -> json.put("cache_owner", organisation(reader) + "/" + id));
+        program.ifPresent(id -> json.put("cache_owner", organisation(reader) + "/" + id));
     }
 
     private static String organisation(CallerHeaderReader reader) {
--- a/server/src/main/java/org/oleandertrack/server/entry/DirectCallService.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/DirectCallService.java
@@ -1,8 +1,8 @@
 package org.oleandertrack.server.entry;
 
+import java.util.Set;
 import java.util.UUID;
 import java.util.function.LongSupplier;
-import org.oleandertrack.protocol.message.Usage;
 
 /** Runs calls that belong to no program and may be repeated: they need no lasting state. */
 final class DirectCallService implements CallService {
@@ -25,11 +25,10 @@
                         UUID.randomUUID().toString(),
                         shard,
                         mShards.fence(shard).orElse(0L),
-                        Dispatcher.deadlineNanos(
-                                mNanoClock.getAsLong(), request.timeoutMillis()),
+                        Dispatcher.deadlineNanos(mNanoClock.getAsLong(), request.timeoutMillis()),
                         0,
-                        java.util.Set.of());
-        Usage usage = mDispatcher.run(request, grant, sink);
+                        Set.of());
+        mDispatcher.run(request, grant, sink);
         sink.end();
     }
 }
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryDaemon.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryDaemon.java
@@ -59,8 +59,7 @@
     @Override
     public void stop() {
         mLimiter.close();
-        mPeerServer.broadcast(
-                Frame.newBuilder().setLeaving(Leaving.getDefaultInstance()).build());
+        mPeerServer.broadcast(Frame.newBuilder().setLeaving(Leaving.getDefaultInstance()).build());
         Logger.info("stopping: waiting for {} calls", mLimiter.calls());
         try {
             mLimiter.awaitIdle();
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryModule.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryModule.java
@@ -26,6 +26,7 @@
 import org.oleandertrack.server.http.HttpService;
 import org.oleandertrack.server.http.HttpServiceConfig;
 import org.oleandertrack.server.metrics.MetricsRegistry;
+import org.oleandertrack.server.metrics.MetricsServlet;
 import org.oleandertrack.server.settings.EntrySettings;
 import org.oleandertrack.server.settings.PeerLimits;
 
@@ -59,8 +60,7 @@
     @Singleton
     LocalNode localNode() {
         long incarnation = new SecureRandom().nextLong(1, Long.MAX_VALUE);
-        return new LocalNode(
-                mSettings.node(), Role.ROLE_ENTRY, incarnation, mSettings.zone(), "");
+        return new LocalNode(mSettings.node(), Role.ROLE_ENTRY, incarnation, mSettings.zone(), "");
     }
 
     @Provides
@@ -102,16 +102,12 @@
     @Singleton
     HostDirectory hosts(HostList hostList, PeerConnector connector) {
         return new HostDirectory(
-                hostList,
-                connector,
-                mSettings.node(),
-                mSettings.platform().hostsPollMillis());
+                hostList, connector, mSettings.node(), mSettings.platform().hostsPollMillis());
     }
 
     @Provides
     @Singleton
-    PeerServer peerServer(
-            LocalNode node, ForwardedCallHandler forwarded, LongSupplier nanoClock) {
+    PeerServer peerServer(LocalNode node, ForwardedCallHandler forwarded, LongSupplier nanoClock) {
         return new PeerServer(
                 node,
                 PeerLimits.from(mSettings.peer()),
@@ -193,7 +189,7 @@
                 config,
                 environment -> {
                     registerResources(environment, calls, limiter, executor);
-                    AdminServlets.register(environment, metrics.servlet(), hosts::isListed);
+                    AdminServlets.register(environment, new MetricsServlet(metrics), hosts::isListed);
                 });
     }
 
--- a/server/src/main/java/org/oleandertrack/server/entry/ForwardedCallHandler.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/ForwardedCallHandler.java
@@ -46,10 +46,9 @@
     // Helpers
 
     private void runOrRefuse(InboundCall call) {
-        try (CallLimiter.Permit permit = mLimiter.acquire(call.body().size())) {
+        try {
             requireRunnable(call);
-            mLocalCalls.run(
-                    CallHeads.toRequest(call.head(), call.body()), new PeerSink(call));
+            runLimited(call);
         } catch (ResultException e) {
             call.respondEnd(failure(e));
         } catch (RuntimeException e) {
@@ -64,6 +63,13 @@
         }
     }
 
+    private void runLimited(InboundCall call) {
+        CallLimiter.Permit permit = mLimiter.acquire(call.body().size());
+        try (permit) {
+            mLocalCalls.run(CallHeads.toRequest(call.head(), call.body()), new PeerSink(call));
+        }
+    }
+
     private void requireRunnable(InboundCall call) {
         if (mNanoClock.getAsLong() > call.head().getStartDeadlineReceiverNanos()) {
             throw new ResultException(
--- a/server/src/main/java/org/oleandertrack/server/entry/ResponsePipe.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/ResponsePipe.java
@@ -9,8 +9,8 @@
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
-import org.oleandertrack.server.http.ErrorBody;
 import org.oleandertrack.protocol.message.ResponseHead;
+import org.oleandertrack.server.http.ErrorBody;
 
 /**
  * Carries an answer from the thread that runs the call to the thread that writes to the caller.
@@ -40,8 +40,7 @@
             awaitChange();
         }
         if (mCancelled.isDone()) {
-            throw new ResultException(
-                    ResultCode.CANCELLED, Execution.RUN, "the caller left", 0);
+            throw new ResultException(ResultCode.CANCELLED, Execution.RUN, "the caller left", 0);
         }
         mParts.add(data);
         mBufferedBytes += data.size();
--- a/server/src/main/java/org/oleandertrack/server/entry/TargetSelector.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/TargetSelector.java
@@ -37,7 +37,6 @@
     }
 
     private static boolean isAllowed(DispatchGrant grant, TargetHandle target) {
-        return grant.allowedTargets().isEmpty()
-                || grant.allowedTargets().contains(target.name());
+        return grant.allowedTargets().isEmpty() || grant.allowedTargets().contains(target.name());
     }
 }
--- a/server/src/main/java/org/oleandertrack/server/http/AdminServlets.java
+++ b/server/src/main/java/org/oleandertrack/server/http/AdminServlets.java
@@ -17,8 +17,7 @@
      *
      * @param ready tells whether the process takes new work
      */
-    public static void register(
-            Environment environment, Servlet metrics, Supplier<Boolean> ready) {
+    public static void register(Environment environment, Servlet metrics, Supplier<Boolean> ready) {
         add(environment, "metrics", "/metrics", metrics);
         add(
                 environment,
--- a/server/src/main/java/org/oleandertrack/server/http/HttpService.java
+++ b/server/src/main/java/org/oleandertrack/server/http/HttpService.java
@@ -1,19 +1,19 @@
 package org.oleandertrack.server.http;
 
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.health.HealthCheckRegistry;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.dropwizard.core.Configuration;
 import io.dropwizard.core.server.DefaultServerFactory;
 import io.dropwizard.core.setup.Environment;
+import io.dropwizard.jackson.Jackson;
+import io.dropwizard.jersey.validation.Validators;
 import io.dropwizard.jetty.GzipHandlerFactory;
 import io.dropwizard.jetty.HttpConnectorFactory;
-import io.dropwizard.jersey.validation.Validators;
 import io.dropwizard.logging.common.ExternalLoggingFactory;
 import io.dropwizard.request.logging.ExternalRequestLogFactory;
 import io.dropwizard.util.DataSize;
 import io.dropwizard.util.Duration;
-import com.codahale.metrics.MetricRegistry;
-import com.codahale.metrics.health.HealthCheckRegistry;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import io.dropwizard.jackson.Jackson;
 import java.util.List;
 import java.util.function.Consumer;
 import org.eclipse.jetty.server.NetworkConnector;
@@ -101,9 +101,7 @@
         gzip.setEnabled(false);
         factory.setGzipFilterFactory(gzip);
         factory.setApplicationConnectors(
-                mConfig.port().isPresent()
-                        ? List.of(connector(mConfig.port().get()))
-                        : List.of());
+                mConfig.port().isPresent() ? List.of(connector(mConfig.port().get())) : List.of());
         factory.setAdminConnectors(List.of(connector(mConfig.adminPort())));
         return factory;
     }
--- a/server/src/main/java/org/oleandertrack/server/http/NumberedErrorHandler.java
+++ b/server/src/main/java/org/oleandertrack/server/http/NumberedErrorHandler.java
@@ -1,6 +1,5 @@
 package org.oleandertrack.server.http;
 
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
@@ -34,16 +33,6 @@
         Content.Sink.write(response, true, new String(body, StandardCharsets.UTF_8), callback);
     }
 
-    @Override
-    public ByteBuffer badMessageError(
-            int status, String reason, org.eclipse.jetty.http.HttpFields.Mutable fields) {
-        ResultException failure = new ResultException(codeFor(status), describe(status, reason));
-        fields.put(HttpHeader.CONTENT_TYPE, "application/json");
-        fields.put(ErrorBody.RESULT_CODE_HEADER, failure.code().number());
-        fields.put(ErrorBody.EXECUTION_HEADER, failure.execution().text());
-        return ByteBuffer.wrap(ErrorBody.asJson(failure));
-    }
-
     private static ResultCode codeFor(int status) {
         return switch (status) {
             case HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE_431 -> ResultCode.HEADER_TOO_LARGE;
--- a/server/src/main/java/org/oleandertrack/server/sidecar/SidecarDaemon.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarDaemon.java
@@ -61,8 +61,7 @@
     public void stop() {
         mLeaving.set(true);
         mGate.close();
-        mPeerServer.broadcast(
-                Frame.newBuilder().setLeaving(Leaving.getDefaultInstance()).build());
+        mPeerServer.broadcast(Frame.newBuilder().setLeaving(Leaving.getDefaultInstance()).build());
         Logger.info("stopping: waiting for {} calls", mGate.load().getRunning());
         try {
             mGate.awaitIdle();
--- a/server/src/main/java/org/oleandertrack/server/sidecar/SidecarModule.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarModule.java
@@ -23,6 +23,7 @@
 import org.oleandertrack.server.http.HttpService;
 import org.oleandertrack.server.http.HttpServiceConfig;
 import org.oleandertrack.server.metrics.MetricsRegistry;
+import org.oleandertrack.server.metrics.MetricsServlet;
 import org.oleandertrack.server.settings.PeerLimits;
 import org.oleandertrack.server.settings.PeerSettings;
 import org.oleandertrack.server.settings.SidecarSettings;
@@ -136,7 +137,7 @@
                 config,
                 environment ->
                         AdminServlets.register(
-                                environment, metrics.servlet(), () -> !leaving.get()));
+                                environment, new MetricsServlet(metrics), () -> !leaving.get()));
     }
 
     @Provides
--- a/system-tests/src/main/java/org/oleandertrack/system/DemoMain.java
+++ b/system-tests/src/main/java/org/oleandertrack/system/DemoMain.java
@@ -108,8 +108,7 @@
         headers.put("Oleandertrack-Program", program);
         headers.put("Oleandertrack-Turn", Integer.toString(turn));
         String answer = content(post(entry, "/v1/chat/completions", headers, body), streamed);
-        String direct =
-                content(post("engine-a", "/v1/chat/completions", Map.of(), body), streamed);
+        String direct = content(post("engine-a", "/v1/chat/completions", Map.of(), body), streamed);
         mMessages.add(answer);
         check(program + " turn " + turn + " at " + entry, answer, direct);
     }
@@ -119,10 +118,14 @@
         String body = chatBody(own, false);
         Map<String, String> headers =
                 Map.of(
-                        "Oleandertrack-Organisation", ORGANISATION,
-                        "Oleandertrack-Program", PROGRAM + "/similar",
-                        "Oleandertrack-Parent", PROGRAM,
-                        "Oleandertrack-Turn", "1");
+                        "Oleandertrack-Organisation",
+                        ORGANISATION,
+                        "Oleandertrack-Program",
+                        PROGRAM + "/similar",
+                        "Oleandertrack-Parent",
+                        PROGRAM,
+                        "Oleandertrack-Turn",
+                        "1");
         String answer = content(post("entry-2", "/v1/chat/completions", headers, body), false);
         String direct = content(post("engine-b", "/v1/chat/completions", Map.of(), body), false);
         check("sub-agent " + PROGRAM + "/similar", answer, direct);
@@ -143,8 +146,10 @@
     private void reserve() {
         Map<String, String> headers =
                 Map.of(
-                        "Oleandertrack-Organisation", ORGANISATION,
-                        "Idempotency-Key", "reserve-merilind-1");
+                        "Oleandertrack-Organisation",
+                        ORGANISATION,
+                        "Idempotency-Key",
+                        "reserve-merilind-1");
         String path = "/services/register/reservations";
         HttpResponse<String> first = send("POST", "entry-1", path, headers, "name=Merilind");
         checkStatus("reservation", first);
--- a/system-tests/src/main/java/org/oleandertrack/system/ManagedProcess.java
+++ b/system-tests/src/main/java/org/oleandertrack/system/ManagedProcess.java
@@ -127,9 +127,7 @@
         try (BufferedReader reader = mProcess.inputReader(StandardCharsets.UTF_8);
                 var writer =
                         Files.newBufferedWriter(
-                                logFile,
-                                StandardOpenOption.CREATE,
-                                StandardOpenOption.APPEND)) {
+                                logFile, StandardOpenOption.CREATE, StandardOpenOption.APPEND)) {
             for (String line = reader.readLine(); line != null; line = reader.readLine()) {
                 writer.write(line);
                 writer.newLine();
@@ -142,8 +140,7 @@
         } catch (IOException e) {
             mReady.completeExceptionally(e);
         }
-        mReady.completeExceptionally(
-                new IllegalStateException(mName + " ended; see " + logFile));
+        mReady.completeExceptionally(new IllegalStateException(mName + " ended; see " + logFile));
     }
 
     private int awaitExit() {
@@ -160,9 +157,7 @@
 
     private void signal(String name) {
         try {
-            new ProcessBuilder("kill", "-" + name, Long.toString(mProcess.pid()))
-                    .start()
-                    .waitFor();
+            new ProcessBuilder("kill", "-" + name, Long.toString(mProcess.pid())).start().waitFor();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         } catch (InterruptedException e) {
