Implement the inner protocol over Netty

PeerServer accepts connections and PeerConnector opens them. Both share handshake, heartbeats, idle and stall checks, limits and rejection in Connection; Outbox batches frames of many calls into one flush and sends bodies part by part in turn, so that a long body does not hold up short calls.

Hello gains response_window_bytes: each side can have its own window, and a call then needs no Credit frame before its first response bytes.

The connecting side sends heartbeats and the accepting side answers each with an echo. That is one heartbeat per direction and interval, half of what independent heartbeats with answers would cost.

The status in heartbeats comes from a supplier of NodeStatus, an additional constructor parameter.

--- /dev/null
+++ b/protocol/src/main/java/org/oleandertrack/protocol/ConnectionInitializer.java
@@ -0,0 +1,48 @@
+package org.oleandertrack.protocol;
+
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import java.util.function.Supplier;
+import org.oleandertrack.protocol.message.Frame;
+
+/** Sets up the channel of a connection: frames, socket options and the connection's handler. */
+final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
+
+    /**
+     * Bodies wait while more bytes than the upper mark are unsent. Small enough that a short frame
+     * waits behind 256 KiB at most, large enough that the socket does not run dry.
+     */
+    private static final WriteBufferWaterMark WATER_MARK =
+            new WriteBufferWaterMark(64 << 10, 256 << 10);
+
+    private final int mMaxFrameBytes;
+    private final ChannelGroup mChannels;
+    private final Supplier<Connection> mConnections;
+
+    ConnectionInitializer(
+            int maxFrameBytes, ChannelGroup channels, Supplier<Connection> connections) {
+        mMaxFrameBytes = maxFrameBytes;
+        mChannels = channels;
+        mConnections = connections;
+    }
+
+    @Override
+    protected void initChannel(SocketChannel channel) {
+        channel.config().setTcpNoDelay(true);
+        channel.config().setWriteBufferWaterMark(WATER_MARK);
+        mChannels.add(channel);
+        ChannelPipeline pipeline = channel.pipeline();
+        pipeline.addLast(new ProtobufVarint32FrameDecoder(mMaxFrameBytes));
+        pipeline.addLast(new ProtobufDecoder(Frame.getDefaultInstance()));
+        pipeline.addLast(new ProtobufVarint32LengthFieldPrepender());
+        pipeline.addLast(new ProtobufEncoder());
+        pipeline.addLast(mConnections.get());
+    }
+}
--- /dev/null
+++ b/protocol/src/test/java/org/oleandertrack/protocol/CallTest.java
@@ -0,0 +1,62 @@
+package org.oleandertrack.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.google.protobuf.ByteString;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.oleandertrack.protocol.Peers.Answer;
+import org.oleandertrack.protocol.message.Execution;
+import org.oleandertrack.protocol.message.Hello;
+import org.oleandertrack.protocol.message.ResponseEnd;
+import org.oleandertrack.protocol.message.Role;
+
+/** Calls between a connector and a server that both behave. */
+final class CallTest {
+
+    private final Peers mPeers = new Peers();
+
+    @AfterEach
+    void stop() {
+        mPeers.close();
+    }
+
+    /** Guards against a handshake that loses what either side says of itself. */
+    @Test
+    void handshakeTellsBothSidesWhoTheOtherIs() throws Exception {
+        PeerServer server = mPeers.server(Peers::echo);
+        PeerConnection connection = mPeers.connect(server.port());
+
+        Hello peer = connection.peer();
+        assertEquals("sidecar-1", peer.getNode());
+        assertEquals(Role.ROLE_SIDECAR, peer.getRole());
+        assertEquals(Peers.SERVER_INCARNATION, peer.getIncarnation());
+        assertEquals("model-1", peer.getTarget());
+        assertEquals("zone-a", peer.getZone());
+
+        Answer.of(connection, Peers.head("/x"), ByteString.EMPTY).mEnd.join();
+        assertEquals(1, server.peers().size());
+        assertEquals("entry-1", server.peers().getFirst().getNode());
+        assertEquals(Peers.CLIENT_INCARNATION, server.peers().getFirst().getIncarnation());
+    }
+
+    /** Guards against bodies that are cut, reordered or altered when split into frames. */
+    @Test
+    void bodiesOfManyFramesArriveWhole() throws Exception {
+        PeerServer server = mPeers.server(Peers::echo);
+        PeerConnection connection = mPeers.connect(server.port());
+        for (int size : new int[] {0, 1, 65_535, 65_536, 65_537, 3 << 20, 8 << 20}) {
+            byte[] bytes = new byte[size];
+            new java.util.Random(size).nextBytes(bytes);
+            ByteString body = ByteString.copyFrom(bytes);
+
+            Answer answer = Answer.of(connection, Peers.head("/size/" + size), body);
+            ResponseEnd end = Peers.await(answer.mEnd);
+
+            assertEquals(0, end.getResultCode());
+            assertEquals(Execution.EXECUTION_RUN, end.getExecution());
+            assertEquals("/size/" + size, Peers.await(answer.mHead).getHeaders(0).getValue());
+            assertEquals(body, answer.body());
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/test/java/org/oleandertrack/protocol/Peers.java
@@ -0,0 +1,193 @@
+package org.oleandertrack.protocol;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.oleandertrack.protocol.message.Call;
+import org.oleandertrack.protocol.message.CallKind;
+import org.oleandertrack.protocol.message.Execution;
+import org.oleandertrack.protocol.message.Frame;
+import org.oleandertrack.protocol.message.Hello;
+import org.oleandertrack.protocol.message.ResponseEnd;
+import org.oleandertrack.protocol.message.ResponseHead;
+import org.oleandertrack.protocol.message.Role;
+
+/** Creates servers and connectors on loopback and stops them at the end of a test. */
+final class Peers implements AutoCloseable {
+
+    static final String LOOPBACK = "127.0.0.1";
+    static final long SERVER_INCARNATION = 77;
+    static final long CLIENT_INCARNATION = 55;
+    static final LocalNode SERVER_NODE =
+            new LocalNode("sidecar-1", Role.ROLE_SIDECAR, SERVER_INCARNATION, "zone-a", "model-1");
+    static final LocalNode CLIENT_NODE =
+            new LocalNode("entry-1", Role.ROLE_ENTRY, CLIENT_INCARNATION, "zone-b", "");
+
+    /** Heartbeats and idle checks this rare do not act within a test. */
+    static final ProtocolLimits QUIET =
+            new ProtocolLimits(1 << 20, 8 << 20, 256 << 10, 32 << 20, 600_000, 600_000, 600_000);
+
+    /** Generous: only a hang reaches it. */
+    static final long WAIT_SECONDS = 60;
+
+    private final List<Runnable> mStops = new ArrayList<>();
+
+    /** A control frame and its sender. */
+    record Control(Hello mPeer, Frame mFrame) {}
+
+    /** Keeps control frames for the test. */
+    static final class Controls implements ControlHandler {
+        final LinkedBlockingQueue<Control> mReceived = new LinkedBlockingQueue<>();
+
+        @Override
+        public void onControl(Hello peer, Frame frame, java.util.function.Consumer<Frame> reply) {
+            mReceived.add(new Control(peer, frame));
+        }
+
+        Control next() throws InterruptedException {
+            Control control = mReceived.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+            if (control == null) {
+                throw new AssertionError("no control frame arrived");
+            }
+            return control;
+        }
+    }
+
+    PeerServer server(CallHandler handler) {
+        return server(QUIET, handler);
+    }
+
+    PeerServer server(ProtocolLimits limits, CallHandler handler) {
+        return started(
+                new PeerServer(SERVER_NODE, limits, handler, new Controls(), System::nanoTime));
+    }
+
+    PeerServer started(PeerServer server) {
+        server.start(LOOPBACK, 0);
+        mStops.add(server::stop);
+        return server;
+    }
+
+    PeerConnector connector(ProtocolLimits limits, LongSupplier nanoClock) {
+        return stopped(new PeerConnector(CLIENT_NODE, limits, new Controls(), nanoClock));
+    }
+
+    PeerConnector stopped(PeerConnector connector) {
+        mStops.add(connector::stop);
+        return connector;
+    }
+
+    PeerConnection connect(int port) throws Exception {
+        return connect(QUIET, port);
+    }
+
+    PeerConnection connect(ProtocolLimits limits, int port) throws Exception {
+        return await(connector(limits, System::nanoTime).connect(LOOPBACK, port));
+    }
+
+    static <T> T await(CompletableFuture<T> future) throws Exception {
+        return future.get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    static Call head(String path) {
+        return Call.newBuilder()
+                .setKind(CallKind.CALL_KIND_SERVICE)
+                .setOrganisation("kaasik")
+                .setMethod("POST")
+                .setPath(path)
+                .build();
+    }
+
+    static ResponseEnd success() {
+        return ResponseEnd.newBuilder().setExecution(Execution.EXECUTION_RUN).build();
+    }
+
+    /** Answers a call with its own path as a header and its own body. */
+    static void echo(InboundCall call) {
+        call.respondHead(
+                ResponseHead.newBuilder()
+                        .setStatus(200)
+                        .addHeaders(
+                                org.oleandertrack.protocol.message.Header.newBuilder()
+                                        .setName("path")
+                                        .setValue(call.head().getPath()))
+                        .build());
+        CompletableFuture<Void> sent = call.respondBody(call.body());
+        var _ = sent.thenRun(() -> call.respondEnd(success()));
+    }
+
+    @Override
+    public void close() {
+        mStops.forEach(Runnable::run);
+    }
+
+    /** Keeps the response to a call. */
+    static final class Answer implements ResponseListener {
+        final CompletableFuture<ResponseHead> mHead = new CompletableFuture<>();
+        final CompletableFuture<ResponseEnd> mEnd = new CompletableFuture<>();
+        final CompletableFuture<Boolean> mLost = new CompletableFuture<>();
+        final List<ByteString> mParts = new ArrayList<>();
+        private final CompletableFuture<OutboundCall> mCall = new CompletableFuture<>();
+        private final boolean mConsume;
+        private long mBytes;
+
+        /** Creates an answer whose parts are consumed as they arrive, or not at all. */
+        Answer(boolean consume) {
+            mConsume = consume;
+        }
+
+        static Answer of(PeerConnection connection, Call head, ByteString body) {
+            Answer answer = new Answer(true);
+            answer.start(connection, head, body);
+            return answer;
+        }
+
+        OutboundCall start(PeerConnection connection, Call head, ByteString body) {
+            OutboundCall call = connection.call(head, body, this);
+            mCall.complete(call);
+            return call;
+        }
+
+        @Override
+        public void onHead(ResponseHead head) {
+            if (!mHead.complete(head)) {
+                throw new AssertionError("a second head");
+            }
+        }
+
+        @Override
+        public synchronized void onBody(ByteString data) {
+            mParts.add(data);
+            mBytes += data.size();
+            if (mConsume) {
+                var _ = mCall.thenAccept(call -> call.consumed(data.size()));
+            }
+        }
+
+        @Override
+        public void onEnd(ResponseEnd end) {
+            if (mLost.isDone() || !mEnd.complete(end)) {
+                throw new AssertionError("a second end");
+            }
+        }
+
+        @Override
+        public void onLost(boolean mayHaveArrived) {
+            if (mEnd.isDone() || !mLost.complete(mayHaveArrived)) {
+                throw new AssertionError("lost after the end");
+            }
+        }
+
+        synchronized long bytes() {
+            return mBytes;
+        }
+
+        synchronized ByteString body() {
+            return ByteString.copyFrom(mParts);
+        }
+    }
+}
