--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/cli/HelpPrinter.java
@@ -0,0 +1,42 @@
+package org.oleandertrack.server.cli;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.util.Collection;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.apache.commons.cli.help.TextHelpAppendable;
+
+/** Prints the help texts. Stateless. */
+final class HelpPrinter {
+
+    static final String PROGRAM = "oleandertrack";
+
+    void printOverview(Collection<SubCommand> commands, PrintStream out) {
+        out.println("usage: " + PROGRAM + " COMMAND [ARGUMENTS]");
+        out.println();
+        commands.forEach(c -> out.printf("  %-9s%s%n", c.name(), c.summary()));
+        out.println();
+        out.println("oleandertrack COMMAND --help describes a command.");
+        out.println("Exit codes are listed in docs/settings.md.");
+    }
+
+    void printCommand(SubCommand command, Options options, PrintStream out) {
+        HelpFormatter formatter =
+                HelpFormatter.builder()
+                        .setHelpAppendable(new TextHelpAppendable(out))
+                        .setShowSince(false)
+                        .get();
+        try {
+            formatter.printHelp(
+                    (PROGRAM + " " + command.name() + " " + command.usage()).strip(),
+                    command.summary(),
+                    options,
+                    "",
+                    false);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/metrics/Metric.java
@@ -0,0 +1,141 @@
+package org.oleandertrack.server.metrics;
+
+import java.util.List;
+
+/**
+ * The metrics of the product. The page {@code docs/metrics.md} lists every one. Labels never carry
+ * program ids or organisations, whose number is not bounded.
+ */
+public enum Metric {
+    // Calls.
+    CALLS(
+            "oleandertrack_calls_total",
+            MetricKind.COUNTER,
+            "calls",
+            "Calls that ended, by result code name; OK for success.",
+            "kind",
+            "result"),
+    CALLS_UNDER_WAY("oleandertrack_calls_under_way", MetricKind.GAUGE, "calls", "Calls under way."),
+    CALL_DURATION(
+            "oleandertrack_call_duration_seconds",
+            MetricKind.HISTOGRAM,
+            "seconds",
+            "Time from a call's arrival to the end of its answer.",
+            "kind"),
+    BUFFERED(
+            "oleandertrack_buffered_bytes",
+            MetricKind.GAUGE,
+            "bytes",
+            "Bytes of bodies held by the process."),
+    // Placement.
+    DECISIONS(
+            "oleandertrack_decisions_total",
+            MetricKind.COUNTER,
+            "decisions",
+            "Routing and placement decisions, by kind and reason.",
+            "kind",
+            "reason"),
+    DECISION_DURATION(
+            "oleandertrack_decision_duration_seconds",
+            MetricKind.HISTOGRAM,
+            "seconds",
+            "Time taken by one placement decision."),
+    TARGETS(
+            "oleandertrack_targets",
+            MetricKind.GAUGE,
+            "targets",
+            "Known targets, by state: reachable, set_aside, leaving or unreachable.",
+            "state"),
+    PEER_CONNECTIONS(
+            "oleandertrack_peer_connections",
+            MetricKind.GAUGE,
+            "connections",
+            "Open connections of the inner protocol, by the peer's role.",
+            "role"),
+    // Ownership and commit.
+    SHARDS_HELD(
+            "oleandertrack_shards_held",
+            MetricKind.GAUGE,
+            "shards",
+            "Shards that this entry host holds."),
+    COMMITS(
+            "oleandertrack_commits_total",
+            MetricKind.COUNTER,
+            "commits",
+            "Group commits, by outcome: applied, conflict or failed.",
+            "outcome"),
+    COMMIT_DURATION(
+            "oleandertrack_commit_duration_seconds",
+            MetricKind.HISTOGRAM,
+            "seconds",
+            "Time from the start of a group commit to its outcome."),
+    COMMIT_QUEUED(
+            "oleandertrack_commit_queued_bytes",
+            MetricKind.GAUGE,
+            "bytes",
+            "Bytes of records that wait for a commit."),
+    CONFIGURATION_VERSION(
+            "oleandertrack_configuration_version",
+            MetricKind.GAUGE,
+            "version",
+            "Configuration version in force."),
+    CONFIGURATION_AGE(
+            "oleandertrack_configuration_age_seconds",
+            MetricKind.GAUGE,
+            "seconds",
+            "Time since the configuration was last confirmed as current."),
+    // Sidecar.
+    QUEUED_CALLS(
+            "oleandertrack_queued_calls",
+            MetricKind.GAUGE,
+            "calls",
+            "Calls that wait for the target, by priority level.",
+            "level"),
+    QUEUE_WAIT(
+            "oleandertrack_queue_wait_seconds",
+            MetricKind.HISTOGRAM,
+            "seconds",
+            "Time a call waited for the target."),
+    CACHE_HELD(
+            "oleandertrack_cache_held_tokens",
+            MetricKind.GAUGE,
+            "tokens",
+            "Prefix tokens in engine memory, as the ledger counts them.");
+
+    private final String mName;
+    private final MetricKind mKind;
+    private final String mUnit;
+    private final String mSummary;
+    // An enum's fields are immutable, which a list's type does not say.
+    private final String mLabels;
+
+    Metric(String name, MetricKind kind, String unit, String summary, String... labels) {
+        mName = name;
+        mKind = kind;
+        mUnit = unit;
+        mSummary = summary;
+        mLabels = String.join(",", labels);
+    }
+
+    /** Returns the name in the exposition. */
+    public String metricName() {
+        return mName;
+    }
+
+    public MetricKind kind() {
+        return mKind;
+    }
+
+    /** Returns the unit of the value, in full words. */
+    public String unit() {
+        return mUnit;
+    }
+
+    public String summary() {
+        return mSummary;
+    }
+
+    public List<String> labels() {
+        return mLabels.isEmpty() ? List.of() : List.of(mLabels.split(",", -1));
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/metrics/MetricsServlet.java
@@ -0,0 +1,30 @@
+package org.oleandertrack.server.metrics;
+
+import jakarta.servlet.http.HttpServlet;
+import jakarta.servlet.http.HttpServletRequest;
+import jakarta.servlet.http.HttpServletResponse;
+import java.io.IOException;
+
+/** Answers {@code GET /metrics} on the admin port with the Prometheus text format. Thread-safe. */
+public final class MetricsServlet extends HttpServlet {
+
+    /** The path at which the servlet is mapped. */
+    public static final String PATH = "/metrics";
+
+    private static final long serialVersionUID = 1L;
+
+    private final transient MetricsRegistry mRegistry;
+
+    /** Creates a servlet for the metrics of one process. */
+    public MetricsServlet(MetricsRegistry registry) {
+        mRegistry = registry;
+    }
+
+    @Override
+    protected void doGet(HttpServletRequest request, HttpServletResponse response)
+            throws IOException {
+        response.setStatus(HttpServletResponse.SC_OK);
+        response.setContentType(mRegistry.textContentType());
+        mRegistry.writeText(response.getOutputStream());
+    }
+}
