--- /dev/null
+++ b/core/src/main/java/org/oleandertrack/core/queue/QueueConfig.java
@@ -0,0 +1,127 @@
+package org.oleandertrack.core.queue;
+
+/**
+ * Settings of a {@link CallQueue}. Immutable.
+ *
+ * @param maxEntries largest number of waiting calls; positive
+ * @param maxEntriesPerOrganisation largest number of waiting calls of one organisation; positive
+ * @param maxRunning number of calls that the target runs at a time; positive
+ * @param maxRunningLong number of long calls that may be started beside each other, from 1 to
+ *     {@code maxRunning}
+ * @param longLevel level from which a call counts as long; at least 1
+ * @param levels the levels of attained service
+ * @param agingNanos waiting time that raises a call by one level, in nanoseconds; positive
+ * @param quantumNanos service that an organisation of weight 1 gains in each round of the deficit
+ *     accounting, in nanoseconds; positive
+ * @param minSliceNanos time that a call runs before it may be suspended, in nanoseconds; positive
+ */
+public record QueueConfig(
+        int maxEntries,
+        int maxEntriesPerOrganisation,
+        int maxRunning,
+        int maxRunningLong,
+        int longLevel,
+        ServiceLevels levels,
+        long agingNanos,
+        long quantumNanos,
+        long minSliceNanos) {
+
+    private static final long MILLISECOND = 1_000_000;
+    private static final long SECOND = 1_000 * MILLISECOND;
+
+    /**
+     * Checks the values.
+     *
+     * @throws IllegalArgumentException if a value is out of range
+     */
+    public QueueConfig {
+        requirePositive("maxEntries", maxEntries);
+        requirePositive("maxEntriesPerOrganisation", maxEntriesPerOrganisation);
+        requirePositive("maxRunning", maxRunning);
+        requirePositive("maxRunningLong", maxRunningLong);
+        requirePositive("longLevel", longLevel);
+        requirePositive("agingNanos", agingNanos);
+        requirePositive("quantumNanos", quantumNanos);
+        requirePositive("minSliceNanos", minSliceNanos);
+        if (maxRunningLong > maxRunning) {
+            throw new IllegalArgumentException(
+                    "maxRunningLong " + maxRunningLong + " exceeds maxRunning " + maxRunning);
+        }
+    }
+
+    /** Returns the defaults for a target that runs the given number of calls at a time. */
+    public static QueueConfig forSlots(int maxRunning) {
+        return new QueueConfig(
+                1_000,
+                1_000,
+                maxRunning,
+                Math.max(1, maxRunning * 3 / 4),
+                2,
+                new ServiceLevels(SECOND, 6),
+                20 * SECOND,
+                10 * SECOND,
+                250 * MILLISECOND);
+    }
+
+    /** Returns a copy with other bounds of the queue's length. */
+    public QueueConfig withMaxEntries(int entries, int entriesPerOrganisation) {
+        return new QueueConfig(
+                entries,
+                entriesPerOrganisation,
+                maxRunning,
+                maxRunningLong,
+                longLevel,
+                levels,
+                agingNanos,
+                quantumNanos,
+                minSliceNanos);
+    }
+
+    /** Returns a copy with another bound and level of long calls. */
+    public QueueConfig withLongCalls(int running, int level) {
+        return new QueueConfig(
+                maxEntries,
+                maxEntriesPerOrganisation,
+                maxRunning,
+                running,
+                level,
+                levels,
+                agingNanos,
+                quantumNanos,
+                minSliceNanos);
+    }
+
+    /** Returns a copy with other levels. */
+    public QueueConfig withLevels(ServiceLevels serviceLevels) {
+        return new QueueConfig(
+                maxEntries,
+                maxEntriesPerOrganisation,
+                maxRunning,
+                maxRunningLong,
+                longLevel,
+                serviceLevels,
+                agingNanos,
+                quantumNanos,
+                minSliceNanos);
+    }
+
+    /** Returns a copy with another aging time and round quantum, in nanoseconds. */
+    public QueueConfig withTimes(long aging, long quantum) {
+        return new QueueConfig(
+                maxEntries,
+                maxEntriesPerOrganisation,
+                maxRunning,
+                maxRunningLong,
+                longLevel,
+                levels,
+                aging,
+                quantum,
+                minSliceNanos);
+    }
+
+    private static void requirePositive(String name, long value) {
+        if (value <= 0) {
+            throw new IllegalArgumentException(name + " is not positive: " + value);
+        }
+    }
+}
