--- /dev/null
+++ b/core/src/main/java/org/oleandertrack/core/placement/ZoneDistance.java
@@ -0,0 +1,9 @@
+package org.oleandertrack.core.placement;
+
+/** Time that a message needs between zones. Implementations are thread-safe. */
+@FunctionalInterface
+public interface ZoneDistance {
+
+    /** Returns the round-trip time between two zones in nanoseconds; 0 within a zone. */
+    long roundTripNanos(String zone, String otherZone);
+}
