Add group commit over the table and object stores

Cause: 4,300 turns per second cannot each have a table transaction when the service takes several hundred. Submissions now share one object put and one transaction.

Ruled out: a fixed grouping interval, which delays every commit of a quiet process; write ids compared as a field, because the values are compared as a whole and carry the id anyway; deletions, because a lost reply to one cannot be told from another writer's deletion.

A conflict after an ambiguous attempt is read back, because the first copy may have caused it. A row replaced by a later write before the read leaves the outcome unknown.

Before: no commit path.

--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/commit/Batch.java
@@ -0,0 +1,87 @@
+package org.oleandertrack.coordination.commit;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.oleandertrack.coordination.store.ConditionalWrite;
+import org.oleandertrack.coordination.store.WriteOutcome;
+
+/** The submissions of one transaction and their records. Guarded by the group commit's lock. */
+final class Batch {
+
+    /** One row of a transaction. */
+    record Item(Submission submission, int index) {
+        ConditionalWrite write() {
+            return submission.writes().get(index);
+        }
+    }
+
+    final String mObjectKey;
+    final List<Submission> mSubmissions = new ArrayList<>();
+    int mFailures;
+
+    private final Set<String> mKeys = new HashSet<>();
+    private byte[] mObject = {};
+    private int mObjectBytes;
+    private long mBytes;
+
+    Batch(String objectKey) {
+        mObjectKey = objectKey;
+    }
+
+    /** Adds a submission unless it is too large or the batch has a write of the same row. */
+    boolean add(Submission submission, GroupCommitLimits limits) {
+        boolean tooLarge = mBytes + submission.mBytes > limits.maxBatchBytes();
+        if (!mSubmissions.isEmpty() && tooLarge) {
+            return false;
+        }
+        submission.place(
+                submission.mRecord.map(
+                        data -> new RecordLocation(mObjectKey, mObjectBytes, data.length)));
+        // The result of two writes of one row in one transaction is not defined.
+        if (submission.writes().stream().anyMatch(write -> mKeys.contains(write.key()))) {
+            return false;
+        }
+        submission.writes().forEach(write -> mKeys.add(write.key()));
+        submission.mRecord.ifPresent(this::append);
+        mBytes += submission.mBytes;
+        mSubmissions.add(submission);
+        return true;
+    }
+
+    Optional<byte[]> object() {
+        return mObjectBytes == 0
+                ? Optional.empty()
+                : Optional.of(Arrays.copyOf(mObject, mObjectBytes));
+    }
+
+    /** Returns the writes that still need an outcome. */
+    List<Item> unresolved() {
+        List<Item> items = new ArrayList<>();
+        for (Submission submission : mSubmissions) {
+            for (int i = 0; i < submission.writes().size(); i++) {
+                if (!submission.mDone && submission.unresolved(i)) {
+                    items.add(new Item(submission, i));
+                }
+            }
+        }
+        return items;
+    }
+
+    static void reply(List<Item> items, List<WriteOutcome> outcomes) {
+        for (int i = 0; i < items.size(); i++) {
+            items.get(i).submission().reply(items.get(i).index(), outcomes.get(i));
+        }
+    }
+
+    private void append(byte[] data) {
+        if (mObjectBytes + data.length > mObject.length) {
+            mObject = Arrays.copyOf(mObject, Math.max(4096, 2 * (mObjectBytes + data.length)));
+        }
+        System.arraycopy(data, 0, mObject, mObjectBytes, data.length);
+        mObjectBytes += data.length;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/commit/GroupCommit.java
@@ -0,0 +1,454 @@
+package org.oleandertrack.coordination.commit;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.oleandertrack.coordination.schedule.Scheduler;
+import org.oleandertrack.coordination.store.ConditionalWrite;
+import org.oleandertrack.coordination.store.ObjectStore;
+import org.oleandertrack.coordination.store.Row;
+import org.oleandertrack.coordination.store.StoreException;
+import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.coordination.store.TableStore;
+import org.oleandertrack.coordination.store.WriteOutcome;
+import org.oleandertrack.core.result.Execution;
+import org.tinylog.Logger;
+
+/**
+ * Puts the writes of many callers into one object put and one table transaction. A commit is
+ * immediate while the allowance of transactions is not used up and grouped otherwise.
+ *
+ * <p>Every value must carry an id that no other write uses, because a lost reply is settled by
+ * reading the row and comparing the value. Rows are replaced, never deleted.
+ *
+ * <p>Futures fail with {@link StoreException}: {@code NOT_RUN} if no transaction with the
+ * submission can take effect, {@code UNKNOWN} if one may have done so or may still do so.
+ *
+ * <p>Thread safe. Futures complete on threads of the store or of the scheduler.
+ */
+public final class GroupCommit {
+
+    private final TableStore mTable;
+    private final ObjectStore mObjects;
+    private final Scheduler mScheduler;
+    private final LongSupplier mNanoClock;
+    private final RandomGenerator mRandom;
+    private final GroupCommitLimits mLimits;
+    private final String mBatchPrefix;
+
+    private final Object mLock = new Object();
+    private final LinkedHashSet<Submission> mQueue = new LinkedHashSet<>();
+    private final CommitAllowance mAllowance;
+    private final CompletableFuture<Void> mDrained = new CompletableFuture<>();
+    private int mPendingCount;
+    private long mPendingBytes;
+    private int mBatchesInFlight;
+    private long mBatchSequence;
+    private boolean mPumpScheduled;
+    private boolean mStarted;
+    private boolean mStopping;
+    private boolean mFailing;
+
+    /**
+     * Creates a group commit.
+     *
+     * @param objects receives the batch objects
+     * @param batchPrefix prefix of the keys of this process's batch objects; no other process, and
+     *     no earlier one on the same host, may use it
+     */
+    public GroupCommit(
+            TableStore table,
+            ObjectStore objects,
+            Scheduler scheduler,
+            LongSupplier nanoClock,
+            RandomGenerator random,
+            GroupCommitLimits limits,
+            String batchPrefix) {
+        mTable = table;
+        mObjects = objects;
+        mScheduler = scheduler;
+        mNanoClock = nanoClock;
+        mRandom = random;
+        mLimits = limits;
+        mBatchPrefix = batchPrefix;
+        mAllowance =
+                new CommitAllowance(
+                        limits.commitsPerSecond(), limits.burstCommits(), nanoClock.getAsLong());
+    }
+
+    // Life-cycle.
+
+    /** Starts to accept submissions. */
+    public void start() {
+        synchronized (mLock) {
+            mStarted = true;
+        }
+    }
+
+    /** Refuses new submissions; the future completes when all earlier ones have ended. */
+    public CompletableFuture<Void> stop() {
+        boolean drained;
+        synchronized (mLock) {
+            mStopping = true;
+            drained = mPendingCount == 0;
+        }
+        if (drained) {
+            mDrained.complete(null);
+        }
+        return mDrained;
+    }
+
+    // Accessors.
+
+    /** Returns whether the latest request to the store failed. */
+    public boolean isStoreFailing() {
+        synchronized (mLock) {
+            return mFailing;
+        }
+    }
+
+    /** Returns the number of submissions that wait or are under way. */
+    public int pendingCount() {
+        synchronized (mLock) {
+            return mPendingCount;
+        }
+    }
+
+    // Operations.
+
+    /**
+     * Submits writes.
+     *
+     * @param writes replacements of different rows; no deletions
+     * @param deadlineNanos reading of the nano clock at which the submission ends at the latest
+     */
+    public CompletableFuture<CommitResult> submit(
+            List<ConditionalWrite> writes, long deadlineNanos) {
+        long bytes = 0;
+        for (ConditionalWrite write : writes) {
+            if (write.value().isEmpty()) {
+                throw new IllegalArgumentException(
+                        "deletion of " + write.key() + " carries no write id to read back");
+            }
+            bytes += write.key().length() + write.value().get().length();
+        }
+        return submit(new Submission(Optional.empty(), bytes, none -> writes), deadlineNanos);
+    }
+
+    /**
+     * Submits a history record and writes that name its location.
+     *
+     * @param record bytes for the batch object; not changed by the caller afterwards
+     * @param writes makes the writes for a location; a pure function, because it is called under a
+     *     lock and again if the record moves to a later batch; no deletions
+     * @param deadlineNanos reading of the nano clock at which the submission ends at the latest
+     */
+    public CompletableFuture<CommitResult> submit(
+            byte[] record,
+            Function<RecordLocation, List<ConditionalWrite>> writes,
+            long deadlineNanos) {
+        return submit(
+                new Submission(
+                        Optional.of(record), 0, location -> writes.apply(location.orElseThrow())),
+                deadlineNanos);
+    }
+
+    // Helpers.
+
+    private CompletableFuture<CommitResult> submit(Submission submission, long deadlineNanos) {
+        synchronized (mLock) {
+            String refusal = refusalOf(submission);
+            if (!refusal.isEmpty()) {
+                return CompletableFuture.failedFuture(
+                        new StoreException(Execution.NOT_RUN, refusal, null));
+            }
+            mPendingCount++;
+            mPendingBytes += submission.mBytes;
+            mQueue.add(submission);
+            submission.mDeadlineTimer =
+                    mScheduler.schedule(
+                            deadlineNanos - mNanoClock.getAsLong(), () -> expire(submission));
+        }
+        pump();
+        return submission.mFuture;
+    }
+
+    private String refusalOf(Submission submission) {
+        if (!mStarted || mStopping) {
+            return "group commit is not running";
+        }
+        if (mPendingCount >= mLimits.maxPendingCount()) {
+            return "group commit has " + mPendingCount + " submissions pending";
+        }
+        if (mPendingBytes + submission.mBytes > mLimits.maxPendingBytes()) {
+            return "group commit has " + mPendingBytes + " bytes pending";
+        }
+        return "";
+    }
+
+    private void pump() {
+        while (true) {
+            Batch batch;
+            synchronized (mLock) {
+                if (mQueue.isEmpty() || mBatchesInFlight >= mLimits.maxBatchesInFlight()) {
+                    return;
+                }
+                long waitNanos = mAllowance.waitNanos(mNanoClock.getAsLong());
+                if (waitNanos > 0) {
+                    schedulePump(waitNanos);
+                    return;
+                }
+                batch = takeBatch();
+                mBatchesInFlight++;
+            }
+            if (batch.object().isPresent()) {
+                putObject(batch);
+            } else {
+                writeTable(batch);
+            }
+        }
+    }
+
+    private void schedulePump(long waitNanos) {
+        if (mPumpScheduled) {
+            return;
+        }
+        mPumpScheduled = true;
+        var _ =
+                mScheduler.schedule(
+                        waitNanos,
+                        () -> {
+                            synchronized (mLock) {
+                                mPumpScheduled = false;
+                            }
+                            pump();
+                        });
+    }
+
+    private Batch takeBatch() {
+        Batch batch = new Batch(mBatchPrefix + mBatchSequence++);
+        Iterator<Submission> queued = mQueue.iterator();
+        while (queued.hasNext() && batch.mSubmissions.size() < mLimits.maxBatchCount()) {
+            if (batch.add(queued.next(), mLimits)) {
+                queued.remove();
+            }
+        }
+        return batch;
+    }
+
+    private void putObject(Batch batch) {
+        synchronized (mLock) {
+            batch.mSubmissions.removeIf(submission -> submission.mDone);
+        }
+        if (finishIfEmpty(batch)) {
+            return;
+        }
+        // A batch object has one writer and one content, so putting it again is harmless.
+        var _ =
+                mObjects.put(batch.mObjectKey, batch.object().get())
+                        .whenComplete(
+                                (done, failure) -> {
+                                    noteReply(batch, failure);
+                                    if (failure != null) {
+                                        retry(batch, () -> putObject(batch));
+                                    } else {
+                                        writeTable(batch);
+                                    }
+                                });
+    }
+
+    private void writeTable(Batch batch) {
+        List<Batch.Item> items;
+        synchronized (mLock) {
+            batch.mSubmissions.removeIf(submission -> submission.mDone);
+            items = batch.unresolved();
+            items.forEach(item -> item.submission().sending());
+            if (!items.isEmpty()) {
+                mAllowance.take(mNanoClock.getAsLong());
+            }
+        }
+        if (finishIfEmpty(batch)) {
+            return;
+        }
+        List<ConditionalWrite> writes = items.stream().map(Batch.Item::write).toList();
+        var _ =
+                mTable.write(writes)
+                        .whenComplete(
+                                (outcomes, failure) -> {
+                                    noteReply(batch, failure);
+                                    if (failure == null) {
+                                        onOutcomes(batch, items, outcomes);
+                                    } else {
+                                        onWriteFailed(batch, items, failure);
+                                    }
+                                });
+    }
+
+    private void onOutcomes(Batch batch, List<Batch.Item> items, List<WriteOutcome> outcomes) {
+        synchronized (mLock) {
+            items.forEach(item -> item.submission().settled());
+            Batch.reply(items, outcomes);
+        }
+        finishResolved(batch);
+        if (!finishIfEmpty(batch)) {
+            readBack(batch);
+        }
+    }
+
+    private void onWriteFailed(Batch batch, List<Batch.Item> items, Throwable failure) {
+        boolean ambiguous = StoreFailures.executionOf(failure) != Execution.NOT_RUN;
+        synchronized (mLock) {
+            for (Batch.Item item : items) {
+                if (ambiguous) {
+                    item.submission().ambiguous();
+                } else {
+                    item.submission().settled();
+                }
+            }
+        }
+        retry(batch, ambiguous ? () -> readBack(batch) : () -> writeTable(batch));
+    }
+
+    /** Reads the rows whose outcome is unknown, then sends again what has not been applied. */
+    private void readBack(Batch batch) {
+        List<Batch.Item> items;
+        synchronized (mLock) {
+            batch.mSubmissions.removeIf(submission -> submission.mDone);
+            items = batch.unresolved();
+        }
+        if (finishIfEmpty(batch)) {
+            return;
+        }
+        List<CompletableFuture<Optional<Row>>> reads =
+                items.stream().map(item -> mTable.get(item.write().key())).toList();
+        var _ =
+                CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new))
+                        .whenComplete(
+                                (done, failure) -> {
+                                    noteReply(batch, failure);
+                                    if (failure != null) {
+                                        retry(batch, () -> readBack(batch));
+                                    } else {
+                                        onReadBack(batch, items, reads);
+                                    }
+                                });
+    }
+
+    private void onReadBack(
+            Batch batch, List<Batch.Item> items, List<CompletableFuture<Optional<Row>>> reads) {
+        List<Submission> unknown = new ArrayList<>();
+        synchronized (mLock) {
+            for (int i = 0; i < items.size(); i++) {
+                Submission submission = items.get(i).submission();
+                if (!submission.readBack(items.get(i).index(), reads.get(i).join())) {
+                    unknown.add(submission);
+                }
+            }
+        }
+        unknown.forEach(
+                submission ->
+                        fail(
+                                submission,
+                                new StoreException(
+                                        Execution.UNKNOWN,
+                                        "a row was replaced before the lost reply was settled",
+                                        null)));
+        finishResolved(batch);
+        if (!finishIfEmpty(batch)) {
+            retry(batch, () -> writeTable(batch));
+        }
+    }
+
+    private void noteReply(Batch batch, Throwable failure) {
+        boolean changed;
+        synchronized (mLock) {
+            boolean failing = failure != null;
+            changed = failing != mFailing;
+            mFailing = failing;
+            batch.mFailures = failing ? batch.mFailures + 1 : 0;
+        }
+        if (changed && failure != null) {
+            Logger.warn("store request failed, commits are retried: {}", failure.toString());
+        } else if (changed) {
+            Logger.info("store answers again");
+        }
+    }
+
+    private void retry(Batch batch, Runnable step) {
+        long boundNanos;
+        synchronized (mLock) {
+            int doublings = Math.min(Math.max(0, batch.mFailures - 1), 20);
+            boundNanos =
+                    Math.min(mLimits.maxBackoffNanos(), mLimits.minBackoffNanos() << doublings);
+        }
+        var _ = mScheduler.schedule(mRandom.nextLong(boundNanos) + 1, step);
+    }
+
+    private void finishResolved(Batch batch) {
+        List<Submission> resolved = new ArrayList<>();
+        synchronized (mLock) {
+            for (Submission submission : batch.mSubmissions) {
+                if (!submission.mDone && submission.resolved()) {
+                    end(submission);
+                    resolved.add(submission);
+                }
+            }
+            batch.mSubmissions.removeIf(submission -> submission.mDone);
+        }
+        resolved.forEach(submission -> submission.mFuture.complete(submission.result()));
+        completeDrain();
+    }
+
+    private boolean finishIfEmpty(Batch batch) {
+        synchronized (mLock) {
+            if (batch.mSubmissions.stream().anyMatch(submission -> !submission.mDone)) {
+                return false;
+            }
+            mBatchesInFlight--;
+        }
+        pump();
+        return true;
+    }
+
+    private void expire(Submission submission) {
+        Execution execution;
+        synchronized (mLock) {
+            execution = submission.mayHaveApplied() ? Execution.UNKNOWN : Execution.NOT_RUN;
+        }
+        fail(submission, new StoreException(execution, "not committed before the deadline", null));
+    }
+
+    private void fail(Submission submission, StoreException failure) {
+        synchronized (mLock) {
+            if (submission.mDone) {
+                return;
+            }
+            end(submission);
+        }
+        submission.mFuture.completeExceptionally(failure);
+        completeDrain();
+    }
+
+    private void end(Submission submission) {
+        submission.mDone = true;
+        submission.mDeadlineTimer.cancel();
+        mQueue.remove(submission);
+        mPendingCount--;
+        mPendingBytes -= submission.mBytes;
+    }
+
+    private void completeDrain() {
+        synchronized (mLock) {
+            if (!mStopping || mPendingCount > 0) {
+                return;
+            }
+        }
+        mDrained.complete(null);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/store/StoreFailures.java
@@ -0,0 +1,36 @@
+package org.oleandertrack.coordination.store;
+
+import java.util.concurrent.CompletionException;
+import org.oleandertrack.core.result.Execution;
+
+/** Reads the failures of store futures. */
+public final class StoreFailures {
+
+    private StoreFailures() {}
+
+    /**
+     * Returns whether the failed request may have taken effect. A failure that is not a {@link
+     * StoreException} counts as unknown.
+     */
+    public static Execution executionOf(Throwable failure) {
+        Throwable cause = unwrap(failure);
+        return cause instanceof StoreException store ? store.execution() : Execution.UNKNOWN;
+    }
+
+    /** Returns the failure as a store exception, which it usually is. */
+    public static StoreException asStoreException(Throwable failure) {
+        Throwable cause = unwrap(failure);
+        if (cause instanceof StoreException store) {
+            return store;
+        }
+        return new StoreException(Execution.UNKNOWN, "store request failed: " + cause, cause);
+    }
+
+    private static Throwable unwrap(Throwable failure) {
+        Throwable cause = failure;
+        while (cause instanceof CompletionException && cause.getCause() != null) {
+            cause = cause.getCause();
+        }
+        return cause;
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/oleandertrack/coordination/sim/VirtualNode.java
@@ -0,0 +1,91 @@
+package org.oleandertrack.coordination.sim;
+
+import java.util.ArrayDeque;
+import java.util.Random;
+import org.oleandertrack.coordination.schedule.Scheduler;
+
+/**
+ * A process on the virtual clock: its own monotonic clock has an offset and a drift, it can be
+ * paused without noticing, and it can die.
+ */
+public final class VirtualNode implements Scheduler {
+
+    private final VirtualTime mTime;
+    private final Random mRandom;
+    private final long mClockOffsetNanos;
+    private final double mClockRate;
+    private final ArrayDeque<Runnable> mDelayed = new ArrayDeque<>();
+    private boolean mPaused;
+    private boolean mDead;
+
+    public VirtualNode(VirtualTime time) {
+        mTime = time;
+        mRandom = new Random(time.random().nextLong());
+        mClockOffsetNanos = time.random().nextInt();
+        mClockRate = 1 + (time.random().nextDouble() - 0.5) / 1000;
+    }
+
+    public Random random() {
+        return mRandom;
+    }
+
+    public long nanos() {
+        return mClockOffsetNanos + (long) (mTime.now() * mClockRate);
+    }
+
+    public boolean isPaused() {
+        return mPaused;
+    }
+
+    public boolean isDead() {
+        return mDead;
+    }
+
+    public void pause() {
+        mPaused = true;
+    }
+
+    /** Runs what became due during the pause, in its order. */
+    public void resume() {
+        mPaused = false;
+        var _ = mTime.schedule(0, this::runDelayed);
+    }
+
+    public void kill() {
+        mDead = true;
+        mDelayed.clear();
+    }
+
+    @Override
+    public Timer schedule(long delayNanos, Runnable task) {
+        boolean[] cancelled = new boolean[1];
+        var _ =
+                mTime.schedule(
+                        delayNanos,
+                        () ->
+                                arrive(
+                                        () -> {
+                                            if (!cancelled[0]) {
+                                                task.run();
+                                            }
+                                        }));
+        return () -> cancelled[0] = true;
+    }
+
+    private void arrive(Runnable task) {
+        if (mDead) {
+            return;
+        }
+        if (mPaused || !mDelayed.isEmpty()) {
+            mDelayed.add(task);
+            return;
+        }
+        task.run();
+    }
+
+    private void runDelayed() {
+        while (!mPaused && !mDead && !mDelayed.isEmpty()) {
+            mDelayed.poll().run();
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/oleandertrack/coordination/sim/VirtualTime.java
@@ -0,0 +1,79 @@
+package org.oleandertrack.coordination.sim;
+
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.oleandertrack.coordination.schedule.Scheduler;
+
+/** A virtual clock that runs scheduled tasks; tasks of the same instant run in seeded order. */
+public final class VirtualTime implements Scheduler {
+
+    public static final long MILLI = 1_000_000L;
+    public static final long SECOND = 1_000_000_000L;
+
+    private static final class Event implements Timer, Comparable<Event> {
+        private final long mAtNanos;
+        private final int mOrder;
+        private final Runnable mTask;
+        private boolean mCancelled;
+
+        private Event(long atNanos, int order, Runnable task) {
+            mAtNanos = atNanos;
+            mOrder = order;
+            mTask = task;
+        }
+
+        @Override
+        public void cancel() {
+            mCancelled = true;
+        }
+
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(mAtNanos, other.mAtNanos);
+            return byTime != 0 ? byTime : Integer.compare(mOrder, other.mOrder);
+        }
+    }
+
+    private final PriorityQueue<Event> mEvents = new PriorityQueue<>();
+    private final Random mRandom;
+    private Runnable mAfterEach = () -> {};
+    private long mNowNanos;
+
+    public VirtualTime(long seed) {
+        mRandom = new Random(seed);
+    }
+
+    public Random random() {
+        return mRandom;
+    }
+
+    public long now() {
+        return mNowNanos;
+    }
+
+    /** Sets a check that runs after every event. */
+    public void afterEach(Runnable check) {
+        mAfterEach = check;
+    }
+
+    @Override
+    public Timer schedule(long delayNanos, Runnable task) {
+        Event event = new Event(mNowNanos + Math.max(0, delayNanos), mRandom.nextInt(), task);
+        mEvents.add(event);
+        return event;
+    }
+
+    public void runFor(long nanos) {
+        long end = mNowNanos + nanos;
+        while (!mEvents.isEmpty() && mEvents.peek().mAtNanos <= end) {
+            Event event = mEvents.poll();
+            mNowNanos = event.mAtNanos;
+            if (!event.mCancelled) {
+                event.mTask.run();
+                mAfterEach.run();
+            }
+        }
+        mNowNanos = end;
+        mAfterEach.run();
+    }
+}
