Serve calls end to end through entry host, sidecar and target

Model calls, whole and streamed, and plain service calls pass through separate processes on loopback. bin/demo starts them and checks each answer against the same request sent to the target directly. Program state, the at-most-once guarantee and operator queries are not wired yet, so the demo still fails its checks for these.

--- a/server/src/main/java/org/oleandertrack/server/entry/AttemptRunner.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/AttemptRunner.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
@@ -31,6 +32,14 @@
     AttemptResult run(PeerConnection connection, Call head, ByteString body, ResponseSink sink) {
         AttemptStream stream = AttemptStream.start(connection, head, body);
         CompletableFuture<Void> callerGone = sink.cancelled().thenRun(stream::callerGone);
+        try {
+            return follow(stream, head, sink);
+        } finally {
+            callerGone.cancel(false);
+        }
+    }
+
+    private AttemptResult follow(AttemptStream stream, Call head, ResponseSink sink) {
         Execution execution = Execution.UNKNOWN;
         long waitMillis = head.getTimeoutMillis();
         while (true) {
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryModule.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryModule.java
@@ -189,7 +189,8 @@
                 config,
                 environment -> {
                     registerResources(environment, calls, limiter, executor);
-                    AdminServlets.register(environment, new MetricsServlet(metrics), hosts::isListed);
+                    AdminServlets.register(
+                            environment, new MetricsServlet(metrics), hosts::isListed);
                 });
     }
 
@@ -223,5 +224,6 @@
                 .registerResources(
                         new ServiceResourceFactory(requests, bodies, responder).create());
         environment.jersey().register(new ResultExceptionMapper());
+        environment.jersey().register(new UnexpectedExceptionMapper());
     }
 }
--- a/server/src/main/java/org/oleandertrack/server/entry/HostDirectory.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/HostDirectory.java
@@ -23,6 +23,7 @@
  * only names candidates: a host counts while its connection stands, whatever the list says, and a
  * host that the list has dropped is forgotten when its connection ends. Thread safe.
  */
+@SuppressWarnings("FutureReturnValueIgnored") // The callbacks handle failures themselves.
 final class HostDirectory {
 
     private final HostList mHostList;
--- a/server/src/main/java/org/oleandertrack/server/entry/ResponsePipe.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/ResponsePipe.java
@@ -6,6 +6,8 @@
 import java.util.ArrayDeque;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
@@ -22,6 +24,8 @@
 
     private final CompletableFuture<ResponseHead> mHead = new CompletableFuture<>();
     private final CompletableFuture<Void> mCancelled = new CompletableFuture<>();
+    private final ReentrantLock mLock = new ReentrantLock();
+    private final Condition mChanged = mLock.newCondition();
     private final ArrayDeque<ByteString> mParts = new ArrayDeque<>();
     private int mBufferedBytes;
     private boolean mEnded;
@@ -35,30 +39,33 @@
     }
 
     @Override
-    public synchronized void body(ByteString data) {
-        while (mBufferedBytes > MAX_BUFFERED_BYTES && !mCancelled.isDone()) {
-            awaitChange();
-        }
-        if (mCancelled.isDone()) {
-            throw new ResultException(ResultCode.CANCELLED, Execution.RUN, "the caller left", 0);
+    public void body(ByteString data) {
+        mLock.lock();
+        try {
+            while (mBufferedBytes > MAX_BUFFERED_BYTES && !mCancelled.isDone()) {
+                mChanged.awaitUninterruptibly();
+            }
+            if (mCancelled.isDone()) {
+                throw new ResultException(
+                        ResultCode.CANCELLED, Execution.RUN, "the caller left", 0);
+            }
+            mParts.add(data);
+            mBufferedBytes += data.size();
+            mChanged.signalAll();
+        } finally {
+            mLock.unlock();
         }
-        mParts.add(data);
-        mBufferedBytes += data.size();
-        notifyAll();
     }
 
     @Override
-    public synchronized void end() {
-        mEnded = true;
-        notifyAll();
+    public void end() {
+        finish(null);
     }
 
     /** Ends the answer with a failure; one before the head becomes the whole answer. */
-    synchronized void fail(ResultException failure) {
-        mFailure = failure;
-        mEnded = true;
+    void fail(ResultException failure) {
+        finish(failure);
         mHead.completeExceptionally(failure);
-        notifyAll();
     }
 
     // Operations of the consumer
@@ -83,16 +90,22 @@
             cancel();
             throw e;
         }
-        if (mFailure != null) {
-            output.write(ErrorBody.asEvent(mFailure));
+        ResultException failure = failure();
+        if (failure != null) {
+            output.write(ErrorBody.asEvent(failure));
             output.flush();
         }
     }
 
     /** Tells the producer that the caller has left. */
-    synchronized void cancel() {
+    void cancel() {
         mCancelled.complete(null);
-        notifyAll();
+        mLock.lock();
+        try {
+            mChanged.signalAll();
+        } finally {
+            mLock.unlock();
+        }
     }
 
     // Accessors
@@ -109,25 +122,40 @@
 
     // Helpers
 
-    private synchronized ByteString take() {
-        while (mParts.isEmpty() && !mEnded) {
-            awaitChange();
+    private void finish(ResultException failure) {
+        mLock.lock();
+        try {
+            mFailure = failure;
+            mEnded = true;
+            mChanged.signalAll();
+        } finally {
+            mLock.unlock();
         }
-        ByteString part = mParts.poll();
-        if (part != null) {
-            mBufferedBytes -= part.size();
-            notifyAll();
+    }
+
+    private ResultException failure() {
+        mLock.lock();
+        try {
+            return mFailure;
+        } finally {
+            mLock.unlock();
         }
-        return part;
     }
 
-    private void awaitChange() {
+    private ByteString take() {
+        mLock.lock();
         try {
-            wait();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new ResultException(
-                    ResultCode.INTERNAL_ERROR, Execution.UNKNOWN, "interrupted", 0);
+            while (mParts.isEmpty() && !mEnded) {
+                mChanged.awaitUninterruptibly();
+            }
+            ByteString part = mParts.poll();
+            if (part != null) {
+                mBufferedBytes -= part.size();
+                mChanged.signalAll();
+            }
+            return part;
+        } finally {
+            mLock.unlock();
         }
     }
 }
--- a/server/src/main/java/org/oleandertrack/server/entry/ServiceResourceFactory.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/ServiceResourceFactory.java
@@ -1,6 +1,7 @@
 package org.oleandertrack.server.entry;
 
 import jakarta.ws.rs.container.ContainerRequestContext;
+import jakarta.ws.rs.core.MediaType;
 import jakarta.ws.rs.core.Response;
 import jakarta.ws.rs.core.UriInfo;
 import java.util.List;
@@ -28,13 +29,25 @@
 
     Resource create() {
         Resource.Builder builder = Resource.builder("services/{" + SERVICE + "}{path: (/.*)?}");
-        Inflector<ContainerRequestContext, Response> handler = this::passThrough;
         for (String method : METHODS) {
-            builder.addMethod(method).handledBy(handler);
+            builder.addMethod(method)
+                    .consumes(MediaType.WILDCARD_TYPE)
+                    .produces(MediaType.WILDCARD_TYPE)
+                    .handledBy(new PassThroughInflector());
         }
         return builder.build();
     }
 
+    /** Named, because Jersey reads the parameter types from the class. */
+    private final class PassThroughInflector
+            implements Inflector<ContainerRequestContext, Response> {
+
+        @Override
+        public Response apply(ContainerRequestContext context) {
+            return passThrough(context);
+        }
+    }
+
     private Response passThrough(ContainerRequestContext context) {
         byte[] body = mBodies.read(context.getEntityStream());
         String service = context.getUriInfo().getPathParameters().getFirst(SERVICE);
--- a/server/src/main/java/org/oleandertrack/server/entry/TargetHandle.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/TargetHandle.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.oleandertrack.coordination.membership.HostEntry;
 import org.oleandertrack.protocol.PeerConnection;
 import org.oleandertrack.protocol.message.Load;
@@ -12,7 +13,7 @@
 
     private final AtomicInteger mInFlight = new AtomicInteger();
     private volatile HostEntry mHost;
-    private volatile PeerConnection mConnection;
+    private final AtomicReference<PeerConnection> mConnection = new AtomicReference<>();
     private volatile boolean mSaidLeaving;
     private volatile Load mLoad = Load.getDefaultInstance();
 
@@ -29,13 +30,11 @@
     /** Takes a new connection; a new incarnation has not said that it leaves. */
     void connected(PeerConnection connection) {
         mSaidLeaving = false;
-        mConnection = connection;
+        mConnection.set(connection);
     }
 
     void disconnected(PeerConnection connection) {
-        if (mConnection == connection) {
-            mConnection = null;
-        }
+        mConnection.compareAndSet(connection, null);
     }
 
     void markLeaving() {
@@ -70,7 +69,7 @@
     }
 
     Optional<PeerConnection> connection() {
-        return Optional.ofNullable(mConnection);
+        return Optional.ofNullable(mConnection.get());
     }
 
     boolean isLeaving() {
@@ -79,7 +78,7 @@
 
     /** Tells whether new work may be sent there. */
     boolean isAvailable() {
-        return mConnection != null && !isLeaving();
+        return mConnection.get() != null && !isLeaving();
     }
 
     int inFlight() {
--- a/server/src/main/java/org/oleandertrack/server/http/HttpService.java
+++ b/server/src/main/java/org/oleandertrack/server/http/HttpService.java
@@ -11,7 +11,6 @@
 import io.dropwizard.jetty.GzipHandlerFactory;
 import io.dropwizard.jetty.HttpConnectorFactory;
 import io.dropwizard.logging.common.ExternalLoggingFactory;
-import io.dropwizard.request.logging.ExternalRequestLogFactory;
 import io.dropwizard.util.DataSize;
 import io.dropwizard.util.Duration;
 import java.util.List;
@@ -92,7 +91,7 @@
 
     private DefaultServerFactory serverFactory() {
         DefaultServerFactory factory = new DefaultServerFactory();
-        factory.setRequestLogFactory(new ExternalRequestLogFactory());
+        factory.setRequestLogFactory(new NoRequestLogFactory());
         factory.setEnableVirtualThreads(true);
         factory.setRegisterDefaultExceptionMappers(false);
         factory.setShutdownGracePeriod(Duration.milliseconds(mConfig.shutdownGraceMillis()));
--- a/server/src/main/java/org/oleandertrack/server/sidecar/SidecarCallHandler.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarCallHandler.java
@@ -18,6 +18,7 @@
  * Checks calls from entry hosts, queues them and runs them at the target. It is the only way in to
  * the target, so a call that fails a check is proved not to have run. Thread safe.
  */
+@SuppressWarnings("FutureReturnValueIgnored") // The callbacks handle failures themselves.
 final class SidecarCallHandler implements CallHandler {
 
     /** Suggested wait before a retry of a refused call. */
--- a/server/src/main/java/org/oleandertrack/server/sidecar/TargetExchange.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/TargetExchange.java
@@ -24,6 +24,7 @@
  * One HTTP exchange with the target. The answer is passed on part by part; the next part is read
  * only when the peer's window allows it. Thread safe.
  */
+@SuppressWarnings("FutureReturnValueIgnored") // The callbacks handle failures themselves.
 final class TargetExchange {
 
     /** How an exchange ended. */
--- a/system-tests/src/main/java/org/oleandertrack/system/DemoMain.java
+++ b/system-tests/src/main/java/org/oleandertrack/system/DemoMain.java
@@ -197,7 +197,7 @@
             return choice(mMapper.readTree(answer)).path("message").path("content").asText();
         }
         StringBuilder text = new StringBuilder();
-        for (String line : answer.split("\n")) {
+        for (String line : answer.lines().toList()) {
             if (line.startsWith("data: {")) {
                 JsonNode event = mMapper.readTree(line.substring("data: ".length()));
                 text.append(choice(event).path("delta").path("content").asText());
--- a/system-tests/src/main/java/org/oleandertrack/system/ManagedProcess.java
+++ b/system-tests/src/main/java/org/oleandertrack/system/ManagedProcess.java
@@ -77,13 +77,14 @@
     /** Asks the process to stop (SIGTERM), waits and returns its exit code. */
     public int stop() {
         resume();
-        mProcess.destroy();
+        // Process.destroy would also close the output that is still to be read.
+        mProcess.toHandle().destroy();
         return awaitExit();
     }
 
     /** Kills the process (SIGKILL) and waits for its end. */
     public void kill() {
-        mProcess.destroyForcibly();
+        mProcess.toHandle().destroyForcibly();
         awaitExit();
     }
 
