Test handshake and framing of the inner protocol

A plain socket plays the misbehaving peer: other versions, silence, frames cut short, oversized, undecodable or out of place.

Faults found on the way: connect on a stopped connector never completed, because no thread was left to notify its listener; and a peer could read the server's Hello before it was listed by peers(). A close during the handshake is now reported as TARGET_UNREACHABLE, not as a lost attempt. send refuses frames that belong to a call. PeerServer.unsentBytes shows the bytes that wait for peers.

--- a/protocol/src/main/java/org/oleandertrack/protocol/Connection.java
+++ b/protocol/src/main/java/org/oleandertrack/protocol/Connection.java
@@ -93,7 +93,12 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        lose(new ResultException(ResultCode.ATTEMPT_LOST, "the connection was closed"));
+        if (mPeer == null) {
+            String message = "the connection was closed during the handshake";
+            lose(new ResultException(ResultCode.TARGET_UNREACHABLE, message));
+        } else {
+            lose(new ResultException(ResultCode.ATTEMPT_LOST, "the connection was closed"));
+        }
         mClosed.complete(null);
     }
 
@@ -146,9 +151,13 @@
     /**
      * Sends a control frame. Thread safe.
      *
+     * @throws IllegalArgumentException if the frame belongs to a call or to the handshake
      * @throws ResultException with FRAME_TOO_LARGE if the peer does not accept frames of this size
      */
     final void sendControl(Frame frame) {
+        if (!isControl(frame)) {
+            throw new IllegalArgumentException(frame.getPayloadCase() + " is no control frame");
+        }
         if (!fits(frame)) {
             throw new ResultException(
                     ResultCode.FRAME_TOO_LARGE,
@@ -307,22 +316,32 @@
                 onHeartbeat(frame.getHeartbeat());
                 onControl(frame);
             }
-            case CONFIG_PUSH,
-                    CONFIG_REQUEST,
-                    LEAVING,
-                    RELEASE_MEMORY,
-                    ATTEMPT_QUERY,
-                    ATTEMPT_STATUS ->
-                    onControl(frame);
             default -> {
-                // No payload: a later minor version may add frames, and those are ignored.
-                if (frame.getUnknownFields().asMap().isEmpty()) {
+                // Without a known payload: a later minor version may add frames, and those are
+                // ignored.
+                if (isControl(frame)) {
+                    onControl(frame);
+                } else if (frame.getUnknownFields().asMap().isEmpty()) {
                     throw malformed("an empty frame");
                 }
             }
         }
     }
 
+    private static boolean isControl(Frame frame) {
+        return switch (frame.getPayloadCase()) {
+            case HEARTBEAT,
+                    CONFIG_PUSH,
+                    CONFIG_REQUEST,
+                    LEAVING,
+                    RELEASE_MEMORY,
+                    ATTEMPT_QUERY,
+                    ATTEMPT_STATUS ->
+                    true;
+            default -> false;
+        };
+    }
+
     private void onControl(Frame frame) {
         try {
             mContext.controlHandler().onControl(mPeer, frame, this::sendControl);
--- a/protocol/src/main/java/org/oleandertrack/protocol/PeerClock.java
+++ b/protocol/src/main/java/org/oleandertrack/protocol/PeerClock.java
@@ -25,7 +25,8 @@
             // The stamp was taken at an unknown moment between sending and arrival. The clocks may
             // have drifted apart since the one end or, for an earlier instant, before the other.
             long distance = Math.max(localNanos - mSentNanos, -sinceArrival);
-            long drift = distance / DRIFT_DIVISOR + 1;
+            // Rounded up, plus the resolution of the clocks.
+            long drift = distance / DRIFT_DIVISOR + 2;
             return mPeerNanos + sinceArrival - drift;
         }
     }
--- a/protocol/src/main/java/org/oleandertrack/protocol/PeerConnector.java
+++ b/protocol/src/main/java/org/oleandertrack/protocol/PeerConnector.java
@@ -8,6 +8,7 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
@@ -49,10 +50,13 @@
     /**
      * Opens a connection.
      *
-     * @return completes after the handshake; fails with {@link java.io.IOException} if the peer
-     *     cannot be reached and with {@link ResultException} if the handshake fails
+     * @return completes after the handshake; fails with {@link IOException} if the peer cannot be
+     *     reached and with {@link ResultException} if the handshake fails
      */
     public CompletableFuture<PeerConnection> connect(String address, int port) {
+        if (mThreads.isShuttingDown()) {
+            return CompletableFuture.failedFuture(new IOException("the connector has stopped"));
+        }
         ClientConnection connection = new ClientConnection(mContext);
         Bootstrap bootstrap =
                 new Bootstrap()
@@ -67,6 +71,10 @@
                                         mChannels,
                                         () -> connection));
         ChannelFuture connected = bootstrap.connect(new InetSocketAddress(address, port));
+        if (connected.isDone() && !connected.isSuccess()) {
+            // Stopped in the meantime; there is no thread left to notify a listener.
+            return CompletableFuture.failedFuture(connected.cause());
+        }
         connected.addListener(
                 done -> {
                     if (!done.isSuccess()) {
--- a/protocol/src/main/java/org/oleandertrack/protocol/PeerServer.java
+++ b/protocol/src/main/java/org/oleandertrack/protocol/PeerServer.java
@@ -30,7 +30,7 @@
     private final ChannelGroup mChannels =
             new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private EventLoopGroup mThreads;
-    private Channel mListening;
+    private volatile Channel mListening;
 
     /** Creates a server that reports an empty status in its heartbeats. */
     public PeerServer(
@@ -108,11 +108,12 @@
     // Accessors.
 
     /** Returns the bound port. */
-    public synchronized int port() {
-        if (mListening == null) {
+    public int port() {
+        Channel listening = mListening;
+        if (listening == null) {
             throw new IllegalStateException("the server is not running");
         }
-        return ((InetSocketAddress) mListening.localAddress()).getPort();
+        return ((InetSocketAddress) listening.localAddress()).getPort();
     }
 
     /** Returns what the connected peers said of themselves, at this moment. */
@@ -120,6 +121,11 @@
         return mPeers.stream().map(ServerConnection::peerHello).toList();
     }
 
+    /** Returns the bytes that wait for peers to read, over all connections. */
+    public long unsentBytes() {
+        return mPeers.stream().mapToLong(connection -> connection.outbox().unsentBytes()).sum();
+    }
+
     // Operations.
 
     /** Sends a control frame to all connected peers that accept frames of its size. */
--- a/protocol/src/main/java/org/oleandertrack/protocol/ServerConnection.java
+++ b/protocol/src/main/java/org/oleandertrack/protocol/ServerConnection.java
@@ -47,8 +47,9 @@
 
     @Override
     void onHandshake(Hello peer) {
-        sendHello();
+        // Before the Hello, so that a peer that has read it is among the server's peers.
         mOnHandshake.accept(this);
+        sendHello();
     }
 
     @Override
--- /dev/null
+++ b/protocol/src/test/java/org/oleandertrack/protocol/FrameTest.java
@@ -0,0 +1,304 @@
+package org.oleandertrack.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.ByteString;
+import java.io.ByteArrayOutputStream;
+import java.net.ServerSocket;
+import java.util.Arrays;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.oleandertrack.core.result.ResultCode;
+import org.oleandertrack.core.result.ResultException;
+import org.oleandertrack.protocol.Peers.Answer;
+import org.oleandertrack.protocol.message.Call;
+import org.oleandertrack.protocol.message.ConfigChange;
+import org.oleandertrack.protocol.message.ConfigPush;
+import org.oleandertrack.protocol.message.Execution;
+import org.oleandertrack.protocol.message.Frame;
+import org.oleandertrack.protocol.message.Header;
+import org.oleandertrack.protocol.message.Hello;
+import org.oleandertrack.protocol.message.ResponseBody;
+import org.oleandertrack.protocol.message.ResponseEnd;
+import org.oleandertrack.protocol.message.ResponseHead;
+
+/** Frames that are cut short, too large, undecodable or out of place. */
+final class FrameTest {
+
+    private static final int SMALL_FRAME_BYTES = 4 << 10;
+    private static final ProtocolLimits SMALL_FRAMES =
+            Peers.QUIET.withMaxFrameBytes(SMALL_FRAME_BYTES);
+
+    private final Peers mPeers = new Peers();
+    private final AtomicInteger mDelivered = new AtomicInteger();
+
+    @AfterEach
+    void stop() {
+        mPeers.close();
+    }
+
+    private PeerServer server(ProtocolLimits limits) {
+        return mPeers.server(
+                limits,
+                call -> {
+                    mDelivered.incrementAndGet();
+                    Peers.echo(call);
+                });
+    }
+
+    private static byte[] encoded(Frame frame) throws Exception {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        frame.writeDelimitedTo(out);
+        return out.toByteArray();
+    }
+
+    private int rejectOf(Frame... frames) throws Exception {
+        PeerServer server = server(Peers.QUIET);
+        try (RawPeer peer = RawPeer.handshaken(server.port(), RawPeer.clientHello())) {
+            for (Frame frame : frames) {
+                peer.send(frame);
+            }
+            return peer.readReject();
+        }
+    }
+
+    // Framing.
+
+    /** Guards against running a call whose frame broke off, at every possible byte. */
+    @Test
+    void frameCutShortIsNotDelivered() throws Exception {
+        PeerServer server = server(Peers.QUIET);
+        PeerConnection other = mPeers.connect(server.port());
+        byte[] bytes = encoded(RawPeer.call(1, 0));
+        for (int length = 1; length < bytes.length; length++) {
+            try (RawPeer peer = RawPeer.handshaken(server.port(), RawPeer.clientHello())) {
+                peer.sendBytes(Arrays.copyOf(bytes, length));
+            }
+        }
+        Peers.eventually(() -> server.peers().size() == 1);
+        assertEquals(0, mDelivered.get());
+        Answer answer = Answer.of(other, Peers.head("/x"), ByteString.EMPTY);
+        assertEquals(0, Peers.await(answer.mEnd).getResultCode());
+    }
+
+    /** Guards against frames that arrive in pieces being misread. */
+    @Test
+    void frameInSingleBytesIsDelivered() throws Exception {
+        PeerServer server = server(Peers.QUIET);
+        try (RawPeer peer = RawPeer.handshaken(server.port(), RawPeer.clientHello())) {
+            for (byte next : encoded(RawPeer.call(1, 0))) {
+                peer.sendBytes(next);
+            }
+            assertTrue(peer.read().orElseThrow().hasResponseHead());
+        }
+    }
+
+    /** Guards against a length prefix that makes the receiver buffer without bound. */
+    @Test
+    void oversizedFrameIsRefusedByItsLengthAlone() throws Exception {
+        PeerServer server = server(SMALL_FRAMES);
+        try (RawPeer peer = RawPeer.handshaken(server.port(), RawPeer.clientHello())) {
+            // Length 4097, one more than accepted; the content never follows.
+            peer.sendBytes((byte) 0x81, (byte) 0x20);
+            assertEquals(ResultCode.FRAME_TOO_LARGE.number(), peer.readReject());
+        }
+    }
+
+    /** Guards against a Reject that a sender in the middle of a large frame cannot read. */
+    @Test
+    void senderOfAnOversizedFrameReadsTheReject() throws Exception {
+        PeerServer server = server(SMALL_FRAMES);
+        try (RawPeer peer = RawPeer.handshaken(server.port(), RawPeer.clientHello())) {
+            peer.send(RawPeer.callBody(1, 1 << 20, true));
+            assertEquals(ResultCode.FRAME_TOO_LARGE.number(), peer.readReject());
+        }
+    }
+
+    /** Guards against a limit that is one byte off. */
+    @Test
+    void frameOfTheLargestSizeIsAccepted() throws Exception {
+        PeerServer server = server(SMALL_FRAMES);
+        Call plain = RawPeer.call(1, 0).getCall();
+        int room = SMALL_FRAME_BYTES - 3;
+        Frame frame = RawPeer.call(1, 0);
+        String path = "p";
+        while (frame.getSerializedSize() < SMALL_FRAME_BYTES && path.length() < room) {
+            path += "p";
+            frame = Frame.newBuilder().setCall(plain.toBuilder().setPath(path)).build();
+        }
+        assertEquals(SMALL_FRAME_BYTES, frame.getSerializedSize());
+        try (RawPeer peer = RawPeer.handshaken(server.port(), RawPeer.clientHello())) {
+            peer.send(frame);
+            assertTrue(peer.read().orElseThrow().hasResponseHead());
+        }
+    }
+
+    /** Guards against bytes that are no protobuf message, or no length, being skipped over. */
+    @Test
+    void malformedFrameIsRefused() throws Exception {
+        byte[][] malformed = {
+            // A field of 5 bytes that ends after 1.
+            {3, 0x1a, 5, 0},
+            // A field with the reserved wire type 7.
+            {1, 0x0f},
+            // A group end without its start.
+            {1, 0x0c},
+            // An empty frame.
+            {0},
+            // A length of more than five bytes.
+            {-1, -1, -1, -1, -1, -1},
+            // A negative length.
+            {-1, -1, -1, -1, 0x0f},
+        };
+        for (byte[] bytes : malformed) {
+            PeerServer server = server(Peers.QUIET);
+            try (RawPeer peer = RawPeer.handshaken(server.port(), RawPeer.clientHello())) {
+                peer.sendBytes(bytes);
+                assertEquals(
+                        ResultCode.MALFORMED_FRAME.number(),
+                        peer.readReject(),
+                        () -> Arrays.toString(bytes));
+            }
+        }
+        assertEquals(0, mDelivered.get());
+    }
+
+    // Frames that do not fit the state of the connection.
+
+    /** Guards against frames in the wrong direction, of unknown calls or in the wrong order. */
+    @Test
+    void frameOutOfPlaceIsRefused() throws Exception {
+        int malformed = ResultCode.MALFORMED_FRAME.number();
+        Hello hello = RawPeer.clientHello();
+        assertEquals(malformed, rejectOf(Frame.newBuilder().setHello(hello).build()));
+        assertEquals(malformed, rejectOf(RawPeer.callBody(1, 1, true)));
+        assertEquals(malformed, rejectOf(RawPeer.credit(1, 1)));
+        assertEquals(malformed, rejectOf(RawPeer.call(0, 0)));
+        assertEquals(malformed, rejectOf(RawPeer.call(2, 0), RawPeer.call(2, 0)));
+        assertEquals(malformed, rejectOf(RawPeer.call(2, 0), RawPeer.call(1, 0)));
+        ResponseEnd.Builder end = ResponseEnd.newBuilder().setCallId(1);
+        assertEquals(malformed, rejectOf(Frame.newBuilder().setResponseEnd(end).build()));
+    }
+
+    /** Guards against a body that is shorter or longer than the call's head says. */
+    @Test
+    void bodyOfAnotherLengthIsRefused() throws Exception {
+        int malformed = ResultCode.MALFORMED_FRAME.number();
+        assertEquals(malformed, rejectOf(RawPeer.call(1, 9), RawPeer.callBody(1, 8, true)));
+        assertEquals(malformed, rejectOf(RawPeer.call(1, 9), RawPeer.callBody(1, 10, true)));
+        assertEquals(malformed, rejectOf(RawPeer.call(1, 9), RawPeer.callBody(1, 9, false)));
+        assertEquals(0, mDelivered.get());
+    }
+
+    /** Guards against a response that reaches a call other than its own. */
+    @Test
+    void responseToACallThatWasNeverSentIsRefused() throws Exception {
+        try (ServerSocket listening = RawPeer.listen()) {
+            CompletableFuture<PeerConnection> connecting =
+                    mPeers.connector(Peers.QUIET, System::nanoTime)
+                            .connect(Peers.LOOPBACK, listening.getLocalPort());
+            try (RawPeer peer = RawPeer.accept(listening, RawPeer.serverHello())) {
+                PeerConnection connection = Peers.await(connecting);
+                Answer answer = Answer.of(connection, Peers.head("/x"), ByteString.EMPTY);
+                assertEquals(1, peer.read().orElseThrow().getCall().getCallId());
+                ResponseEnd.Builder end = ResponseEnd.newBuilder().setCallId(2);
+                peer.send(Frame.newBuilder().setResponseEnd(end).build());
+                assertEquals(ResultCode.MALFORMED_FRAME.number(), peer.readReject());
+                assertTrue(Peers.await(answer.mLost));
+            }
+        }
+    }
+
+    // What this side sends.
+
+    /** Guards against a sender that breaks the connection with a frame its peer refuses. */
+    @Test
+    void callWhoseHeadExceedsThePeersFramesIsNotRun() throws Exception {
+        PeerServer server = server(SMALL_FRAMES);
+        PeerConnection connection = mPeers.connect(server.port());
+        Call head = Peers.head("/" + "x".repeat(SMALL_FRAME_BYTES));
+        ByteString body = ByteString.copyFromUtf8("body");
+
+        ResponseEnd end = Peers.await(Answer.of(connection, head, body).mEnd);
+
+        assertEquals(ResultCode.FRAME_TOO_LARGE.number(), end.getResultCode());
+        assertEquals(Execution.EXECUTION_NOT_RUN, end.getExecution());
+        assertEquals(0, ((ClientConnection) connection).outbox().unsentBytes());
+        Answer next = Answer.of(connection, Peers.head("/x"), body);
+        assertEquals(0, Peers.await(next.mEnd).getResultCode());
+        assertEquals(1, mDelivered.get());
+    }
+
+    /** Guards against bodies split by this side's frame limit rather than the peer's. */
+    @Test
+    void bodiesAreSplitToThePeersFrames() throws Exception {
+        PeerServer server = server(SMALL_FRAMES);
+        PeerConnection connection = mPeers.connect(server.port());
+        ByteString body = ByteString.copyFrom(new byte[100_000]);
+        Answer answer = Answer.of(connection, Peers.head("/x"), body);
+        assertEquals(0, Peers.await(answer.mEnd).getResultCode());
+        assertEquals(body, answer.body());
+    }
+
+    /** Guards against a response head that the caller's connection would be closed for. */
+    @Test
+    void responseWhoseHeadExceedsThePeersFramesEndsTheCall() throws Exception {
+        CompletableFuture<Void> cancelled = new CompletableFuture<>();
+        PeerServer server =
+                mPeers.server(
+                        call -> {
+                            Header.Builder header =
+                                    Header.newBuilder()
+                                            .setName("n")
+                                            .setValue("v".repeat(SMALL_FRAME_BYTES));
+                            call.respondHead(ResponseHead.newBuilder().addHeaders(header).build());
+                            var _ = call.cancelled().thenRun(() -> cancelled.complete(null));
+                        });
+        PeerConnection connection = mPeers.connect(SMALL_FRAMES, server.port());
+        Answer answer = Answer.of(connection, Peers.head("/x"), ByteString.EMPTY);
+        ResponseEnd end = Peers.await(answer.mEnd);
+        assertEquals(ResultCode.FRAME_TOO_LARGE.number(), end.getResultCode());
+        assertEquals(Execution.EXECUTION_UNKNOWN, end.getExecution());
+        Peers.await(cancelled);
+    }
+
+    /** Guards against an end message that would close the connection for all other calls. */
+    @Test
+    void endWhoseMessageExceedsThePeersFramesIsSentWithoutIt() throws Exception {
+        PeerServer server =
+                mPeers.server(
+                        call ->
+                                call.respondEnd(
+                                        Peers.success().toBuilder()
+                                                .setMessage("m".repeat(SMALL_FRAME_BYTES))
+                                                .build()));
+        PeerConnection connection = mPeers.connect(SMALL_FRAMES, server.port());
+        Answer answer = Answer.of(connection, Peers.head("/x"), ByteString.EMPTY);
+        ResponseEnd end = Peers.await(answer.mEnd);
+        assertEquals(Execution.EXECUTION_RUN, end.getExecution());
+        assertEquals("", end.getMessage());
+    }
+
+    /** Guards against control frames that the peer refuses and call frames with foreign ids. */
+    @Test
+    void sendRefusesFramesThatThePeerWouldRefuse() throws Exception {
+        PeerServer server = server(SMALL_FRAMES);
+        PeerConnection connection = mPeers.connect(server.port());
+        ConfigChange.Builder change =
+                ConfigChange.newBuilder().setCommand("c".repeat(SMALL_FRAME_BYTES));
+        Frame large =
+                Frame.newBuilder()
+                        .setConfigPush(ConfigPush.newBuilder().addChanges(change))
+                        .build();
+        ResultException failure = assertThrows(ResultException.class, () -> connection.send(large));
+        assertEquals(ResultCode.FRAME_TOO_LARGE, failure.code());
+        Frame body = Frame.newBuilder().setResponseBody(ResponseBody.getDefaultInstance()).build();
+        assertThrows(IllegalArgumentException.class, () -> connection.send(body));
+        Answer answer = Answer.of(connection, Peers.head("/x"), ByteString.EMPTY);
+        assertEquals(0, Peers.await(answer.mEnd).getResultCode());
+    }
+}
