Add health of targets, hedge policy and retry allowance

Slow targets are judged by time per token against the median of their peers and set aside up to a third; failing ones are left out apart from that bound. Hedges and retries draw on allowances that start empty, so they stay under 5 and 4 in 100 calls from the first call on.

--- /dev/null
+++ b/core/src/main/java/org/oleandertrack/core/health/package-info.java
@@ -0,0 +1,2 @@
+/** Health of targets, hedged calls and retries. */
+package org.oleandertrack.core.health;
--- /dev/null
+++ b/core/src/test/java/org/oleandertrack/core/health/ExtraCallsTest.java
@@ -0,0 +1,96 @@
+package org.oleandertrack.core.health;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.oleandertrack.core.result.Execution;
+
+/** Guards against hedges and retries that add load when targets are already in trouble. */
+final class ExtraCallsTest {
+
+    private static final long MILLISECOND = 1_000_000;
+
+    /** Guards against a retry storm: every attempt of every call fails or is late. */
+    @Property(tries = 50)
+    void extraCallsStayUnderTheSharesWhenEverythingFails(
+            @ForAll @IntRange(min = 1, max = 5_000) int calls, @ForAll long seed) {
+        RetryPolicy retries =
+                new RetryPolicy(MILLISECOND, 100 * MILLISECOND, 5, new SplittableRandom(seed));
+        HedgePolicy hedges = new HedgePolicy();
+        int retried = 0;
+        int hedged = 0;
+        for (int i = 0; i < calls; i++) {
+            retries.counted();
+            hedges.counted();
+            int attempts = 1;
+            while (retries.afterFailure(attempts, Execution.UNKNOWN, true)
+                    instanceof RetryDecision.Retry) {
+                attempts++;
+                retried++;
+            }
+            hedged += hedges.tryHedge(true) ? 1 : 0;
+        }
+        assertTrue(retried <= calls * 4 / 100, retried + " retries of " + calls + " calls");
+        assertTrue(hedged <= calls * 5 / 100, hedged + " hedges of " + calls + " calls");
+    }
+
+    /** Guards against retries that arrive together: the waits cover the whole range. */
+    @Property(tries = 20)
+    void waitsAreSpreadBelowADoublingBound(@ForAll long seed) {
+        RetryPolicy retries =
+                new RetryPolicy(MILLISECOND, 3 * MILLISECOND, 9, new SplittableRandom(seed));
+        long[] bounds = {MILLISECOND, 2 * MILLISECOND, 3 * MILLISECOND, 3 * MILLISECOND};
+        for (int attempts = 1; attempts <= bounds.length; attempts++) {
+            double sum = 0;
+            int draws = 400;
+            for (int i = 0; i < draws; i++) {
+                for (int call = 0; call < 25; call++) {
+                    retries.counted();
+                }
+                RetryDecision decision = retries.afterFailure(attempts, Execution.UNKNOWN, true);
+                long delay = ((RetryDecision.Retry) decision).delayNanos();
+                assertTrue(delay >= 0 && delay <= bounds[attempts - 1]);
+                sum += delay;
+            }
+            assertEquals(0.5, sum / draws / (double) bounds[attempts - 1], 0.1);
+        }
+    }
+
+    /** Invariant I7: a call that may not be repeated runs at most once. */
+    @Test
+    void neverRepeatsWhatMayHaveRun() {
+        RetryPolicy retries = new RetryPolicy(1, 1, 5, new SplittableRandom(1));
+        HedgePolicy hedges = new HedgePolicy();
+        for (int i = 0; i < 200; i++) {
+            retries.counted();
+            hedges.counted();
+        }
+        assertEquals(new RetryDecision.GiveUp(), retries.afterFailure(1, Execution.UNKNOWN, false));
+        assertEquals(new RetryDecision.GiveUp(), retries.afterFailure(1, Execution.RUN, false));
+        assertTrue(
+                retries.afterFailure(1, Execution.NOT_RUN, false) instanceof RetryDecision.Retry);
+        assertFalse(hedges.tryHedge(false));
+        assertTrue(hedges.tryHedge(true));
+    }
+
+    @Test
+    void hedgesAfterP95OfRecentCalls() {
+        HedgePolicy hedges = new HedgePolicy();
+        for (int i = 1; i < 40; i++) {
+            hedges.recorded(i);
+        }
+        assertTrue(hedges.delayNanos().isEmpty());
+        for (int i = 0; i < 10; i++) {
+            for (int value = 1; value <= 100; value++) {
+                hedges.recorded(value);
+            }
+        }
+        assertEquals(95L, hedges.delayNanos().orElseThrow());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/oleandertrack/core/health/HealthTrackerTest.java
@@ -0,0 +1,115 @@
+package org.oleandertrack.core.health;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.oleandertrack.core.placement.TargetAssessment.Use;
+
+/** Guards against slow targets that keep their calls, and against too many targets left out. */
+final class HealthTrackerTest {
+
+    private static final long SECOND = 1_000_000_000L;
+
+    private final HealthTracker mTracker = new HealthTracker(HealthConfig.DEFAULT);
+
+    @Test
+    void setsSlowTargetAsideAndReturnsItAfterGoodProbe() {
+        addTargets(mTracker, 6);
+        observeAll(mTracker, 6, 1, 0);
+        observeAll(mTracker, 6, 1, SECOND);
+        assertEquals(Use.LAST_RESORT, use("t0", SECOND));
+        long due = 3 * SECOND;
+        assertEquals(Use.PROBE, use("t0", due));
+        mTracker.sent("t0");
+        assertEquals(Use.LAST_RESORT, use("t0", due), "a second probe beside the first");
+        mTracker.observed("t0", 10, 10_000_000, due);
+        mTracker.succeeded("t0", SECOND, due);
+        assertEquals(Use.NORMAL, use("t0", due));
+    }
+
+    @Test
+    void probesMoreRarelyWhileTargetStaysSlow() {
+        addTargets(mTracker, 6);
+        observeAll(mTracker, 6, 1, 0);
+        observeAll(mTracker, 6, 1, SECOND);
+        long due = 2 * SECOND;
+        assertEquals(Use.PROBE, use("t0", due));
+        mTracker.sent("t0");
+        mTracker.observed("t0", 10, 50_000_000, due);
+        mTracker.succeeded("t0", SECOND, due);
+        assertEquals(Use.LAST_RESORT, use("t0", due + SECOND));
+        assertEquals(Use.PROBE, use("t0", due + 2 * SECOND));
+    }
+
+    /** A target that fails again while it is probed stays out; one good probe brings it back. */
+    @Test
+    void leavesFailingTargetOutUntilProbeSucceeds() {
+        addTargets(mTracker, 2);
+        for (int i = 0; i < 3; i++) {
+            mTracker.failed("t0", 0);
+            mTracker.failed("t1", 0);
+        }
+        assertEquals(2, mTracker.failing(), "failing targets are left out without a bound");
+        assertEquals(Use.PROBE, use("t0", SECOND));
+        mTracker.sent("t0");
+        mTracker.failed("t0", SECOND);
+        assertEquals(Use.LAST_RESORT, use("t0", 2 * SECOND));
+        mTracker.sent("t0");
+        mTracker.succeeded("t0", SECOND, 4 * SECOND);
+        assertEquals(Use.NORMAL, use("t0", 4 * SECOND));
+    }
+
+    @Test
+    void singleFailuresDoNotCount() {
+        addTargets(mTracker, 1);
+        for (int i = 0; i < 10; i++) {
+            mTracker.failed("t0", i);
+            mTracker.failed("t0", i);
+            mTracker.succeeded("t0", SECOND, i);
+        }
+        assertEquals(0, mTracker.failing());
+    }
+
+    /** Guards against a slowdown of many targets that takes most of the capacity away. */
+    @Property(tries = 100)
+    void atMostAThirdIsSetAside(
+            @ForAll @IntRange(min = 1, max = 40) int targets, @ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        HealthTracker tracker = new HealthTracker(HealthConfig.DEFAULT);
+        addTargets(tracker, targets);
+        for (int step = 0; step < 300; step++) {
+            long now = step * SECOND / 10;
+            String id = "t" + random.nextInt(targets);
+            int factor = random.nextInt(4) == 0 ? 20 : 1;
+            tracker.sent(id);
+            tracker.observed(id, 10, factor * 10_000_000L, now);
+            tracker.succeeded(id, SECOND, now);
+            assertTrue(
+                    tracker.setAside() <= targets / 3,
+                    tracker.setAside() + " of " + targets + " are set aside");
+        }
+    }
+
+    private Use use(String id, long now) {
+        return mTracker.assess(id, now).use();
+    }
+
+    private static void addTargets(HealthTracker tracker, int count) {
+        for (int i = 0; i < count; i++) {
+            tracker.add("t" + i);
+        }
+    }
+
+    /** Observes 1 ms per token at every target, five times as much at the first {@code slow}. */
+    private static void observeAll(HealthTracker tracker, int count, int slow, long now) {
+        for (int i = 0; i < count; i++) {
+            tracker.observed("t" + i, 10, (i < slow ? 5 : 1) * 10_000_000L, now);
+        }
+        tracker.evaluate(now);
+    }
+}
