--- /dev/null
+++ b/bench/src/main/java/org/oleandertrack/bench/Samples.java
@@ -0,0 +1,37 @@
+package org.oleandertrack.bench;
+
+import java.util.Arrays;
+
+/** Samples of a time in nanoseconds. */
+final class Samples {
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private long[] mValues = new long[1_024];
+    private int mCount;
+
+    void add(long nanos) {
+        if (mCount == mValues.length) {
+            mValues = Arrays.copyOf(mValues, 2 * mCount);
+        }
+        mValues[mCount++] = nanos;
+    }
+
+    int count() {
+        return mCount;
+    }
+
+    double meanSeconds() {
+        return Arrays.stream(mValues, 0, mCount).average().orElse(0) / NANOS_PER_SECOND;
+    }
+
+    double quantileSeconds(double quantile) {
+        if (mCount == 0) {
+            return 0;
+        }
+        long[] sorted = Arrays.copyOf(mValues, mCount);
+        Arrays.sort(sorted);
+        int index = (int) Math.ceil(quantile * mCount) - 1;
+        return sorted[Math.max(0, index)] / NANOS_PER_SECOND;
+    }
+}
