--- a/server/src/main/java/org/oleandertrack/server/cli/HelpPrinter.java
+++ b/server/src/main/java/org/oleandertrack/server/cli/HelpPrinter.java
@@ -23,9 +23,10 @@
     }
 
     void printCommand(SubCommand command, Options options, PrintStream out) {
+        StringBuilder text = new StringBuilder();
         HelpFormatter formatter =
                 HelpFormatter.builder()
-                        .setHelpAppendable(new TextHelpAppendable(out))
+                        .setHelpAppendable(new TextHelpAppendable(text))
                         .setShowSince(false)
                         .get();
         try {
@@ -38,5 +39,7 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
+        // The formatter pads the cells of its table, also the last one of a line.
+        text.toString().strip().lines().map(String::stripTrailing).forEach(out::println);
     }
 }
--- a/server/src/main/java/org/oleandertrack/server/cli/OleandertrackMain.java
+++ b/server/src/main/java/org/oleandertrack/server/cli/OleandertrackMain.java
@@ -1,9 +1,11 @@
 package org.oleandertrack.server.cli;
 
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -113,16 +115,28 @@
 
     private static CommandLine parse(SubCommand command, List<String> args) {
         try {
-            return DefaultParser.builder()
-                    .setAllowPartialMatching(false)
-                    .get()
-                    .parse(withHelp(command), args.toArray(String[]::new));
+            CommandLine line =
+                    DefaultParser.builder()
+                            .setAllowPartialMatching(false)
+                            .get()
+                            .parse(withHelp(command), args.toArray(String[]::new));
+            expectEachOptionOnce(line);
+            return line;
         } catch (ParseException e) {
             throw Arguments.usage(
                     e.getMessage() + "; try: oleandertrack " + command.name() + " --help");
         }
     }
 
+    private static void expectEachOptionOnce(CommandLine line) {
+        Set<String> seen = new HashSet<>();
+        for (Option option : line.getOptions()) {
+            if (!seen.add(option.getLongOpt())) {
+                throw Arguments.usage("option given twice: " + option.getLongOpt());
+            }
+        }
+    }
+
     private static Options withHelp(SubCommand command) {
         return command.options()
                 .addOption(Option.builder().longOpt(HELP).desc("Print this text.").get());
--- a/server/src/main/java/org/oleandertrack/server/metrics/MetricsRegistry.java
+++ b/server/src/main/java/org/oleandertrack/server/metrics/MetricsRegistry.java
@@ -16,7 +16,7 @@
  */
 public final class MetricsRegistry {
 
-    // From 50 microseconds, the bound of a placement decision, by steps of 2.5 to about 200 s.
+    // From 50 microseconds, the bound of a placement decision, by steps of 2.5 to about 290 s.
     private static final double SMALLEST_BUCKET_SECONDS = 0.000_05;
     private static final double BUCKET_FACTOR = 2.5;
     private static final int BUCKETS = 18;
--- a/server/src/main/java/org/oleandertrack/server/settings/SettingsLoader.java
+++ b/server/src/main/java/org/oleandertrack/server/settings/SettingsLoader.java
@@ -79,6 +79,8 @@
             throw validationFailure(source, e);
         } catch (ConfigurationParsingException e) {
             throw parsingFailure(source, e);
+        } catch (JsonProcessingException e) {
+            throw failure(ResultCode.SETTINGS_UNREADABLE, source, syntaxText(e));
         } catch (ConfigurationException | IOException e) {
             throw failure(ResultCode.SETTINGS_UNREADABLE, source, firstLine(e.getMessage()));
         }
@@ -136,23 +138,37 @@
 
     // Rules over several keys come after all rules about one key.
     private static int position(List<String> order, ConstraintViolation<?> violation) {
-        int index = order.indexOf(pathOf(violation));
-        return index < 0 ? order.size() : index;
+        int index = order.indexOf(keyOf(violation));
+        return isRuleOverKeys(violation) ? order.size() + index : index;
     }
 
     private String violationText(ConstraintViolation<?> violation) {
-        String path = pathOf(violation);
-        if (violation.getConstraintDescriptor().getAnnotation() instanceof AssertTrue) {
-            int dot = path.lastIndexOf('.');
-            String[] keyAndRule = violation.getMessage().split(": ", 2);
-            String key = path.substring(0, dot + 1) + keyAndRule[0];
-            return key + ": not consistent; allowed: " + keyAndRule[1];
+        String key = keyOf(violation);
+        if (isRuleOverKeys(violation)) {
+            return key + ": not consistent; allowed: " + ruleParts(violation)[1];
         }
-        String expected = mSchema.find(path).map(SettingKey::expectation).orElse("a section");
+        String expected = mSchema.find(key).map(SettingKey::expectation).orElse("a section");
         if (violation.getInvalidValue() == null) {
-            return path + ": missing; allowed: " + expected;
+            return key + ": missing; allowed: " + expected;
         }
-        return path + ": " + valueText(violation.getInvalidValue()) + "; allowed: " + expected;
+        return key + ": " + valueText(violation.getInvalidValue()) + "; allowed: " + expected;
+    }
+
+    private static boolean isRuleOverKeys(ConstraintViolation<?> violation) {
+        return violation.getConstraintDescriptor().getAnnotation() instanceof AssertTrue;
+    }
+
+    private static String keyOf(ConstraintViolation<?> violation) {
+        String path = pathOf(violation);
+        if (!isRuleOverKeys(violation)) {
+            return path;
+        }
+        return path.substring(0, path.lastIndexOf('.') + 1) + ruleParts(violation)[0];
+    }
+
+    // The message of a rule over several keys is "key: what is allowed".
+    private static String[] ruleParts(ConstraintViolation<?> violation) {
+        return violation.getMessage().split(": ", 2);
     }
 
     private static String valueText(Object value) {
--- a/server/src/main/java/org/oleandertrack/server/settings/TomlConfigurationFactory.java
+++ b/server/src/main/java/org/oleandertrack/server/settings/TomlConfigurationFactory.java
@@ -49,6 +49,7 @@
 
     private static ObjectMapper newMapper() {
         ObjectMapper mapper = Jackson.newObjectMapper(new TomlFactory());
+        mapper.enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
         mapper.enable(DeserializationFeature.FAIL_ON_IGNORED_PROPERTIES);
         mapper.enable(DeserializationFeature.FAIL_ON_NUMBERS_FOR_ENUMS);
         for (CoercionInputShape shape : SCALARS) {
