--- a/server/src/main/java/org/oleandertrack/server/entry/DirectCallService.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/DirectCallService.java
@@ -27,6 +27,7 @@
                         mShards.fence(shard).orElse(0L),
                         Dispatcher.deadlineNanos(mNanoClock.getAsLong(), request.timeoutMillis()),
                         0,
+                        0,
                         Set.of());
         mDispatcher.run(request, grant, sink);
         sink.end();
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryModule.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryModule.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.inject.AbstractModule;
+import com.google.inject.Provider;
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
 import io.dropwizard.core.setup.Environment;
@@ -10,6 +11,7 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.function.LongSupplier;
@@ -25,6 +27,7 @@
 import org.oleandertrack.server.http.AdminServlets;
 import org.oleandertrack.server.http.HttpService;
 import org.oleandertrack.server.http.HttpServiceConfig;
+import org.oleandertrack.server.logging.DecisionLog;
 import org.oleandertrack.server.metrics.MetricsRegistry;
 import org.oleandertrack.server.metrics.MetricsServlet;
 import org.oleandertrack.server.settings.EntrySettings;
@@ -93,26 +96,39 @@
 
     @Provides
     @Singleton
-    PeerConnector connector(LocalNode node, LongSupplier nanoClock) {
-        return new PeerConnector(
-                node, PeerLimits.from(mSettings.peer()), (from, frame, reply) -> {}, nanoClock);
+    EntryControlHandler controlHandler(Provider<HostDirectory> hosts) {
+        return new EntryControlHandler(hosts);
     }
 
     @Provides
     @Singleton
-    HostDirectory hosts(HostList hostList, PeerConnector connector) {
+    PeerConnector connector(LocalNode node, EntryControlHandler control, LongSupplier nanoClock) {
+        return new PeerConnector(node, PeerLimits.from(mSettings.peer()), control, nanoClock);
+    }
+
+    @Provides
+    @Singleton
+    HostDirectory hosts(HostList hostList, PeerConnector connector, TargetPools pools) {
         return new HostDirectory(
-                hostList, connector, mSettings.node(), mSettings.platform().hostsPollMillis());
+                hostList,
+                connector,
+                mSettings.node(),
+                mSettings.platform().hostsPollMillis(),
+                pools);
     }
 
     @Provides
     @Singleton
-    PeerServer peerServer(LocalNode node, ForwardedCallHandler forwarded, LongSupplier nanoClock) {
+    PeerServer peerServer(
+            LocalNode node,
+            ForwardedCallHandler forwarded,
+            EntryControlHandler control,
+            LongSupplier nanoClock) {
         return new PeerServer(
                 node,
                 PeerLimits.from(mSettings.peer()),
                 forwarded,
-                (from, frame, reply) -> {},
+                control,
                 nanoClock,
                 () -> new NodeStatus(Load.getDefaultInstance(), 0, 0, false));
     }
@@ -121,14 +137,18 @@
 
     @Provides
     @Singleton
-    AttemptRunner attemptRunner() {
-        return new AttemptRunner(mSettings.calls().stallTimeoutMillis());
+    TargetPools targetPools(LongSupplier nanoClock) {
+        // Entry hosts draw differently, so that they do not all choose the same target.
+        SplittableRandom seeds = new SplittableRandom(new SecureRandom().nextLong());
+        return new TargetPools(
+                () -> new TargetPool(mSettings.zone(), seeds.split(), nanoClock),
+                new DecisionLog());
     }
 
     @Provides
     @Singleton
-    Dispatcher dispatcher(HostDirectory hosts, AttemptRunner runner, LongSupplier nanoClock) {
-        return new Dispatcher(new TargetSelector(hosts, mSettings.zone()), runner, nanoClock);
+    Dispatcher dispatcher(TargetPools pools, LongSupplier nanoClock) {
+        return new Dispatcher(pools, nanoClock, mSettings.calls().stallTimeoutMillis());
     }
 
     @Provides
@@ -161,9 +181,8 @@
             ShardDirectory shards,
             HostDirectory hosts,
             DirectCallService calls,
-            AttemptRunner runner,
             LongSupplier nanoClock) {
-        return new CallRouter(shards, hosts, calls, runner, nanoClock);
+        return new CallRouter(shards, hosts, calls, new Forwarder(), nanoClock);
     }
 
     // Callers' interface
--- a/server/src/main/java/org/oleandertrack/server/entry/HostDirectory.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/HostDirectory.java
@@ -26,10 +26,19 @@
 @SuppressWarnings("FutureReturnValueIgnored") // The callbacks handle failures themselves.
 final class HostDirectory {
 
+    /** Learns which targets may get new work. */
+    interface TargetListener {
+
+        void onAvailable(TargetHandle target);
+
+        void onUnavailable(TargetHandle target);
+    }
+
     private final HostList mHostList;
     private final PeerConnector mConnector;
     private final String mOwnNode;
     private final long mPollMillis;
+    private final TargetListener mListener;
     private final ScheduledExecutorService mPoller;
     private final Map<String, TargetHandle> mTargets = new ConcurrentHashMap<>();
     private final Map<String, HostEntry> mEntryHosts = new ConcurrentHashMap<>();
@@ -37,11 +46,17 @@
     private final Set<String> mConnecting = ConcurrentHashMap.newKeySet();
     private volatile boolean mListed;
 
-    HostDirectory(HostList hostList, PeerConnector connector, String ownNode, long pollMillis) {
+    HostDirectory(
+            HostList hostList,
+            PeerConnector connector,
+            String ownNode,
+            long pollMillis,
+            TargetListener listener) {
         mHostList = hostList;
         mConnector = connector;
         mOwnNode = ownNode;
         mPollMillis = pollMillis;
+        mListener = listener;
         mPoller =
                 Executors.newSingleThreadScheduledExecutor(
                         Thread.ofPlatform().daemon().name("host-list").factory());
@@ -81,8 +96,36 @@
         return Optional.ofNullable(mTargets.get(node));
     }
 
+    // Operations
+
+    /**
+     * Takes a process's own word that it leaves, which comes before the platform's list says so.
+     *
+     * @return whether this was news
+     */
+    boolean markLeaving(String node, long incarnation) {
+        Optional<TargetHandle> target =
+                targetAt(node)
+                        .filter(handle -> handle.isIncarnation(incarnation))
+                        .filter(handle -> !handle.isLeaving());
+        target.ifPresent(
+                handle -> {
+                    handle.markLeaving();
+                    tellListener(handle);
+                });
+        return target.isPresent();
+    }
+
     // Helpers
 
+    private void tellListener(TargetHandle target) {
+        if (target.isAvailable()) {
+            mListener.onAvailable(target);
+        } else {
+            mListener.onUnavailable(target);
+        }
+    }
+
     private void poll() {
         try {
             accept(mHostList.list().join());
@@ -99,7 +142,10 @@
         for (HostEntry host : hosts) {
             listed.add(host.hostId());
             if (host.role() == HostRole.SIDECAR) {
-                mTargets.computeIfAbsent(host.hostId(), id -> new TargetHandle(host)).update(host);
+                TargetHandle target =
+                        mTargets.computeIfAbsent(host.hostId(), id -> new TargetHandle(host));
+                target.update(host);
+                tellListener(target);
             } else if (!host.hostId().equals(mOwnNode)) {
                 mEntryHosts.put(host.hostId(), host);
             }
@@ -123,7 +169,13 @@
 
     private void targetConnected(TargetHandle target, PeerConnection connection) {
         target.connected(connection);
-        connection.closed().thenRun(() -> target.disconnected(connection));
+        tellListener(target);
+        connection.closed().thenRun(() -> targetDisconnected(target, connection));
+    }
+
+    private void targetDisconnected(TargetHandle target, PeerConnection connection) {
+        target.disconnected(connection);
+        tellListener(target);
     }
 
     private void connectEntryHost(HostEntry host) {
--- a/server/src/main/java/org/oleandertrack/server/entry/TargetHandle.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/TargetHandle.java
@@ -1,21 +1,18 @@
 package org.oleandertrack.server.entry;
 
-import java.util.Arrays;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.oleandertrack.coordination.membership.HostEntry;
 import org.oleandertrack.protocol.PeerConnection;
-import org.oleandertrack.protocol.message.Load;
 
 /** A target as this entry host sees it. Thread safe. */
 final class TargetHandle {
 
-    private final AtomicInteger mInFlight = new AtomicInteger();
-    private volatile HostEntry mHost;
     private final AtomicReference<PeerConnection> mConnection = new AtomicReference<>();
+    private volatile HostEntry mHost;
     private volatile boolean mSaidLeaving;
-    private volatile Load mLoad = Load.getDefaultInstance();
 
     TargetHandle(HostEntry host) {
         mHost = host;
@@ -41,25 +38,17 @@
         mSaidLeaving = true;
     }
 
-    void callStarted() {
-        mInFlight.incrementAndGet();
-    }
-
-    void callEnded(Optional<Load> load) {
-        mInFlight.decrementAndGet();
-        load.ifPresent(value -> mLoad = value);
-    }
-
-    void loadReported(Load load) {
-        mLoad = load;
-    }
-
     // Accessors
 
     HostEntry host() {
         return mHost;
     }
 
+    /** Returns the name of the sidecar's host. */
+    String node() {
+        return mHost.hostId();
+    }
+
     String name() {
         return mHost.target();
     }
@@ -72,6 +61,13 @@
         return Optional.ofNullable(mConnection.get());
     }
 
+    /** Tells whether the connected process is the one with the given incarnation. */
+    boolean isIncarnation(long incarnation) {
+        return connection()
+                .filter(connection -> connection.peer().getIncarnation() == incarnation)
+                .isPresent();
+    }
+
     boolean isLeaving() {
         return mSaidLeaving || mHost.leaving();
     }
@@ -81,17 +77,17 @@
         return mConnection.get() != null && !isLeaving();
     }
 
-    int inFlight() {
-        return mInFlight.get();
-    }
-
-    Load load() {
-        return mLoad;
-    }
-
-    /** Tells whether the target serves a model or provides a service. */
-    boolean serves(String destination) {
-        return destination.equals(mHost.service())
-                || Arrays.asList(mHost.models().split(",", -1)).contains(destination);
+    /** Returns the models that the target serves, or the service that it provides. */
+    List<String> destinations() {
+        List<String> destinations = new ArrayList<>();
+        for (String model : mHost.models().split(",", -1)) {
+            if (!model.isEmpty()) {
+                destinations.add(model);
+            }
+        }
+        if (!mHost.service().isEmpty()) {
+            destinations.add(mHost.service());
+        }
+        return destinations;
     }
 }
--- a/server/src/main/java/org/oleandertrack/server/sidecar/CallGate.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/CallGate.java
@@ -1,98 +1,184 @@
 package org.oleandertrack.server.sidecar;
 
-import java.util.ArrayDeque;
-import java.util.function.Consumer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.LongSupplier;
+import org.oleandertrack.core.queue.CallQueue;
+import org.oleandertrack.core.queue.OfferResult;
+import org.oleandertrack.core.queue.OrganisationWeights;
+import org.oleandertrack.core.queue.QueueConfig;
+import org.oleandertrack.core.queue.QueueLoad;
+import org.oleandertrack.core.queue.QueuedCall;
 import org.oleandertrack.core.result.ResultCode;
-import org.oleandertrack.protocol.InboundCall;
 import org.oleandertrack.protocol.message.Load;
 
-/** Bounds the calls that run at the target; the others wait in a queue. Thread safe. */
+/**
+ * Orders the calls that wait for the target and bounds those that run there. Thread safe: the queue
+ * is guarded by one lock, and listeners are called without it.
+ */
 final class CallGate {
 
-    /** A call with its place in the queue. */
-    record Ticket(InboundCall call, long arrivalNanos) {}
+    /** Takes the calls that leave the queue. */
+    interface Listener {
 
-    /** Receives calls that are not accepted. */
-    interface Refusal {
+        /** The call may run now; {@link #finished} must follow. */
+        void onStart(WaitingCall call);
 
-        void refuse(Ticket ticket, ResultCode code, String reason);
+        /** The call was not taken or can no longer start; it was not run. */
+        void onRefused(WaitingCall call, ResultCode code, long retryAfterMillis);
     }
 
-    private final int mMaxRunning;
-    private final int mMaxQueued;
-    private final ArrayDeque<Ticket> mQueue = new ArrayDeque<>();
-    private Consumer<Ticket> mRunner = ticket -> {};
-    private int mRunning;
+    private static final long EXPIRED_RETRY_MILLIS = 200;
+
+    private final LongSupplier mNanoClock;
+    private final ReentrantLock mLock = new ReentrantLock();
+    private final Condition mIdle = mLock.newCondition();
+    private final CallQueue mQueue;
+    private final Map<String, WaitingCall> mCalls = new HashMap<>();
     private boolean mClosed;
 
-    CallGate(int maxRunning, int maxQueued) {
-        mMaxRunning = maxRunning;
-        mMaxQueued = maxQueued;
+    CallGate(QueueConfig config, OrganisationWeights weights, LongSupplier nanoClock) {
+        mQueue = new CallQueue(config, weights);
+        mNanoClock = nanoClock;
     }
 
     // Operations
 
-    /** Runs a call now or later, or refuses it. */
-    void offer(Ticket ticket, Consumer<Ticket> runner, Refusal refusal) {
-        ResultCode refused = null;
-        boolean runNow = false;
-        synchronized (this) {
-            mRunner = runner;
-            if (mClosed) {
-                refused = ResultCode.SHUTTING_DOWN;
-            } else if (mRunning < mMaxRunning) {
-                mRunning++;
-                runNow = true;
-            } else if (mQueue.size() >= mMaxQueued) {
-                refused = ResultCode.QUEUE_FULL;
-            } else {
-                mQueue.add(ticket);
-            }
+    /** Takes a call; it starts, now or later, or is refused. */
+    void offer(WaitingCall call, Listener listener) {
+        Optional<OfferResult.Rejected> rejected;
+        mLock.lock();
+        try {
+            rejected = mClosed ? Optional.of(closedRefusal()) : enqueue(call);
+        } finally {
+            mLock.unlock();
         }
-        if (refused != null) {
-            refusal.refuse(ticket, refused, refused.summary());
-        } else if (runNow) {
-            runner.accept(ticket);
+        if (rejected.isPresent()) {
+            listener.onRefused(call, rejected.get().code(), rejected.get().retryAfterMillis());
+            return;
         }
+        startNext(listener);
     }
 
-    /** Takes a waiting call out of the queue, if it still waits. */
-    synchronized void remove(Ticket ticket) {
-        mQueue.remove(ticket);
+    /** Takes a waiting call out of the queue; does nothing if it runs. */
+    void remove(WaitingCall call) {
+        mLock.lock();
+        try {
+            if (mQueue.remove(call.id()).isPresent()) {
+                forget(call);
+            }
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    /** Ends a call that was started and starts the next ones. */
+    void finished(WaitingCall call, long attainedNanos, Listener listener) {
+        mLock.lock();
+        try {
+            mQueue.finished(call.id(), attainedNanos, mNanoClock.getAsLong());
+            forget(call);
+        } finally {
+            mLock.unlock();
+        }
+        startNext(listener);
     }
 
-    /** Frees the place of a call that has ended and starts the next one. */
-    void release(Ticket ticket) {
-        Ticket next;
-        Consumer<Ticket> runner;
-        synchronized (this) {
-            next = mQueue.poll();
-            runner = mRunner;
-            if (next == null) {
-                mRunning--;
-                notifyAll();
+    /** Refuses the calls whose latest start has passed. */
+    void refuseExpired(Listener listener) {
+        List<WaitingCall> expired = new ArrayList<>();
+        mLock.lock();
+        try {
+            for (QueuedCall call : mQueue.takeExpired(mNanoClock.getAsLong())) {
+                WaitingCall waiting = mCalls.get(call.id());
+                forget(waiting);
+                expired.add(waiting);
             }
+        } finally {
+            mLock.unlock();
         }
-        if (next != null) {
-            runner.accept(next);
+        for (WaitingCall call : expired) {
+            listener.onRefused(call, ResultCode.DEADLINE_EXCEEDED, EXPIRED_RETRY_MILLIS);
         }
     }
 
     /** Refuses new calls from now on. */
-    synchronized void close() {
-        mClosed = true;
+    void close() {
+        mLock.lock();
+        try {
+            mClosed = true;
+        } finally {
+            mLock.unlock();
+        }
     }
 
     /** Waits until no call runs or waits. */
-    synchronized void awaitIdle() throws InterruptedException {
-        while (mRunning > 0 || !mQueue.isEmpty()) {
-            wait();
+    void awaitIdle() {
+        mLock.lock();
+        try {
+            while (!mCalls.isEmpty()) {
+                mIdle.awaitUninterruptibly();
+            }
+        } finally {
+            mLock.unlock();
         }
     }
 
     // Accessors
 
-    synchronized Load load() {
-        return Load.newBuilder().setRunning(mRunning).setQueued(mQueue.size()).build();
+    Load load() {
+        mLock.lock();
+        try {
+            QueueLoad load = mQueue.load();
+            return Load.newBuilder()
+                    .setRunning(load.running())
+                    .setQueued(load.queued())
+                    .setQueuedWorkNanos(load.queuedWorkNanos())
+                    .build();
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    // Helpers
+
+    private Optional<OfferResult.Rejected> enqueue(WaitingCall call) {
+        OfferResult result = mQueue.offer(call.queued(), mNanoClock.getAsLong());
+        if (result instanceof OfferResult.Rejected rejected) {
+            return Optional.of(rejected);
+        }
+        mCalls.put(call.id(), call);
+        return Optional.empty();
+    }
+
+    private void startNext(Listener listener) {
+        for (Optional<WaitingCall> next = poll(); next.isPresent(); next = poll()) {
+            listener.onStart(next.get());
+        }
+    }
+
+    private Optional<WaitingCall> poll() {
+        mLock.lock();
+        try {
+            return mQueue.poll(mNanoClock.getAsLong()).map(call -> mCalls.get(call.id()));
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    private void forget(WaitingCall call) {
+        mCalls.remove(call.id());
+        if (mCalls.isEmpty()) {
+            mIdle.signalAll();
+        }
+    }
+
+    private static OfferResult.Rejected closedRefusal() {
+        return new OfferResult.Rejected(ResultCode.SHUTTING_DOWN, EXPIRED_RETRY_MILLIS);
     }
 }
--- a/server/src/main/java/org/oleandertrack/server/sidecar/SidecarCallHandler.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarCallHandler.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import org.oleandertrack.core.fencing.FenceTable;
 import org.oleandertrack.core.result.ResultCode;
@@ -19,17 +20,20 @@
  * the target, so a call that fails a check is proved not to have run. Thread safe.
  */
 @SuppressWarnings("FutureReturnValueIgnored") // The callbacks handle failures themselves.
-final class SidecarCallHandler implements CallHandler {
+final class SidecarCallHandler implements CallHandler, CallGate.Listener {
 
     /** Suggested wait before a retry of a refused call. */
     private static final long RETRY_AFTER_MILLIS = 200;
 
+    private static final long EXPIRY_CHECK_MILLIS = 100;
+
     private final TargetClient mTarget;
     private final CallGate mGate;
     private final FenceTable mFences;
     private final AttemptRegistry mAttempts;
     private final ScheduledExecutorService mTimer;
     private final LongSupplier mNanoClock;
+    private final AtomicLong mSequence = new AtomicLong();
 
     SidecarCallHandler(
             TargetClient target,
@@ -46,69 +50,76 @@
         mNanoClock = nanoClock;
     }
 
+    // Life-cycle
+
+    /** Starts to look for calls that can no longer start in time. */
+    void start() {
+        mTimer.scheduleWithFixedDelay(
+                () -> mGate.refuseExpired(this),
+                EXPIRY_CHECK_MILLIS,
+                EXPIRY_CHECK_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
     // Operations
 
     @Override
     public void onCall(InboundCall call) {
-        CallGate.Ticket ticket = new CallGate.Ticket(call, mNanoClock.getAsLong());
-        call.cancelled().thenRun(() -> mGate.remove(ticket));
-        mGate.offer(ticket, this::run, this::refuse);
+        WaitingCall waiting =
+                WaitingCall.of(call, mSequence.incrementAndGet(), mNanoClock.getAsLong());
+        call.cancelled().thenRun(() -> mGate.remove(waiting));
+        mGate.offer(waiting, this);
     }
 
-    // Helpers
-
-    /** Repeats the checks at the moment of dispatch, because the call may have waited for long. */
-    private void run(CallGate.Ticket ticket) {
-        Call head = ticket.call().head();
+    /** Checks the call at the moment of dispatch, because it may have waited for long. */
+    @Override
+    public void onStart(WaitingCall waiting) {
+        Call head = waiting.head();
         if (mNanoClock.getAsLong() > head.getStartDeadlineReceiverNanos()) {
-            mGate.release(ticket);
-            refuse(ticket, ResultCode.DEADLINE_EXCEEDED, "the latest start of the call has passed");
-            return;
-        }
-        if (!mFences.admit(head.getShard(), head.getFence())) {
-            mGate.release(ticket);
-            refuse(
-                    ticket,
+            refuseStarted(waiting, ResultCode.DEADLINE_EXCEEDED, "the latest start has passed");
+        } else if (!mFences.admit(head.getShard(), head.getFence())) {
+            refuseStarted(
+                    waiting,
                     ResultCode.STALE_FENCE,
                     String.format(
                             "fencing number %d of shard %d is older than %d",
                             head.getFence(), head.getShard(), mFences.highest(head.getShard())));
-            return;
-        }
-        if (!mAttempts.start(head.getAttemptId())) {
-            mGate.release(ticket);
-            refuse(ticket, ResultCode.STALE_FENCE, "the attempt was already seen or refused");
-            return;
+        } else if (!mAttempts.start(head.getAttemptId())) {
+            refuseStarted(
+                    waiting, ResultCode.STALE_FENCE, "the attempt was already seen or refused");
+        } else {
+            dispatch(waiting);
         }
-        dispatch(ticket);
     }
 
-    private void dispatch(CallGate.Ticket ticket) {
+    @Override
+    public void onRefused(WaitingCall waiting, ResultCode code, long retryAfterMillis) {
+        refuse(waiting, code, code.summary(), retryAfterMillis);
+    }
+
+    // Helpers
+
+    private void dispatch(WaitingCall waiting) {
         long startNanos = mNanoClock.getAsLong();
-        Call head = ticket.call().head();
-        TargetExchange exchange = mTarget.start(ticket.call());
+        TargetExchange exchange = mTarget.start(waiting.call());
         ScheduledFuture<?> timeout =
                 mTimer.schedule(
                         () -> exchange.abort(ResultCode.TARGET_TIMEOUT, "the call timed out"),
-                        head.getTimeoutMillis(),
+                        waiting.head().getTimeoutMillis(),
                         TimeUnit.MILLISECONDS);
         exchange.outcome()
-                .whenComplete(
-                        (outcome, failure) -> {
+                .thenAccept(
+                        outcome -> {
                             timeout.cancel(false);
-                            mGate.release(ticket);
-                            finish(ticket, outcome, startNanos);
+                            finish(waiting, outcome, startNanos);
                         });
     }
 
-    private void finish(CallGate.Ticket ticket, TargetExchange.Outcome outcome, long startNanos) {
-        Call head = ticket.call().head();
+    /** The end is sent before the place is freed, so that an idle gate has answered all calls. */
+    private void finish(WaitingCall waiting, TargetExchange.Outcome outcome, long startNanos) {
+        long runNanos = mNanoClock.getAsLong() - startNanos;
+        Call head = waiting.head();
         mAttempts.finish(head.getAttemptId(), outcome.execution());
-        Usage usage =
-                outcome.usage().toBuilder()
-                        .setQueueNanos(startNanos - ticket.arrivalNanos())
-                        .setRunNanos(mNanoClock.getAsLong() - startNanos)
-                        .build();
         if (!outcome.isSuccess()) {
             Logger.info(
                     "attempt {} of program {} turn {} failed: {}",
@@ -117,7 +128,12 @@
                     head.getTurn(),
                     outcome.message());
         }
-        ticket.call()
+        Usage usage =
+                outcome.usage().toBuilder()
+                        .setQueueNanos(startNanos - waiting.arrivalNanos())
+                        .setRunNanos(runNanos)
+                        .build();
+        waiting.call()
                 .respondEnd(
                         ResponseEnd.newBuilder()
                                 .setResultCode(outcome.isSuccess() ? 0 : outcome.code().number())
@@ -126,10 +142,17 @@
                                 .setUsage(usage)
                                 .setLoad(mGate.load())
                                 .build());
+        mGate.finished(waiting, runNanos, this);
+    }
+
+    private void refuseStarted(WaitingCall waiting, ResultCode code, String reason) {
+        refuse(waiting, code, reason, RETRY_AFTER_MILLIS);
+        mGate.finished(waiting, 0, this);
     }
 
-    private void refuse(CallGate.Ticket ticket, ResultCode code, String reason) {
-        Call head = ticket.call().head();
+    private void refuse(
+            WaitingCall waiting, ResultCode code, String reason, long retryAfterMillis) {
+        Call head = waiting.head();
         Logger.info(
                 "refused attempt {} of program {} turn {}: {} ({})",
                 head.getAttemptId(),
@@ -137,13 +160,13 @@
                 head.getTurn(),
                 code,
                 reason);
-        ticket.call()
+        waiting.call()
                 .respondEnd(
                         ResponseEnd.newBuilder()
                                 .setResultCode(code.number())
                                 .setExecution(Execution.EXECUTION_NOT_RUN)
                                 .setMessage(reason)
-                                .setRetryAfterMillis(RETRY_AFTER_MILLIS)
+                                .setRetryAfterMillis(retryAfterMillis)
                                 .setLoad(mGate.load())
                                 .build());
     }
--- a/server/src/main/java/org/oleandertrack/server/sidecar/SidecarDaemon.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarDaemon.java
@@ -18,6 +18,7 @@
     private final SidecarSettings mSettings;
     private final LocalNode mNode;
     private final PeerServer mPeerServer;
+    private final SidecarCallHandler mCalls;
     private final CallGate mGate;
     private final HttpService mHttp;
     private final AtomicBoolean mLeaving;
@@ -27,6 +28,7 @@
             SidecarSettings settings,
             LocalNode node,
             PeerServer peerServer,
+            SidecarCallHandler calls,
             CallGate gate,
             HttpService http,
             AtomicBoolean leaving,
@@ -34,6 +36,7 @@
         mSettings = settings;
         mNode = node;
         mPeerServer = peerServer;
+        mCalls = calls;
         mGate = gate;
         mHttp = http;
         mLeaving = leaving;
@@ -45,6 +48,7 @@
     @Override
     public void start() throws Exception {
         mHttp.start();
+        mCalls.start();
         mPeerServer.start(mSettings.peer().address(), mSettings.peer().port());
         Logger.info(
                 "listening as sidecar {} in zone {} for target {}: peerPort={} adminPort={}"
--- a/server/src/main/java/org/oleandertrack/server/sidecar/SidecarModule.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarModule.java
@@ -14,7 +14,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import org.oleandertrack.core.fencing.FenceTable;
-import org.oleandertrack.protocol.CallHandler;
+import org.oleandertrack.core.queue.OrganisationWeights;
+import org.oleandertrack.core.queue.QueueConfig;
 import org.oleandertrack.protocol.LocalNode;
 import org.oleandertrack.protocol.NodeStatus;
 import org.oleandertrack.protocol.PeerServer;
@@ -27,10 +28,14 @@
 import org.oleandertrack.server.settings.PeerLimits;
 import org.oleandertrack.server.settings.PeerSettings;
 import org.oleandertrack.server.settings.SidecarSettings;
+import org.oleandertrack.server.settings.TargetSettings;
 
 /** Puts the parts of the process beside a target together. */
 public final class SidecarModule extends AbstractModule {
 
+    /** Programs at this level or above have attained four times the first threshold. */
+    private static final int LONG_LEVEL = 2;
+
     private static final int MAX_HEADER_BYTES = 16 << 10;
     private static final long IDLE_TIMEOUT_MILLIS = 30_000;
     private static final long SHUTDOWN_GRACE_MILLIS = 1_000;
@@ -74,9 +79,14 @@
 
     @Provides
     @Singleton
-    CallGate callGate() {
-        return new CallGate(
-                mSettings.target().maxConcurrentCalls(), mSettings.target().maxQueuedCalls());
+    CallGate callGate(LongSupplier nanoClock) {
+        TargetSettings target = mSettings.target();
+        int running = target.maxConcurrentCalls();
+        QueueConfig config =
+                QueueConfig.forSlots(running)
+                        .withMaxEntries(target.maxQueuedCalls(), target.maxQueuedCalls())
+                        .withLongCalls(Math.min(running, target.maxLongCalls()), LONG_LEVEL);
+        return new CallGate(config, OrganisationWeights.EQUAL, nanoClock);
     }
 
     @Provides
@@ -94,7 +104,7 @@
 
     @Provides
     @Singleton
-    CallHandler callHandler(
+    SidecarCallHandler callHandler(
             TargetClient target,
             CallGate gate,
             ScheduledExecutorService timer,
@@ -107,7 +117,7 @@
     @Singleton
     PeerServer peerServer(
             LocalNode node,
-            CallHandler calls,
+            SidecarCallHandler calls,
             CallGate gate,
             AtomicBoolean leaving,
             LongSupplier nanoClock) {
@@ -145,10 +155,11 @@
     SidecarDaemon daemon(
             LocalNode node,
             PeerServer peerServer,
+            SidecarCallHandler calls,
             CallGate gate,
             HttpService http,
             AtomicBoolean leaving,
             ScheduledExecutorService timer) {
-        return new SidecarDaemon(mSettings, node, peerServer, gate, http, leaving, timer);
+        return new SidecarDaemon(mSettings, node, peerServer, calls, gate, http, leaving, timer);
     }
 }
