--- a/protocol/src/test/java/org/oleandertrack/protocol/Peers.java
+++ b/protocol/src/test/java/org/oleandertrack/protocol/Peers.java
@@ -1,6 +1,7 @@
 package org.oleandertrack.protocol;
 
 import com.google.protobuf.ByteString;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -99,7 +100,11 @@
 
     /** Waits for a state that no future reports. */
     static void eventually(Callable<Boolean> condition) {
-        Awaitility.await().atMost(WAIT_SECONDS, TimeUnit.SECONDS).until(condition);
+        Awaitility.await()
+                .pollDelay(Duration.ZERO)
+                .pollInterval(Duration.ofMillis(1))
+                .atMost(Duration.ofSeconds(WAIT_SECONDS))
+                .until(condition);
     }
 
     static Call head(String path) {
@@ -133,7 +138,7 @@
     }
 
     /** Keeps the response to a call. */
-    static final class Answer implements ResponseListener {
+    static class Answer implements ResponseListener {
         final CompletableFuture<ResponseHead> mHead = new CompletableFuture<>();
         final CompletableFuture<ResponseEnd> mEnd = new CompletableFuture<>();
         final CompletableFuture<Boolean> mLost = new CompletableFuture<>();
@@ -189,6 +194,10 @@
             }
         }
 
+        void cancelWhenStarted() {
+            mCall.join().cancel();
+        }
+
         synchronized long bytes() {
             return mBytes;
         }
