--- a/protocol/src/main/java/org/oleandertrack/protocol/Connection.java
+++ b/protocol/src/main/java/org/oleandertrack/protocol/Connection.java
@@ -2,7 +2,9 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
@@ -37,10 +39,10 @@
     private static final int MIN_FRAME_BYTES = 1 << 10;
 
     /**
-     * Time for which a rejected peer's bytes are read and dropped, so that it can read the Reject:
-     * closing with unread bytes would reset the connection.
+     * Time for which the peer's bytes are still read and dropped after the last frame to it.
+     * Closing with unread bytes would reset the connection, and the peer might not get that frame.
      */
-    private static final int REJECT_LINGER_MILLIS = 1_000;
+    private static final int LINGER_MILLIS = 1_000;
 
     /** Idle checks per idle timeout. */
     private static final int IDLE_CHECKS = 4;
@@ -373,16 +375,33 @@
         Logger.warn("{} is closed: {} {}", this, code, message);
         Reject.Builder reject = Reject.newBuilder().setCode(code.number()).setMessage(message);
         lose(new ResultException(code, message));
-        mChannel.writeAndFlush(Frame.newBuilder().setReject(reject).build())
-                .addListener(
-                        written -> {
-                            if (written.isSuccess() && mChannel instanceof DuplexChannel duplex) {
-                                var _ = duplex.shutdownOutput();
-                            } else {
-                                close();
-                            }
-                        });
-        schedule(this::close, REJECT_LINGER_MILLIS);
+        closeAfter(mChannel.writeAndFlush(Frame.newBuilder().setReject(reject).build()));
+    }
+
+    /**
+     * Closes the channel once the frames submitted so far are written. Calls under way are lost.
+     * Thread safe.
+     */
+    final void finish() {
+        mOutbox.submit(
+                () -> {
+                    if (!mClosing) {
+                        lose(new ResultException(ResultCode.ATTEMPT_LOST, "stopped here"));
+                        closeAfter(mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER));
+                    }
+                });
+    }
+
+    private void closeAfter(ChannelFuture lastWrite) {
+        lastWrite.addListener(
+                written -> {
+                    if (written.isSuccess() && mChannel instanceof DuplexChannel duplex) {
+                        var _ = duplex.shutdownOutput();
+                    } else {
+                        close();
+                    }
+                });
+        schedule(this::close, LINGER_MILLIS);
     }
 
     private void lose(ResultException reason) {
--- a/protocol/src/main/java/org/oleandertrack/protocol/InboundCall.java
+++ b/protocol/src/main/java/org/oleandertrack/protocol/InboundCall.java
@@ -23,7 +23,8 @@
     void respondHead(ResponseHead head);
 
     /**
-     * Sends a part of the response body.
+     * Sends a part of the response body. Parts that wait count towards the connection's unsent
+     * bytes; a part larger than that limit closes the connection.
      *
      * @return completes when the peer's window allows the next part; fails if the call was
      *     cancelled or the connection closed
@@ -33,6 +34,9 @@
     /** Ends the call. Later frames are ignored. */
     void respondEnd(ResponseEnd end);
 
-    /** Completes when the peer cancels the call or its connection closes. */
+    /**
+     * Completes, on an I/O thread, when the peer cancels the call or its connection closes before
+     * the end is sent.
+     */
     CompletableFuture<Void> cancelled();
 }
--- a/protocol/src/main/java/org/oleandertrack/protocol/IoThreads.java
+++ b/protocol/src/main/java/org/oleandertrack/protocol/IoThreads.java
@@ -26,11 +26,18 @@
     /** Stops the threads and, unless called on one of them, waits for their end. */
     static void stop(EventLoopGroup group) {
         Future<?> stopped = group.shutdownGracefully(0, STOP_SECONDS, TimeUnit.SECONDS);
+        if (!isIoThread(group)) {
+            stopped.awaitUninterruptibly(STOP_SECONDS, TimeUnit.SECONDS);
+        }
+    }
+
+    /** Returns true if the current thread is one of the group's. */
+    static boolean isIoThread(EventLoopGroup group) {
         for (EventExecutor executor : group) {
             if (executor.inEventLoop()) {
-                return;
+                return true;
             }
         }
-        stopped.awaitUninterruptibly(STOP_SECONDS, TimeUnit.SECONDS);
+        return false;
     }
 }
--- a/protocol/src/main/java/org/oleandertrack/protocol/PeerConnection.java
+++ b/protocol/src/main/java/org/oleandertrack/protocol/PeerConnection.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import java.util.concurrent.CompletableFuture;
+import org.oleandertrack.core.result.ResultException;
 import org.oleandertrack.protocol.message.Call;
 import org.oleandertrack.protocol.message.Frame;
 import org.oleandertrack.protocol.message.Hello;
@@ -13,13 +14,21 @@
     Hello peer();
 
     /**
-     * Starts a call. A connection that is closed already reports {@code onLost(false)}.
+     * Starts a call. A connection that is closed already reports {@code onLost(false)}. A call that
+     * is refused here ends as not run: with MEMORY_LIMIT_REACHED if too many bytes wait for the
+     * peer, with FRAME_TOO_LARGE if its head exceeds the peer's largest frame.
      *
-     * @param head the call's head; its call id and receiver incarnation are filled in
+     * @param head the call's head; its call id and body length are filled in, and so is the
+     *     receiver's incarnation if it is 0
      */
     OutboundCall call(Call head, ByteString body, ResponseListener listener);
 
-    /** Sends a control frame. */
+    /**
+     * Sends a control frame.
+     *
+     * @throws IllegalArgumentException if the frame belongs to a call or to the handshake
+     * @throws ResultException with FRAME_TOO_LARGE if the peer does not accept frames of its size
+     */
     void send(Frame frame);
 
     /**
@@ -34,6 +43,6 @@
     /** Completes when the connection is closed. */
     CompletableFuture<Void> closed();
 
-    /** Closes the connection; calls under way are lost. */
+    /** Closes the connection at once; calls under way are lost and unwritten frames dropped. */
     void close();
 }
--- a/protocol/src/main/java/org/oleandertrack/protocol/PeerServer.java
+++ b/protocol/src/main/java/org/oleandertrack/protocol/PeerServer.java
@@ -12,7 +12,9 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.oleandertrack.core.result.ResultCode;
@@ -24,6 +26,8 @@
 /** Accepts connections from peers and receives their calls. Thread safe; started at most once. */
 public final class PeerServer {
 
+    private static final int STOP_SECONDS = 5;
+
     private final ConnectionContext mContext;
     private final CallHandler mCallHandler;
     private final Set<ServerConnection> mPeers = ConcurrentHashMap.newKeySet();
@@ -94,12 +98,21 @@
         Logger.info("accepting peers at {}", mListening.localAddress());
     }
 
-    /** Closes all connections, without waiting for calls under way, and ends the I/O threads. */
+    /**
+     * Closes all connections and ends the I/O threads. Frames sent before, such as the ends of
+     * calls, are written first; calls under way are lost. For a graceful shutdown, stop once {@link
+     * #openCalls} is 0.
+     */
     public synchronized void stop() {
         if (mListening == null) {
             return;
         }
         var _ = mListening.close();
+        List<ServerConnection> connections = List.copyOf(mPeers);
+        connections.forEach(ServerConnection::finish);
+        if (!IoThreads.isIoThread(mThreads)) {
+            awaitClosed(connections);
+        }
         var _ = mChannels.close();
         IoThreads.stop(mThreads);
         mListening = null;
@@ -126,6 +139,11 @@
         return mPeers.stream().mapToLong(connection -> connection.outbox().unsentBytes()).sum();
     }
 
+    /** Returns the calls that have begun to arrive and whose end is not written yet. */
+    public int openCalls() {
+        return mPeers.stream().mapToInt(ServerConnection::openCalls).sum();
+    }
+
     // Operations.
 
     /** Sends a control frame to all connected peers that accept frames of its size. */
@@ -145,6 +163,15 @@
         return new ServerConnection(mContext, mCallHandler, this::onHandshake);
     }
 
+    private static void awaitClosed(List<ServerConnection> connections) {
+        CompletableFuture<?>[] closed =
+                connections.stream().map(Connection::closed).toArray(CompletableFuture<?>[]::new);
+        // Each closes itself after lingering; the limit only covers I/O threads that hang.
+        CompletableFuture.allOf(closed)
+                .completeOnTimeout(null, STOP_SECONDS, TimeUnit.SECONDS)
+                .join();
+    }
+
     private void onHandshake(ServerConnection connection) {
         mPeers.add(connection);
         var _ = connection.closed().thenRun(() -> mPeers.remove(connection));
--- a/protocol/src/main/java/org/oleandertrack/protocol/ServerConnection.java
+++ b/protocol/src/main/java/org/oleandertrack/protocol/ServerConnection.java
@@ -26,6 +26,8 @@
     private final CallHandler mCallHandler;
     private final Consumer<ServerConnection> mOnHandshake;
 
+    private volatile int mOpenCalls;
+
     // Used on the I/O thread only.
     private final LongObjectMap<ServerCall> mCalls = new LongObjectHashMap<>();
     private long mLastCallId;
@@ -83,6 +85,11 @@
         }
     }
 
+    /** Returns the calls whose end is not written yet. Thread safe. */
+    int openCalls() {
+        return mOpenCalls;
+    }
+
     // Receiving calls.
 
     private void onCall(Call head) {
@@ -106,6 +113,7 @@
             return;
         }
         mCalls.put(head.getCallId(), call);
+        mOpenCalls = mCalls.size();
         mCollectingBytes = collecting;
         if (head.getBodyBytes() == 0) {
             deliver(call);
@@ -158,12 +166,14 @@
         mCollectingBytes -= call.collectingBytes();
         call.collected();
         mCalls.remove(call.head().getCallId());
+        mOpenCalls = mCalls.size();
     }
 
     @Override
     void onLost(ResultException reason) {
         List<ServerCall> calls = new ArrayList<>(mCalls.values());
         mCalls.clear();
+        mOpenCalls = 0;
         calls.forEach(call -> call.abort(reason));
     }
 }
