Keep the complete tokens of a stopped answer in the fake engine

The fake lost up to three complete tokens with each stop, which no engine does, and charged that to the long calls.

--- a/bench/src/main/java/org/oleandertrack/bench/Attempt.java
+++ b/bench/src/main/java/org/oleandertrack/bench/Attempt.java
@@ -27,7 +27,9 @@
     int mTokensLeft;
     long mStartedNanos;
     long mServiceNanos;
-    boolean mBegun;
+    long mPieceStartedNanos;
+    // Time per token of the piece under way; 0 before the first one.
+    long mPieceNanos;
     // Counts starts, so that events of an earlier run are ignored.
     int mRun;
 
--- a/bench/src/main/java/org/oleandertrack/bench/Engine.java
+++ b/bench/src/main/java/org/oleandertrack/bench/Engine.java
@@ -65,6 +65,7 @@
     void start(Attempt attempt) {
         attempt.mRun++;
         attempt.mStartedNanos = mClock.now();
+        attempt.mPieceNanos = 0;
         int run = attempt.mRun;
         if (mFailing) {
             mClock.after(FAILURE_NANOS, () -> end(attempt, run, Attempt.Outcome.FAILED));
@@ -74,7 +75,6 @@
         int wanted = attempt.mCall.promptTokens() + attempt.tokensDone();
         int missing = Math.max(0, wanted - held);
         mComputedPromptTokens += missing;
-        attempt.mBegun = true;
         attempt.mPrefillNanos = missing * PREFILL_NANOS;
         mClock.after(attempt.mPrefillNanos * mSlowdown, () -> nextPiece(attempt, run));
     }
@@ -83,6 +83,11 @@
     void stop(Attempt attempt) {
         attempt.mRun++;
         attempt.mServiceNanos += mClock.now() - attempt.mStartedNanos;
+        if (attempt.mPieceNanos > 0) {
+            // The tokens of the piece that are complete by now are kept.
+            long done = (mClock.now() - attempt.mPieceStartedNanos) / attempt.mPieceNanos;
+            attempt.mTokensLeft -= (int) Math.min(done, attempt.mTokensLeft);
+        }
         hold(attempt);
     }
 
@@ -103,6 +108,8 @@
         }
         int tokens = Math.min(TOKENS_PER_PIECE, attempt.mTokensLeft);
         long nanos = tokens * TOKEN_NANOS * mSlowdown;
+        attempt.mPieceStartedNanos = mClock.now();
+        attempt.mPieceNanos = TOKEN_NANOS * mSlowdown;
         mClock.after(
                 nanos,
                 () -> {
--- a/bench/src/main/java/org/oleandertrack/bench/HeadOfLineMeasure.java
+++ b/bench/src/main/java/org/oleandertrack/bench/HeadOfLineMeasure.java
@@ -61,7 +61,9 @@
                         OrganisationWeights.EQUAL,
                         MEMORY_TOKENS);
         Result ours = run(clock, target, programs, resumable);
+        double perLong = (double) target.suspensions() / ours.mLong.count();
         return List.of(
+                Figure.value("suspensions per long program (" + load + ")", 0, perLong, Bar.none()),
                 Figure.ratio(
                         "p99 of short, s (" + load + ")",
                         fifo.mShort.quantileSeconds(0.99),
