Add member leases and shard ownership

Cause: a lease per program or per shard needs more renewals than the table service takes. A node now renews one member row; shard rows name node and incarnation and count as held while that lease is valid.

Ruled out: - overwriting the row of an earlier process with the same node id at once: the earlier process may still run under its lease, so the new one waits like any contender - holding a shard on sight of the own name in its row: an earlier release of unknown outcome may still take effect, so such a row is claimed anew - reading members before shards: a member that registered in between looks closed - deleting member or shard rows: versions would start again at 1

Before: no ownership.

--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/lease/MemberLease.java
@@ -0,0 +1,344 @@
+package org.oleandertrack.coordination.lease;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.oleandertrack.coordination.commit.CommitResult;
+import org.oleandertrack.coordination.commit.GroupCommit;
+import org.oleandertrack.coordination.schedule.Scheduler;
+import org.oleandertrack.coordination.store.ConditionalWrite;
+import org.oleandertrack.coordination.store.Row;
+import org.oleandertrack.coordination.store.RowJson;
+import org.oleandertrack.coordination.store.TableStore;
+import org.oleandertrack.coordination.store.WriteIds;
+import org.oleandertrack.coordination.store.WriteOutcome;
+import org.tinylog.Logger;
+
+/**
+ * This node's lease: the row {@code member/{node}}, renewed by conditional writes.
+ *
+ * <p>The lease counts on this process's monotonic clock from before the renewal was sent. A
+ * contender that closes the row makes the next renewal fail; the node then continues under a new
+ * incarnation. A row left by an earlier process of the same node is taken over only after it stayed
+ * unchanged for a whole lease, as any contender does.
+ *
+ * <p>Thread safe. Listeners are called without locks held.
+ */
+public final class MemberLease {
+
+    private enum Next {
+        READ,
+        WRITE,
+        END
+    }
+
+    private final String mNode;
+    private final TableStore mTable;
+    private final GroupCommit mCommit;
+    private final Scheduler mScheduler;
+    private final LongSupplier mNanoClock;
+    private final RandomGenerator mRandom;
+    private final WriteIds mWriteIds;
+    private final LeaseSettings mSettings;
+    private final List<Runnable> mListeners = new CopyOnWriteArrayList<>();
+
+    private final Object mLock = new Object();
+    private final UnchangedWatch mPredecessor = new UnchangedWatch();
+    private final CompletableFuture<Void> mLeavingWritten = new CompletableFuture<>();
+    private final CompletableFuture<Void> mClosed = new CompletableFuture<>();
+    private MemberState mWanted = MemberState.OPEN;
+    private Scheduler.Timer mNextStep = () -> {};
+    private Scheduler.Timer mExpiry = () -> {};
+    private boolean mStarted;
+    private boolean mStepRunning;
+    private boolean mStepAgain;
+    private boolean mMustRead = true;
+    private boolean mRegistered;
+    private long mVersion;
+    private long mIncarnation;
+    private long mCounter;
+    private long mLeaseEndNanos;
+
+    /**
+     * Creates a lease that is not valid yet.
+     *
+     * @param node id of this node, unique among running processes
+     * @param table answers reads; its requests must end, see {@code TimeLimitedTableStore}
+     */
+    public MemberLease(
+            String node,
+            TableStore table,
+            GroupCommit commit,
+            Scheduler scheduler,
+            LongSupplier nanoClock,
+            RandomGenerator random,
+            LeaseSettings settings) {
+        mNode = node;
+        mTable = table;
+        mCommit = commit;
+        mScheduler = scheduler;
+        mNanoClock = nanoClock;
+        mRandom = random;
+        mWriteIds = new WriteIds(random);
+        mSettings = settings;
+        mIncarnation = newIncarnation();
+        mLeaseEndNanos = nanoClock.getAsLong();
+    }
+
+    // Life-cycle.
+
+    /** Registers the node and starts renewals. */
+    public void start() {
+        synchronized (mLock) {
+            mStarted = true;
+        }
+        step();
+    }
+
+    /** Keeps the lease and tells the other nodes to expect no more of this one. */
+    public CompletableFuture<Void> markLeaving() {
+        want(MemberState.LEAVING);
+        return mLeavingWritten;
+    }
+
+    /**
+     * Gives the lease up at once and closes the row. The future completes when the row is closed,
+     * or when the store did not confirm it for a renewal interval; the lease then runs out.
+     */
+    public CompletableFuture<Void> stop() {
+        synchronized (mLock) {
+            mLeaseEndNanos = mNanoClock.getAsLong();
+            mExpiry.cancel();
+        }
+        notifyListeners();
+        var _ = mScheduler.schedule(mSettings.renewNanos(), () -> mClosed.complete(null));
+        want(MemberState.CLOSED);
+        return mClosed;
+    }
+
+    // Accessors.
+
+    /** Returns this node's id. */
+    public String node() {
+        return mNode;
+    }
+
+    /** Returns the number of the present lease holder; it changes when a lease was closed. */
+    public long incarnation() {
+        synchronized (mLock) {
+            return mIncarnation;
+        }
+    }
+
+    /** Returns the reading of the nano clock at which the lease ends unless it is renewed. */
+    public long leaseEndNanos() {
+        synchronized (mLock) {
+            return mLeaseEndNanos;
+        }
+    }
+
+    /** Returns whether the lease has not ended yet. */
+    public boolean isValid() {
+        synchronized (mLock) {
+            return mNanoClock.getAsLong() - mLeaseEndNanos < 0;
+        }
+    }
+
+    /** Returns whether the lease of an incarnation has not ended yet. */
+    public boolean isValid(long incarnation) {
+        synchronized (mLock) {
+            return incarnation == mIncarnation && mNanoClock.getAsLong() - mLeaseEndNanos < 0;
+        }
+    }
+
+    /** Adds a listener that is called whenever the lease became valid, ended or was replaced. */
+    public void addListener(Runnable listener) {
+        mListeners.add(listener);
+    }
+
+    // Helpers.
+
+    private void want(MemberState state) {
+        synchronized (mLock) {
+            if (mWanted.compareTo(state) < 0) {
+                mWanted = state;
+            }
+        }
+        step();
+    }
+
+    /** Sends one request, unless one is under way; its reply schedules the next. */
+    private void step() {
+        boolean read;
+        synchronized (mLock) {
+            if (!mStarted || mClosed.isDone()) {
+                return;
+            }
+            if (mStepRunning) {
+                mStepAgain = true;
+                return;
+            }
+            mNextStep.cancel();
+            mStepRunning = true;
+            read = mMustRead;
+        }
+        if (read) {
+            read();
+        } else {
+            write();
+        }
+    }
+
+    private void stepAfter(long delayNanos) {
+        synchronized (mLock) {
+            mStepRunning = false;
+            long delay = mStepAgain ? 0 : delayNanos;
+            mStepAgain = false;
+            mNextStep = mScheduler.schedule(delay, this::step);
+        }
+    }
+
+    private void read() {
+        long sentNanos = mNanoClock.getAsLong();
+        var _ =
+                mTable.get(MemberRow.key(mNode))
+                        .whenComplete(
+                                (row, failure) -> {
+                                    if (failure == null) {
+                                        onRead(sentNanos, row);
+                                    } else {
+                                        onReadFailed();
+                                    }
+                                });
+    }
+
+    private void onReadFailed() {
+        synchronized (mLock) {
+            mPredecessor.interrupted();
+        }
+        stepAfter(backoffNanos());
+    }
+
+    private void onRead(long sentNanos, Optional<Row> row) {
+        Optional<MemberRow> value = row.map(found -> RowJson.decode(found, MemberRow.class));
+        boolean lost;
+        Next next;
+        synchronized (mLock) {
+            mVersion = row.map(Row::version).orElse(0L);
+            boolean own = value.isPresent() && value.get().incarnation() == mIncarnation;
+            boolean free = value.isEmpty() || value.get().state() == MemberState.CLOSED;
+            lost = (mRegistered && !own) || (own && free);
+            if (lost) {
+                mRegistered = false;
+                mIncarnation = newIncarnation();
+                mLeaseEndNanos = mNanoClock.getAsLong();
+                mExpiry.cancel();
+            }
+            if (own && !free) {
+                next = Next.WRITE;
+            } else if (mWanted == MemberState.CLOSED) {
+                next = Next.END;
+            } else if (free) {
+                next = Next.WRITE;
+            } else {
+                long now = mNanoClock.getAsLong();
+                mPredecessor.seen(mVersion, sentNanos, now, mSettings.leaseNanos() / 3);
+                boolean expired = mPredecessor.expired(value.get().leaseMillis());
+                next = expired ? Next.WRITE : Next.READ;
+            }
+            mMustRead = next == Next.READ;
+        }
+        if (lost) {
+            Logger.warn("lease of node {} was closed by another node", mNode);
+            notifyListeners();
+        }
+        if (next == Next.END) {
+            mClosed.complete(null);
+            return;
+        }
+        stepAfter(next == Next.WRITE ? 0 : mSettings.renewNanos() / 4);
+    }
+
+    private void write() {
+        long sentNanos = mNanoClock.getAsLong();
+        MemberState state;
+        ConditionalWrite write;
+        synchronized (mLock) {
+            state = mWanted;
+            MemberRow value =
+                    new MemberRow(
+                            mIncarnation,
+                            ++mCounter,
+                            mSettings.leaseNanos() / 1_000_000,
+                            state,
+                            mWriteIds.next());
+            write =
+                    new ConditionalWrite(
+                            MemberRow.key(mNode), mVersion, Optional.of(RowJson.encode(value)));
+        }
+        var _ =
+                mCommit.submit(List.of(write), sentNanos + mSettings.renewNanos())
+                        .whenComplete((result, failure) -> onWritten(sentNanos, state, result));
+    }
+
+    /** Takes the reply to a write; the result is absent if the store did not confirm it. */
+    private void onWritten(long sentNanos, MemberState state, CommitResult result) {
+        if (result == null) {
+            synchronized (mLock) {
+                mMustRead = true;
+            }
+            stepAfter(backoffNanos());
+            return;
+        }
+        if (!(result.outcomes().getFirst() instanceof WriteOutcome.Applied applied)) {
+            synchronized (mLock) {
+                mMustRead = true;
+            }
+            stepAfter(0);
+            return;
+        }
+        boolean changed;
+        synchronized (mLock) {
+            mVersion = applied.version();
+            mRegistered = state != MemberState.CLOSED;
+            changed = mRegistered && mWanted != MemberState.CLOSED && extend(sentNanos);
+        }
+        if (state == MemberState.CLOSED) {
+            mClosed.complete(null);
+            return;
+        }
+        if (changed) {
+            notifyListeners();
+        }
+        if (state == MemberState.LEAVING) {
+            mLeavingWritten.complete(null);
+        }
+        stepAfter(mSettings.renewNanos() - (mNanoClock.getAsLong() - sentNanos));
+    }
+
+    /** Counts the lease from before the renewal was sent; returns whether it became valid. */
+    private boolean extend(long sentNanos) {
+        long now = mNanoClock.getAsLong();
+        boolean wasValid = now - mLeaseEndNanos < 0;
+        mLeaseEndNanos = sentNanos + mSettings.leaseNanos();
+        mExpiry.cancel();
+        mExpiry = mScheduler.schedule(mLeaseEndNanos - now, this::notifyListeners);
+        return !wasValid && now - mLeaseEndNanos < 0;
+    }
+
+    private void notifyListeners() {
+        mListeners.forEach(Runnable::run);
+    }
+
+    private long backoffNanos() {
+        return mRandom.nextLong(mSettings.renewNanos() / 8) + 1;
+    }
+
+    // Zero stands for no incarnation.
+    private long newIncarnation() {
+        return mRandom.nextLong(1, Long.MAX_VALUE);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Member leases and the shards claimed under them. */
+package org.oleandertrack.coordination.lease;
--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/store/TableScans.java
@@ -0,0 +1,34 @@
+package org.oleandertrack.coordination.store;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** Reads all rows under a prefix, page by page. */
+public final class TableScans {
+
+    private TableScans() {}
+
+    /**
+     * Reads rows in key order until a page is not full. The pages are not one snapshot.
+     *
+     * @param afterKey the first key returned is greater than this one; empty to start
+     */
+    public static CompletableFuture<List<Row>> all(
+            TableStore table, String prefix, String afterKey, int pageRows) {
+        return next(table, prefix, afterKey, pageRows, new ArrayList<>());
+    }
+
+    private static CompletableFuture<List<Row>> next(
+            TableStore table, String prefix, String afterKey, int pageRows, List<Row> rows) {
+        return table.scan(prefix, afterKey, pageRows)
+                .thenCompose(
+                        page -> {
+                            rows.addAll(page);
+                            if (page.size() < pageRows) {
+                                return CompletableFuture.completedFuture(rows);
+                            }
+                            return next(table, prefix, page.getLast().key(), pageRows, rows);
+                        });
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/oleandertrack/coordination/lease/Cluster.java
@@ -0,0 +1,160 @@
+package org.oleandertrack.coordination.lease;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.oleandertrack.coordination.commit.GroupCommit;
+import org.oleandertrack.coordination.commit.GroupCommitLimits;
+import org.oleandertrack.coordination.sim.FakeStore;
+import org.oleandertrack.coordination.sim.FaultInjector;
+import org.oleandertrack.coordination.sim.VirtualNode;
+import org.oleandertrack.coordination.sim.VirtualTime;
+import org.oleandertrack.coordination.store.TimeLimitedTableStore;
+
+/** Nodes with leases and shards on the virtual clock; checks the ownership after each event. */
+final class Cluster {
+
+    static final int SHARDS = 6;
+
+    /** One process. */
+    final class Node implements ShardListener {
+        final VirtualNode mNode = new VirtualNode(mTime);
+        final FakeStore.View mView = mStore.view(mNode);
+        final GroupCommit mCommit;
+        final MemberLease mLease;
+        final ShardOwnership mOwnership;
+        final Map<Integer, Long> mAnnounced = new HashMap<>();
+
+        Node(String id) {
+            LeaseSettings settings = LeaseSettings.defaults().withShards(SHARDS);
+            TimeLimitedTableStore table =
+                    new TimeLimitedTableStore(mView, mNode, 3 * VirtualTime.SECOND);
+            mCommit =
+                    new GroupCommit(
+                            table,
+                            mView.objects(),
+                            mNode,
+                            mNode::nanos,
+                            mNode.random(),
+                            GroupCommitLimits.defaults(),
+                            "turns/" + id);
+            mLease =
+                    new MemberLease(
+                            id, table, mCommit, mNode, mNode::nanos, mNode.random(), settings);
+            mOwnership =
+                    new ShardOwnership(
+                            mLease,
+                            table,
+                            mCommit,
+                            mNode,
+                            mNode::nanos,
+                            mNode.random(),
+                            settings,
+                            this);
+            mCommit.start();
+            mLease.start();
+            mOwnership.start();
+        }
+
+        @Override
+        public void onAcquired(int shard, long fence) {
+            assertTrue(mAnnounced.put(shard, fence) == null, "acquired twice: shard " + shard);
+        }
+
+        @Override
+        public void onLost(int shard) {
+            assertTrue(mAnnounced.remove(shard) != null, "lost twice: shard " + shard);
+        }
+
+        @Override
+        public CompletableFuture<Void> onReleasing(int shard) {
+            CompletableFuture<Void> drained = new CompletableFuture<>();
+            var _ = mNode.schedule(100 * VirtualTime.MILLI, () -> drained.complete(null));
+            return drained;
+        }
+
+        /** Stops gracefully, then ends the process. */
+        CompletableFuture<Void> leave() {
+            return mOwnership
+                    .stop()
+                    .thenCompose(done -> mLease.stop())
+                    .thenRun(
+                            () -> {
+                                mNode.kill();
+                                mNodes.remove(this);
+                            });
+        }
+
+        void kill() {
+            mNode.kill();
+            mNodes.remove(this);
+        }
+    }
+
+    final VirtualTime mTime;
+    final FakeStore mStore;
+    final List<Node> mNodes = new ArrayList<>();
+    private final long[] mFences = new long[SHARDS];
+    private final String[] mHolders = new String[SHARDS];
+
+    Cluster(long seed) {
+        mTime = new VirtualTime(seed);
+        mStore = new FakeStore(mTime);
+        mTime.afterEach(this::checkOwnership);
+    }
+
+    Node add(String id) {
+        Node node = new Node(id);
+        mNodes.add(node);
+        return node;
+    }
+
+    void runSeconds(double seconds) {
+        mTime.runFor((long) (seconds * VirtualTime.SECOND));
+    }
+
+    List<FaultInjector.SimProcess> processes() {
+        return mNodes.stream()
+                .map(node -> new FaultInjector.SimProcess(node.mNode, node.mView))
+                .toList();
+    }
+
+    /** Returns the shards that no running node holds. */
+    List<Integer> unheld() {
+        List<Integer> unheld = new ArrayList<>();
+        for (int shard = 0; shard < SHARDS; shard++) {
+            int number = shard;
+            if (mNodes.stream().noneMatch(node -> node.mOwnership.heldFence(number).isPresent())) {
+                unheld.add(shard);
+            }
+        }
+        return unheld;
+    }
+
+    private void checkOwnership() {
+        for (int shard = 0; shard < SHARDS; shard++) {
+            String holder = null;
+            for (Node node : mNodes) {
+                OptionalLong fence = node.mOwnership.heldFence(shard);
+                if (fence.isEmpty()) {
+                    continue;
+                }
+                String claim = node.mLease.node() + "/" + node.mLease.incarnation();
+                assertTrue(holder == null, "shard " + shard + ": " + holder + ", " + claim);
+                holder = claim;
+                boolean resumed =
+                        fence.getAsLong() == mFences[shard] && claim.equals(mHolders[shard]);
+                assertTrue(
+                        resumed || fence.getAsLong() > mFences[shard],
+                        "fence of shard " + shard + " did not rise: " + fence);
+                mFences[shard] = fence.getAsLong();
+                mHolders[shard] = claim;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/oleandertrack/coordination/lease/OwnershipTest.java
@@ -0,0 +1,157 @@
+package org.oleandertrack.coordination.lease;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.junit.jupiter.api.Test;
+import org.oleandertrack.coordination.sim.FaultInjector;
+import org.oleandertrack.coordination.sim.SeededRuns;
+import org.oleandertrack.coordination.sim.VirtualTime;
+
+final class OwnershipTest {
+
+    private static final int SCHEDULES_PER_TRY = 500;
+    private static final int REPLACED_RUNS_SECONDS = 8;
+
+    /**
+     * Guards against two holders of one shard, fencing numbers that do not rise, shards of a dead
+     * holder without a holder after 10 s, and shards of a stopped one after 1 s.
+     */
+    @Property(tries = 20, shrinking = ShrinkingMode.OFF)
+    void ownershipHoldsUnderFaults(@ForAll long seed) {
+        SeededRuns.run(seed, SCHEDULES_PER_TRY, OwnershipTest::runSchedule);
+    }
+
+    private static void runSchedule(long seed) {
+        Cluster cluster = new Cluster(seed);
+        Random random = cluster.mTime.random();
+        for (String id : List.of("a", "b", "c")) {
+            var _ = cluster.mTime.schedule(random.nextLong(1_000_000_000L), () -> cluster.add(id));
+        }
+        cluster.runSeconds(3);
+        FaultInjector faults = new FaultInjector(cluster.mTime, cluster.mStore, cluster::processes);
+        faults.start();
+        int replacements = random.nextInt(3);
+        for (int i = 0; i < replacements; i++) {
+            cluster.runSeconds(random.nextDouble() * 6);
+            replaceOne(cluster, random);
+        }
+        cluster.runSeconds(random.nextDouble() * 10);
+        faults.end();
+        // Until here a replaced process may still run; its end is the last fault.
+        cluster.runSeconds(REPLACED_RUNS_SECONDS);
+        cluster.runSeconds(12);
+        assertEquals(List.of(), cluster.unheld(), "12 s after the last fault");
+
+        cluster.mNodes.get(random.nextInt(cluster.mNodes.size())).kill();
+        cluster.runSeconds(10);
+        assertEquals(List.of(), cluster.unheld(), "10 s after the death of a node");
+
+        var _ = cluster.mNodes.getFirst().leave();
+        cluster.runSeconds(1);
+        assertEquals(List.of(), cluster.unheld(), "1 s after a graceful stop");
+    }
+
+    /**
+     * Replaces a process by one with the same node id or with another one. The old process is dead
+     * or, cut off from the store, still runs for a while.
+     */
+    private static void replaceOne(Cluster cluster, Random random) {
+        Cluster.Node old = cluster.mNodes.get(random.nextInt(cluster.mNodes.size()));
+        String id = old.mLease.node();
+        if (random.nextBoolean()) {
+            old.kill();
+        } else {
+            old.mView.setCutOff(true);
+            var _ = cluster.mTime.schedule(REPLACED_RUNS_SECONDS * VirtualTime.SECOND, old::kill);
+        }
+        cluster.add(random.nextBoolean() ? id : id + "'");
+    }
+
+    /** Guards against a mass takeover when the store answers again after a long outage. */
+    @Test
+    void outageOfTheStoreMovesNoShard() {
+        for (int seed = 0; seed < 50; seed++) {
+            Cluster cluster = new Cluster(seed);
+            List.of("a", "b", "c").forEach(cluster::add);
+            cluster.runSeconds(10);
+            Map<Integer, ShardHolder> before = holders(cluster);
+            cluster.mStore.setDown(true);
+            cluster.runSeconds(60);
+            assertEquals(Cluster.SHARDS, cluster.unheld().size());
+            cluster.mStore.healFaults();
+            cluster.runSeconds(5);
+            assertEquals(List.of(), cluster.unheld());
+            assertEquals(before, holders(cluster), "seed " + seed);
+        }
+    }
+
+    /** Guards against nodes without shards, and against callbacks that do not match the holder. */
+    @Test
+    void shardsSpreadOverLiveNodesAndCallbacksFollow() {
+        Cluster cluster = new Cluster(5);
+        cluster.add("a");
+        cluster.runSeconds(5);
+        assertEquals(Cluster.SHARDS, cluster.mNodes.get(0).mAnnounced.size());
+        cluster.add("b");
+        cluster.add("c");
+        cluster.runSeconds(10);
+        for (int shard = 0; shard < Cluster.SHARDS; shard++) {
+            String desired = RendezvousHash.pick(List.of("a", "b", "c"), shard).orElseThrow();
+            for (Cluster.Node node : cluster.mNodes) {
+                boolean holds = node.mOwnership.heldFence(shard).isPresent();
+                assertEquals(node.mLease.node().equals(desired), holds);
+                assertEquals(holds, node.mAnnounced.containsKey(shard));
+                assertEquals(desired, node.mOwnership.holder(shard).orElseThrow().node());
+            }
+        }
+    }
+
+    /** Guards against a stop that ends before work under way has drained. */
+    @Test
+    void gracefulStopHoldsShardsUntilTheyAreDrained() {
+        Cluster cluster = new Cluster(6);
+        Cluster.Node only = cluster.add("a");
+        cluster.runSeconds(5);
+        CompletableFuture<Void> left = only.leave();
+        cluster.runSeconds(0.09);
+        assertEquals(List.of(), cluster.unheld());
+        cluster.runSeconds(0.5);
+        assertTrue(left.isDone());
+        assertEquals(Map.of(), only.mAnnounced);
+        assertFalse(only.mLease.isValid());
+    }
+
+    /** Guards against a lease that counts from the reply to the renewal. */
+    @Test
+    void leaseCountsFromBeforeTheRenewal() {
+        Cluster cluster = new Cluster(7);
+        Cluster.Node node = cluster.add("a");
+        cluster.mStore.setMaxLatency(1);
+        cluster.runSeconds(1);
+        cluster.mStore.setMaxLatency(500 * VirtualTime.MILLI);
+        cluster.mTime.afterEach(
+                () -> {
+                    long leftNanos = node.mLease.leaseEndNanos() - node.mNode.nanos();
+                    assertTrue(leftNanos < LeaseSettings.defaults().leaseNanos());
+                });
+        cluster.runSeconds(10);
+    }
+
+    private static Map<Integer, ShardHolder> holders(Cluster cluster) {
+        Map<Integer, ShardHolder> holders = new TreeMap<>();
+        for (int shard = 0; shard < Cluster.SHARDS; shard++) {
+            holders.put(shard, cluster.mNodes.get(0).mOwnership.holder(shard).orElseThrow());
+        }
+        return holders;
+    }
+}
--- a/coordination/src/test/java/org/oleandertrack/coordination/sim/SeededRuns.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/sim/SeededRuns.java
@@ -1,23 +1,24 @@
 package org.oleandertrack.coordination.sim;
 
+import java.util.SplittableRandom;
 import java.util.function.LongConsumer;
-import java.util.stream.IntStream;
 
 /** Runs fault schedules in parallel; a failure names the seed that reproduces it. */
 public final class SeededRuns {
 
     private SeededRuns() {}
 
-    public static void run(long firstSeed, int count, LongConsumer schedule) {
-        IntStream.range(0, count)
+    /** Runs schedules with seeds drawn from one seed, so that runs do not share seeds. */
+    public static void run(long seed, int count, LongConsumer schedule) {
+        new SplittableRandom(seed)
+                .longs(count)
                 .parallel()
                 .forEach(
-                        i -> {
-                            long seed = firstSeed + i;
+                        drawn -> {
                             try {
-                                schedule.accept(seed);
+                                schedule.accept(drawn);
                             } catch (RuntimeException | AssertionError e) {
-                                throw new AssertionError("schedule with seed " + seed, e);
+                                throw new AssertionError("schedule with seed " + drawn, e);
                             }
                         });
     }
