Add query and command language with typed configuration state

A statement parses to a record and has one canonical form, which the configuration log keeps. The reducer depends on state and change alone, so every process that folds the log has the same state. Faults name the position and the allowed values.

--- /dev/null
+++ b/command/src/test/java/org/oleandertrack/command/ConfigReducerTest.java
@@ -0,0 +1,166 @@
+package org.oleandertrack.command;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+import org.oleandertrack.core.config.ClassAttribute;
+import org.oleandertrack.core.config.ConfigState;
+import org.oleandertrack.core.config.ProgramClass;
+import org.oleandertrack.core.result.ResultCode;
+import org.oleandertrack.core.result.ResultException;
+
+/** Guards against configurations that differ between processes or lose what a change set. */
+final class ConfigReducerTest {
+
+    private final CommandParser mParser = new CommandParser();
+    private final StatementFormat mFormat = new StatementFormat();
+    private final ConfigReducer mReducer = new ConfigReducer();
+    private final ConfigSnapshot mSnapshot = new ConfigSnapshot();
+
+    @Provide
+    Arbitrary<List<ConfigCommand>> logs() {
+        return Statements.configCommands()
+                .map(command -> command.withReplacing(Optional.empty()))
+                .list()
+                .ofMaxSize(30);
+    }
+
+    @Property(tries = 300)
+    void foldingTheTextOfTheLogGivesTheSameState(@ForAll("logs") List<ConfigCommand> log) {
+        ConfigState direct = fold(ConfigState.initial(), log);
+        List<ConfigCommand> read =
+                log.stream().map(mFormat::format).map(mParser::parseConfigCommand).toList();
+        ConfigState again = fold(ConfigState.initial(), read);
+        assertEquals(direct, again);
+        assertEquals(direct.toString(), again.toString());
+    }
+
+    @Property(tries = 300)
+    void catchingUpFromASnapshotGivesTheSameState(
+            @ForAll("logs") List<ConfigCommand> log, @ForAll byte cut) {
+        int split = log.isEmpty() ? 0 : Math.floorMod(cut, log.size());
+        ConfigState middle = fold(ConfigState.initial(), log.subList(0, split));
+        ConfigState read = mSnapshot.read(mSnapshot.write(middle));
+        assertEquals(middle, read);
+        assertEquals(mSnapshot.write(middle), mSnapshot.write(read));
+        List<ConfigCommand> rest = log.subList(split, log.size());
+        assertEquals(fold(middle, rest), fold(read, rest));
+    }
+
+    @Property(tries = 300)
+    void theDefaultClassAlwaysExists(@ForAll("logs") List<ConfigCommand> log) {
+        ConfigState state = fold(ConfigState.initial(), log);
+        assertEquals(ProgramClass.DEFAULT_NAME, state.defaultClass().name());
+    }
+
+    @Test
+    void initialStateHasTheDefaultClassOnly() {
+        ConfigState state = ConfigState.initial();
+        assertEquals(0, state.version());
+        assertEquals(Set.of("default"), state.classes().keySet());
+        assertEquals(ProgramClass.defaults("default"), state.defaultClass());
+    }
+
+    @Test
+    void attributesThatAreNotNamedKeepTheirValues() {
+        ConfigState state = run("set class review priority=1 models=m1,m2 turn-limit=20");
+        state = run(state, "set class review turn-limit=30 targets=t1");
+        ProgramClass review = state.classNamed("review").orElseThrow();
+        assertEquals(1, review.priority());
+        assertEquals(30, review.turnLimit());
+        assertEquals(Set.of("m1", "m2"), review.models());
+        assertEquals(Set.of("t1"), review.targets());
+        assertEquals(ClassAttribute.WEIGHT.defaultValue(), review.weight());
+        assertEquals(2, state.version());
+    }
+
+    @Test
+    void allRemovesTheRestriction() {
+        ConfigState state = run("set class review targets=t1");
+        assertEquals(false, state.classNamed("review").orElseThrow().allowsTarget("t2"));
+        state = run(state, "set targets review = *");
+        assertEquals(true, state.classNamed("review").orElseThrow().allowsTarget("t2"));
+    }
+
+    @Test
+    void changeOfAnotherVersionIsRefused() {
+        ConfigState state = run("drain target t1");
+        assertFails(state, "drain target t2 replacing version 0", ResultCode.VERSION_CONFLICT);
+        assertFails(state, "drain target t2 replacing version 2", ResultCode.VERSION_CONFLICT);
+        assertEquals(2, run(state, "drain target t2 replacing version 1").version());
+    }
+
+    @Test
+    void changesOfUnknownObjectsNameThePlace() {
+        ConfigState state = ConfigState.initial();
+        ResultException e = assertFails(state, "remove class review", ResultCode.UNKNOWN_OBJECT);
+        assertEquals("position 14: the class review does not exist", e.getMessage());
+        assertFails(state, "set targets review = t1", ResultCode.UNKNOWN_OBJECT);
+        assertFails(state, "undrain target t1", ResultCode.UNKNOWN_OBJECT);
+        assertFails(state, "remove class default", ResultCode.VALUE_OUT_OF_RANGE);
+    }
+
+    @Test
+    void drainingTwiceAndUndrainingOnceAllowsNewWork() {
+        ConfigState state = run("drain target t1");
+        state = run(state, "drain target t1");
+        assertEquals(Set.of("t1"), state.drainedTargets());
+        state = run(state, "undrain target t1");
+        assertEquals(Set.of(), state.drainedTargets());
+        assertEquals(3, state.version());
+    }
+
+    @Test
+    void organisationsWithoutPolicyHaveTheDefault() {
+        ConfigState state = run("set organisation kaasik max-running=3");
+        assertEquals(3, state.organisation("kaasik").maxRunning());
+        assertEquals(1, state.organisation("kaasik").weight());
+        assertEquals(1_000_000, state.organisation("other").maxRunning());
+    }
+
+    @Test
+    void damagedSnapshotsAreRefused() {
+        assertThrows(IllegalArgumentException.class, () -> mSnapshot.read(""));
+        assertThrows(IllegalArgumentException.class, () -> mSnapshot.read("drain target t1"));
+        assertThrows(ResultException.class, () -> mSnapshot.read("version 1\nshow config\n"));
+    }
+
+    private ConfigState run(String command) {
+        return run(ConfigState.initial(), command);
+    }
+
+    private ConfigState run(ConfigState state, String command) {
+        return mReducer.apply(state, mParser.parseConfigCommand(command));
+    }
+
+    private ResultException assertFails(ConfigState state, String command, ResultCode code) {
+        ResultException e = assertThrows(ResultException.class, () -> run(state, command));
+        assertEquals(code, e.code());
+        return e;
+    }
+
+    /** Folds the changes that are valid, as the log holds only those. */
+    private ConfigState fold(ConfigState state, List<ConfigCommand> log) {
+        ConfigState folded = state;
+        for (ConfigCommand command : log) {
+            try {
+                folded = mReducer.apply(folded, command);
+            } catch (ResultException e) {
+                assertEquals(true, isRefusal(e.code()), e.getMessage());
+            }
+        }
+        return folded;
+    }
+
+    private static boolean isRefusal(ResultCode code) {
+        return code == ResultCode.UNKNOWN_OBJECT || code == ResultCode.VALUE_OUT_OF_RANGE;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleandertrack/core/config/package-info.java
@@ -0,0 +1,2 @@
+/** The typed configuration document that operators change. */
+package org.oleandertrack.core.config;
