Add a load client and report waiting requests in the engine's load

The load client sends a bounded number of calls and prints latency, rate and chunk arrivals, for the measurements of docs/design.md 1.3.

The engine's load report missed requests that were waiting until one of them started. The slot queue and the cache now report each change themselves, in the order of the changes.

--- a/standins/src/main/java/org/oleandertrack/standins/StandinsMain.java
+++ b/standins/src/main/java/org/oleandertrack/standins/StandinsMain.java
@@ -8,17 +8,20 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.oleandertrack.standins.engine.EngineOptions;
+import org.oleandertrack.standins.load.LoadClient;
+import org.oleandertrack.standins.load.LoadResult;
 
 /**
- * Command line of the stand-ins. A server prints {@code ready <port>} on standard output when it
- * serves, and ends on SIGTERM.
+ * Command line of the stand-ins and the load client. A server prints {@code ready <port>} on
+ * standard output when it serves, and ends on SIGTERM.
  */
 public final class StandinsMain {
 
     private static final int USAGE_ERROR_STATUS = 2;
     private static final int FAILURE_STATUS = 1;
     private static final String USAGE =
-            "usage: standins platform|engine|service [--address A] [--port P] [options]";
+            "usage: standins platform|engine|service [--address A] [--port P] [options]\n"
+                    + "       standins load --url U --calls N --concurrency C [options]";
 
     private StandinsMain() {}
 
@@ -32,13 +35,14 @@
             System.err.println("error: " + e.getMessage());
             System.err.println(USAGE);
             System.exit(USAGE_ERROR_STATUS);
-        } catch (IOException e) {
-            System.err.println("error: " + e.getMessage());
+        } catch (IOException | InterruptedException e) {
+            System.err.println("error: " + e);
             System.exit(FAILURE_STATUS);
         }
     }
 
-    private static void run(String command, String[] args) throws ParseException, IOException {
+    private static void run(String command, String[] args)
+            throws ParseException, IOException, InterruptedException {
         switch (command) {
             case "platform" -> {
                 CommandLine line = parse(serverOptions(), args);
@@ -56,6 +60,11 @@
                 long delayMillis = Long.parseLong(line.getOptionValue("delay-millis", "0"));
                 announce(Standin.service(address(line), port(line), delayMillis));
             }
+            case "load" -> {
+                CommandLine line = parse(LoadCommandLine.options(), args);
+                LoadResult result = new LoadClient(LoadCommandLine.read(line)).run();
+                System.out.println(result.toJson());
+            }
             default -> throw new ParseException("unknown command \"" + command + "\"");
         }
     }
--- a/standins/src/main/java/org/oleandertrack/standins/engine/Engine.java
+++ b/standins/src/main/java/org/oleandertrack/standins/engine/Engine.java
@@ -19,10 +19,10 @@
 
     Engine(EngineOptions options, LongSupplier nanoClock) {
         mOptions = options;
-        mSlots = new SlotQueue(options.slots());
-        mEvents = new CacheEventLog(nanoClock, options.eventLagMillis(), options.eventDropEvery());
-        mCache = new PrefixCache(options.cacheTokens(), mEvents);
         mLoad = new LoadHistory(nanoClock, options.loadLagMillis(), options.cacheTokens());
+        mSlots = new SlotQueue(options.slots(), mLoad::recordSlots);
+        mEvents = new CacheEventLog(nanoClock, options.eventLagMillis(), options.eventDropEvery());
+        mCache = new PrefixCache(options.cacheTokens(), mEvents, mLoad::recordCache);
     }
 
     // Accessors
@@ -57,9 +57,7 @@
 
     /** Frees the prefixes of an owner and returns the tokens it held. */
     long release(String cacheOwner) {
-        long tokens = mCache.release(cacheOwner);
-        recordLoad();
-        return tokens;
+        return mCache.release(cacheOwner);
     }
 
     /**
@@ -69,56 +67,41 @@
      *     the thread counts as a lost connection
      */
     void run(CompletionRequest request, Answer answer, TokenSink sink) throws IOException {
-        boolean complete = false;
-        boolean cut = false;
+        TokenSink.Usage usage;
         try {
-            waitForSlot(request);
-            try {
-                TokenSink.Usage usage = prefillAndGenerate(request, answer, sink);
-                cut = usage.completionTokens() < answer.tokens();
-                complete = !cut;
-                if (complete) {
-                    keepAnswer(request, answer);
-                    mStats.mFinished.increment();
-                }
-                releaseSlot();
-                if (cut) {
-                    throw new ConnectionAbortException("the answer is cut on purpose");
-                }
-                sink.end(usage);
-            } catch (IOException | InterruptedException | RuntimeException e) {
-                if (!cut && !complete) {
-                    releaseSlot();
-                }
-                throw e;
-            }
+            usage = runInSlot(request, answer, sink);
         } catch (InterruptedException e) {
+            mStats.mCancelled.increment();
             Thread.currentThread().interrupt();
             throw new ConnectionAbortException("the client has cancelled the request");
-        } finally {
-            if (cut) {
-                mStats.mCut.increment();
-            } else if (!complete) {
-                mStats.mCancelled.increment();
-            }
+        } catch (IOException e) {
+            mStats.mCancelled.increment();
+            throw e;
+        }
+        if (usage.completionTokens() < answer.tokens()) {
+            mStats.mCut.increment();
+            throw new ConnectionAbortException("the answer is cut on purpose");
         }
+        mStats.mFinished.increment();
+        sink.end(usage);
     }
 
     // Helpers
 
-    private void waitForSlot(CompletionRequest request) throws InterruptedException {
+    private TokenSink.Usage runInSlot(CompletionRequest request, Answer answer, TokenSink sink)
+            throws IOException, InterruptedException {
+        mSlots.acquire(request.priority(), () -> mStats.addStart(request));
         try {
-            mSlots.acquire(request.priority(), () -> mStats.addStart(request));
+            TokenSink.Usage usage = prefillAndGenerate(request, answer, sink);
+            if (usage.completionTokens() == answer.tokens()) {
+                keepAnswer(request, answer);
+            }
+            return usage;
         } finally {
-            recordLoad();
+            mSlots.release();
         }
     }
 
-    private void releaseSlot() {
-        mSlots.release();
-        recordLoad();
-    }
-
     private TokenSink.Usage prefillAndGenerate(
             CompletionRequest request, Answer answer, TokenSink sink)
             throws IOException, InterruptedException {
@@ -133,7 +116,6 @@
                 mOptions.prefillTokensPerSecond(),
                 mFaults.slowFactor());
         mCache.store(request.model(), request.cacheOwner(), request.prompt().blocks());
-        recordLoad();
         int generated = 0;
         while (generated < answer.tokens() && !mFaults.cutsAfter(generated)) {
             waitForProgress(pacer);
@@ -159,8 +141,4 @@
         Prompt.Block block = Prompt.next(prompt.digest(), "assistant", answer.text());
         mCache.extend(request.model(), request.cacheOwner(), prompt.blocks(), block);
     }
-
-    private void recordLoad() {
-        mLoad.record(mSlots.running(), mSlots.waiting(), mCache.usedTokens());
-    }
 }
--- a/standins/src/main/java/org/oleandertrack/standins/engine/LoadHistory.java
+++ b/standins/src/main/java/org/oleandertrack/standins/engine/LoadHistory.java
@@ -15,17 +15,22 @@
     private final long mLagNanos;
     private final long mCapacityTokens;
     private final Deque<Sample> mSamples = new ArrayDeque<>();
+    private Sample mLatest;
 
     LoadHistory(LongSupplier nanoClock, long lagMillis, long capacityTokens) {
         mNanoClock = nanoClock;
         mLagNanos = lagMillis * 1_000_000;
         mCapacityTokens = capacityTokens;
-        mSamples.add(new Sample(nanoClock.getAsLong() - mLagNanos, 0, 0, 0));
+        mLatest = new Sample(nanoClock.getAsLong() - mLagNanos, 0, 0, 0);
+        mSamples.add(mLatest);
     }
 
-    synchronized void record(long running, long waiting, long cacheUsedTokens) {
-        mSamples.add(new Sample(mNanoClock.getAsLong(), running, waiting, cacheUsedTokens));
-        removeOutdated();
+    synchronized void recordSlots(int running, int waiting) {
+        add(new Sample(mNanoClock.getAsLong(), running, waiting, mLatest.cacheUsedTokens()));
+    }
+
+    synchronized void recordCache(long usedTokens) {
+        add(new Sample(mNanoClock.getAsLong(), mLatest.running(), mLatest.waiting(), usedTokens));
     }
 
     synchronized JsonNode report() {
@@ -38,6 +43,12 @@
                 .put("cache_capacity_tokens", mCapacityTokens);
     }
 
+    private void add(Sample sample) {
+        mLatest = sample;
+        mSamples.add(sample);
+        removeOutdated();
+    }
+
     private void removeOutdated() {
         long reportedAtNanos = mNanoClock.getAsLong() - mLagNanos;
         Sample latest = mSamples.getFirst();
--- a/standins/src/main/java/org/oleandertrack/standins/engine/PrefixCache.java
+++ b/standins/src/main/java/org/oleandertrack/standins/engine/PrefixCache.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.LongConsumer;
 
 /**
  * A cache of message prefixes that evicts the least recently used block. A block that several
@@ -26,12 +27,14 @@
 
     private final long mCapacityTokens;
     private final CacheEventLog mEvents;
+    private final LongConsumer mUsedTokensListener;
     private final LinkedHashMap<String, Entry> mEntries = new LinkedHashMap<>(16, 0.75f, true);
     private long mUsedTokens;
 
-    PrefixCache(long capacityTokens, CacheEventLog events) {
+    PrefixCache(long capacityTokens, CacheEventLog events, LongConsumer usedTokensListener) {
         mCapacityTokens = capacityTokens;
         mEvents = events;
+        mUsedTokensListener = usedTokensListener;
     }
 
     // Accessors
@@ -75,6 +78,7 @@
             mEvents.add("stored", owner, storedTokens);
         }
         evictToCapacity();
+        mUsedTokensListener.accept(mUsedTokens);
     }
 
     /** Stores a prompt with its answer if the owner still holds the end of the prompt. */
@@ -106,6 +110,7 @@
         }
         if (releasedTokens > 0) {
             mEvents.add("evicted", owner, releasedTokens);
+            mUsedTokensListener.accept(mUsedTokens);
         }
         return releasedTokens;
     }
--- a/standins/src/main/java/org/oleandertrack/standins/engine/SlotQueue.java
+++ b/standins/src/main/java/org/oleandertrack/standins/engine/SlotQueue.java
@@ -8,6 +8,12 @@
 /** Hands out the engine's slots by priority, then by arrival. Thread-safe. */
 final class SlotQueue {
 
+    /** Told of each change, in the order of the changes. */
+    @FunctionalInterface
+    interface ChangeListener {
+        void changed(int running, int waiting);
+    }
+
     private static final class Waiter {
         final int mPriority;
         final long mArrival;
@@ -29,17 +35,19 @@
     private final ReentrantLock mLock = new ReentrantLock();
     private final PriorityQueue<Waiter> mWaiting = new PriorityQueue<>(ORDER);
     private final int mSlots;
+    private final ChangeListener mListener;
     private long mArrivals;
     private int mRunning;
 
-    SlotQueue(int slots) {
+    SlotQueue(int slots, ChangeListener listener) {
         mSlots = slots;
+        mListener = listener;
     }
 
     /**
      * Waits for a slot.
      *
-     * @param onGranted called under the lock, so that calls are in the order of the grants
+     * @param onGranted called when the slot is granted, in the order of the grants
      * @throws InterruptedException if the thread is interrupted; it then holds no slot
      */
     void acquire(int priority, Runnable onGranted) throws InterruptedException {
@@ -55,8 +63,8 @@
             } catch (InterruptedException e) {
                 if (!mWaiting.remove(waiter)) {
                     mRunning--;
-                    grant();
                 }
+                grant();
                 throw e;
             }
         } finally {
@@ -92,6 +100,7 @@
         }
     }
 
+    /** Hands out free slots; called after each change, under the lock. */
     private void grant() {
         while (mRunning < mSlots && !mWaiting.isEmpty()) {
             Waiter next = mWaiting.remove();
@@ -100,5 +109,6 @@
             next.mOnGranted.run();
             next.mGranted.signal();
         }
+        mListener.changed(mRunning, mWaiting.size());
     }
 }
