--- a/server/src/main/java/org/oleandertrack/server/cli/ExitCode.java
+++ b/server/src/main/java/org/oleandertrack/server/cli/ExitCode.java
@@ -67,6 +67,14 @@
         };
     }
 
+    /** Returns how a process ends that failed with the result of the given number. */
+    public static ExitCode ofNumber(int number) {
+        return ResultCode.fromNumber(number)
+                .map(ExitCode::of)
+                // A newer host may send a code that this process does not know.
+                .orElseGet(() -> ofGroup(number / 1000));
+    }
+
     private static ExitCode ofGroup(int thousands) {
         return switch (thousands) {
             case 1 -> CALLER_INPUT_REFUSED;
--- a/server/src/main/java/org/oleandertrack/server/cli/OleandertrackMain.java
+++ b/server/src/main/java/org/oleandertrack/server/cli/OleandertrackMain.java
@@ -1,5 +1,10 @@
 package org.oleandertrack.server.cli;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -25,6 +30,9 @@
 
     private static final String HELP = "help";
 
+    // Longer than a change waits for a slow store.
+    private static final Duration CTL_ANSWER_TIMEOUT = Duration.ofSeconds(30);
+
     private final Console mConsole;
     private final HelpPrinter mHelpPrinter = new HelpPrinter();
     private final Map<String, SubCommand> mCommands = new LinkedHashMap<>();
@@ -62,6 +70,7 @@
                                 factory::sidecar,
                                 runner,
                                 logging),
+                        new CtlCommand(CTL_ANSWER_TIMEOUT),
                         new CheckCommand(logging),
                         new VersionCommand());
         commands.forEach(c -> mCommands.put(c.name(), c));
@@ -72,7 +81,7 @@
         OleandertrackMain main =
                 new OleandertrackMain(
                         new DefaultDaemonFactory(),
-                        new Console(System.out, System.err),
+                        new Console(utf8(FileDescriptor.out), utf8(FileDescriptor.err)),
                         LoggingSetup::configure,
                         Runtime.getRuntime()::addShutdownHook);
         System.exit(main.run(args).number());
@@ -93,6 +102,11 @@
 
     // Helpers
 
+    // JSON output is UTF-8 whatever the locale of the terminal is.
+    private static PrintStream utf8(FileDescriptor descriptor) {
+        return new PrintStream(new FileOutputStream(descriptor), true, StandardCharsets.UTF_8);
+    }
+
     private ExitCode dispatch(String... args) {
         if (args.length == 0) {
             throw Arguments.usage("no command given; try: oleandertrack --help");
--- a/server/src/test/java/org/oleandertrack/server/cli/HelpTextTest.java
+++ b/server/src/test/java/org/oleandertrack/server/cli/HelpTextTest.java
@@ -14,6 +14,7 @@
                     List.of("--help"),
                     List.of("entry", "--help"),
                     List.of("sidecar", "--help"),
+                    List.of("ctl", "--help"),
                     List.of("check", "--help"),
                     List.of("version", "--help"));
 
