--- /dev/null
+++ b/standins/src/test/java/org/oleandertrack/standins/platform/PlatformFaultsTest.java
@@ -0,0 +1,155 @@
+package org.oleandertrack.standins.platform;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.oleandertrack.standins.HttpProbe;
+import org.oleandertrack.standins.Standin;
+
+class PlatformFaultsTest {
+
+    private Standin mPlatform;
+    private HttpProbe mProbe;
+
+    @BeforeEach
+    void start() throws IOException {
+        mPlatform = Standin.platform("127.0.0.1", 0);
+        mProbe = new HttpProbe(mPlatform);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        mPlatform.close();
+    }
+
+    /** Guards against a lost reply whose write did not take effect. */
+    @Test
+    void writeWhoseReplyIsLostTakesEffect() throws Exception {
+        faults("{\"loseReplies\":1}");
+
+        assertThrows(IOException.class, () -> write("a", 0));
+        assertEquals(1, mProbe.json("/table/row?key=a").path("version").asInt());
+        assertEquals(200, write("b", 0).statusCode());
+    }
+
+    /** Guards against a refused write that took effect. */
+    @Test
+    void refusedWriteDoesNothing() throws Exception {
+        faults("{\"refuseWrites\":1}");
+
+        assertEquals(503, write("a", 0).statusCode());
+        assertEquals(404, mProbe.get("/table/row?key=a").statusCode());
+        assertEquals(200, write("a", 0).statusCode());
+    }
+
+    /** Guards against an outage that still answers, and against one that does not end. */
+    @Test
+    void outageEndsWithTheNextFaultSetting() throws Exception {
+        faults("{\"mode\":\"down\",\"downAs\":\"close\"}");
+        assertThrows(IOException.class, () -> mProbe.get("/table/row?key=a"));
+        faults("{\"mode\":\"down\",\"downAs\":\"refuse\"}");
+        assertEquals(503, write("a", 0).statusCode());
+        faults("{\"mode\":\"up\"}");
+        assertEquals(404, mProbe.get("/table/row?key=a").statusCode());
+    }
+
+    /** Guards against a hanging store that executes the write it never answered. */
+    @Test
+    void hangingRequestIsClosedWithoutEffectWhenTheOutageEnds() throws Exception {
+        faults("{\"mode\":\"down\",\"downAs\":\"hang\"}");
+        CompletableFuture<HttpResponse<String>> write =
+                mProbe.postAsync("/table/write", writeBody("a", 0));
+        await().during(Duration.ofMillis(50)).until(() -> !write.isDone());
+
+        faults("{}");
+
+        assertThrows(ExecutionException.class, write::get);
+        assertEquals(404, mProbe.get("/table/row?key=a").statusCode());
+    }
+
+    /** Guards against a fault that hits keys outside its prefix. */
+    @Test
+    void prefixRestrictsFaults() throws Exception {
+        faults("{\"mode\":\"down\",\"downAs\":\"refuse\",\"prefix\":\"config/\"}");
+
+        assertEquals(503, write("config/1", 0).statusCode());
+        assertEquals(200, write("member/1", 0).statusCode());
+        assertEquals(503, mProbe.get("/table/scan?prefix=config/").statusCode());
+        assertEquals(200, mProbe.get("/table/scan?prefix=member/").statusCode());
+    }
+
+    /** Guards against a store outage that also takes the host list down unasked. */
+    @Test
+    void hostListFailsOnlyWhenNamed() throws Exception {
+        faults("{\"mode\":\"down\",\"downAs\":\"refuse\"}");
+        assertEquals(200, mProbe.get("/hosts").statusCode());
+        faults("{\"mode\":\"down\",\"downAs\":\"refuse\",\"services\":[\"hosts\"]}");
+        assertEquals(503, mProbe.get("/hosts").statusCode());
+        assertEquals(200, write("a", 0).statusCode());
+    }
+
+    /** Guards against objects that are changed on their way, and against wrong counts. */
+    @Test
+    void objectsAreStoredByteForByteAndCounted() throws Exception {
+        byte[] bytes = {0, (byte) 0xff, '\r', '\n', 'x'};
+        mProbe.send(
+                mProbe.request("/objects?key=o%2F1")
+                        .PUT(HttpRequest.BodyPublishers.ofByteArray(bytes)));
+
+        HttpResponse<String> answer = mProbe.get("/objects?key=o%2F1");
+        assertEquals(bytes.length, answer.headers().firstValueAsLong("Content-Length").orElse(0));
+        assertTrue(answer.body().endsWith("\r\nx"));
+        mProbe.send(mProbe.request("/objects?key=o%2F1").DELETE());
+        assertEquals(404, mProbe.get("/objects?key=o%2F1").statusCode());
+        assertEquals(1, mProbe.json("/control/stats").path("objectsPut").asInt());
+        assertEquals(5, mProbe.json("/control/stats").path("objectBytesPut").asInt());
+    }
+
+    /** Guards against counts that a measurement of writes per call would rely on. */
+    @Test
+    void statsCountRequestsRowsAndConflicts() throws Exception {
+        write("a", 0);
+        write("a", 0);
+        mProbe.get("/table/row?key=a");
+        mProbe.get("/table/scan?prefix=a");
+
+        var stats = mProbe.json("/control/stats");
+        assertEquals(2, stats.path("writeRequests").asInt());
+        assertEquals(1, stats.path("rowsWritten").asInt());
+        assertEquals(1, stats.path("conflicts").asInt());
+        assertEquals(2, stats.path("reads").asInt());
+    }
+
+    /** Guards against a malformed write that is answered as if it had been applied. */
+    @Test
+    void malformedWriteIsRefused() throws Exception {
+        assertEquals(400, mProbe.post("/table/write", "{").statusCode());
+        assertEquals(400, mProbe.post("/table/write", "{\"writes\":[{}]}").statusCode());
+        assertFalse(mProbe.json("/table/scan").path("rows").elements().hasNext());
+    }
+
+    private void faults(String json) throws Exception {
+        assertEquals(200, mProbe.post("/control/faults", json).statusCode());
+    }
+
+    private HttpResponse<String> write(String key, long expectedVersion) throws Exception {
+        return mProbe.post("/table/write", writeBody(key, expectedVersion));
+    }
+
+    private static String writeBody(String key, long expectedVersion) {
+        return "{\"writes\":[{\"key\":\"%s\",\"expectedVersion\":%d,\"value\":\"v\"}]}"
+                .formatted(key, expectedVersion);
+    }
+}
