--- a/standins/src/main/java/org/oleandertrack/standins/http/Gate.java
+++ b/standins/src/main/java/org/oleandertrack/standins/http/Gate.java
@@ -9,6 +9,7 @@
     private final ReentrantLock mLock = new ReentrantLock();
     private final Condition mOpened = mLock.newCondition();
     private boolean mClosed;
+    private int mHeld;
 
     /** Opens or closes the gate; opening releases all that wait. */
     public void setClosed(boolean closed) {
@@ -21,6 +22,16 @@
         }
     }
 
+    /** Returns how many requests wait at the gate now. */
+    public int held() {
+        mLock.lock();
+        try {
+            return mHeld;
+        } finally {
+            mLock.unlock();
+        }
+    }
+
     /**
      * Waits until the gate is open.
      *
@@ -31,8 +42,13 @@
         mLock.lock();
         try {
             boolean waited = mClosed;
-            while (mClosed) {
-                mOpened.await();
+            mHeld++;
+            try {
+                while (mClosed) {
+                    mOpened.await();
+                }
+            } finally {
+                mHeld--;
             }
             return waited;
         } catch (InterruptedException e) {
--- a/standins/src/main/java/org/oleandertrack/standins/platform/PlatformFaults.java
+++ b/standins/src/main/java/org/oleandertrack/standins/platform/PlatformFaults.java
@@ -90,6 +90,11 @@
         return write ? writeVerdict() : Verdict.EXECUTE;
     }
 
+    /** Returns how many requests hang now. */
+    int held() {
+        return mHang.held();
+    }
+
     private Verdict down(Settings settings) throws IOException {
         if (settings.downAs() == DownAs.REFUSE) {
             return Verdict.REFUSE;
--- a/standins/src/main/java/org/oleandertrack/standins/platform/PlatformHandler.java
+++ b/standins/src/main/java/org/oleandertrack/standins/platform/PlatformHandler.java
@@ -57,7 +57,8 @@
                 request.sendJson(200, Json.object());
             }
             case "POST /control/hosts" -> replaceHosts(request);
-            case "GET /control/stats" -> request.sendJson(200, mStats.toJson());
+            case "GET /control/stats" ->
+                    request.sendJson(200, mStats.toJson().put("held", mFaults.held()));
             default -> request.sendError(404, "no such resource: " + request.route());
         }
     }
--- a/standins/src/main/java/org/oleandertrack/standins/platform/PlatformStats.java
+++ b/standins/src/main/java/org/oleandertrack/standins/platform/PlatformStats.java
@@ -1,6 +1,5 @@
 package org.oleandertrack.standins.platform;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.concurrent.atomic.LongAdder;
 import org.oleandertrack.standins.http.Json;
@@ -21,7 +20,7 @@
     final LongAdder mRequestsFailed = new LongAdder();
     final LongAdder mRepliesLost = new LongAdder();
 
-    JsonNode toJson() {
+    ObjectNode toJson() {
         ObjectNode node = Json.object();
         node.put("reads", mRowReads.sum() + mScans.sum());
         node.put("rowReads", mRowReads.sum());
--- a/standins/src/main/java/org/oleandertrack/standins/service/Executions.java
+++ b/standins/src/main/java/org/oleandertrack/standins/service/Executions.java
@@ -1,6 +1,5 @@
 package org.oleandertrack.standins.service;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.LinkedHashMap;
@@ -22,7 +21,7 @@
     }
 
     /** Lists the calls in the order of their first execution. */
-    synchronized JsonNode toJson() {
+    synchronized ObjectNode toJson() {
         ObjectNode node = Json.object();
         node.put("total", mTotal);
         ArrayNode list = node.putArray("executions");
--- a/standins/src/main/java/org/oleandertrack/standins/service/ServiceFaults.java
+++ b/standins/src/main/java/org/oleandertrack/standins/service/ServiceFaults.java
@@ -33,6 +33,11 @@
         Pause.millis(delayMillis());
     }
 
+    /** Returns how many calls hang now. */
+    int held() {
+        return mHang.held();
+    }
+
     /** Returns whether this call is to fail without being executed. */
     synchronized boolean takeFailure() {
         boolean fail = mCallsToFail > 0;
--- a/standins/src/main/java/org/oleandertrack/standins/service/ServiceHandler.java
+++ b/standins/src/main/java/org/oleandertrack/standins/service/ServiceHandler.java
@@ -24,7 +24,8 @@
     @Override
     public void handle(Request request) throws IOException {
         switch (request.route()) {
-            case "GET /control/executions" -> request.sendJson(200, mExecutions.toJson());
+            case "GET /control/executions" ->
+                    request.sendJson(200, mExecutions.toJson().put("held", mFaults.held()));
             case "POST /control/faults" -> {
                 mFaults.replace(request.json());
                 request.sendJson(200, Json.object());
--- a/standins/src/test/java/org/oleandertrack/standins/platform/PlatformFaultsTest.java
+++ b/standins/src/test/java/org/oleandertrack/standins/platform/PlatformFaultsTest.java
@@ -9,7 +9,6 @@
 import java.io.IOException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import org.junit.jupiter.api.AfterEach;
@@ -71,7 +70,7 @@
         faults("{\"mode\":\"down\",\"downAs\":\"hang\"}");
         CompletableFuture<HttpResponse<String>> write =
                 mProbe.postAsync("/table/write", writeBody("a", 0));
-        await().during(Duration.ofMillis(50)).until(() -> !write.isDone());
+        await().until(() -> mProbe.json("/control/stats").path("held").asInt() == 1);
 
         faults("{}");
 
