--- a/standins/src/test/java/org/oleandertrack/standins/platform/PlatformFaultsTest.java
+++ b/standins/src/test/java/org/oleandertrack/standins/platform/PlatformFaultsTest.java
@@ -7,8 +7,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import org.junit.jupiter.api.AfterEach;
@@ -78,6 +81,22 @@
         assertEquals(404, mProbe.get("/table/row?key=a").statusCode());
     }
 
+    /** Guards against a slow store that forgets a write because its client gave up. */
+    @Test
+    void delayedWriteTakesEffectAfterItsClientGaveUp() throws Exception {
+        faults("{\"delayMillis\":200}");
+        String body = writeBody("a", 0);
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), mPlatform.port())) {
+            String request =
+                    "POST /table/write HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s"
+                            .formatted(body.length(), body);
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        }
+
+        await().until(() -> mProbe.json("/control/stats").path("rowsWritten").asInt() == 1);
+        assertEquals(1, mProbe.json("/table/row?key=a").path("version").asInt());
+    }
+
     /** Guards against a fault that hits keys outside its prefix. */
     @Test
     void prefixRestrictsFaults() throws Exception {
