Refuse empty body parts and second response heads

Empty parts of a request body cost memory without counting towards the body limit, so they are malformed now. A second head, or one after a part, is ignored at the sender instead of reaching the listener.

--- a/protocol/src/main/java/org/oleandertrack/protocol/InboundCall.java
+++ b/protocol/src/main/java/org/oleandertrack/protocol/InboundCall.java
@@ -19,7 +19,7 @@
     /** Returns what the peer said of itself in the handshake. */
     Hello peer();
 
-    /** Sends status and headers, before any body. */
+    /** Sends status and headers, before any body; a later or second head is ignored. */
     void respondHead(ResponseHead head);
 
     /**
--- a/protocol/src/main/java/org/oleandertrack/protocol/ServerCall.java
+++ b/protocol/src/main/java/org/oleandertrack/protocol/ServerCall.java
@@ -16,6 +16,7 @@
 import org.oleandertrack.protocol.message.ResponseBody;
 import org.oleandertrack.protocol.message.ResponseEnd;
 import org.oleandertrack.protocol.message.ResponseHead;
+import org.tinylog.Logger;
 
 /** A call at the accepting end. Methods run on the I/O thread unless they say otherwise. */
 final class ServerCall implements InboundCall, BodySource {
@@ -33,6 +34,7 @@
     private long mCollectingBytes;
     private long mWindowBytes;
     private boolean mQueued;
+    private boolean mResponseBegun;
     private boolean mOver;
     private ResponseEnd mEnd;
 
@@ -88,6 +90,9 @@
         if (mCollectingBytes == 0) {
             throw malformed("has a body part after the last");
         }
+        if (part.getData().isEmpty()) {
+            throw malformed("has an empty body part");
+        }
         mBodyBytes += part.getData().size();
         mBodyParts.add(part.getData());
         if (mBodyBytes > mHead.getBodyBytes()) {
@@ -151,6 +156,11 @@
         if (mOver || mEnd != null) {
             return;
         }
+        if (mResponseBegun) {
+            Logger.error("call {}: a response head after the head or a part", mHead.getCallId());
+            return;
+        }
+        mResponseBegun = true;
         if (mConnection.fits(frame)) {
             mConnection.writeFrame(frame);
             return;
@@ -173,6 +183,7 @@
                     new ResultException(ResultCode.CANCELLED, "the call is over"));
             return;
         }
+        mResponseBegun = true;
         mParts.add(part);
         queue();
     }
--- a/protocol/src/test/java/org/oleandertrack/protocol/FrameTest.java
+++ b/protocol/src/test/java/org/oleandertrack/protocol/FrameTest.java
@@ -191,6 +191,7 @@
         assertEquals(malformed, rejectOf(RawPeer.call(1, 9), RawPeer.callBody(1, 8, true)));
         assertEquals(malformed, rejectOf(RawPeer.call(1, 9), RawPeer.callBody(1, 10, true)));
         assertEquals(malformed, rejectOf(RawPeer.call(1, 9), RawPeer.callBody(1, 9, false)));
+        assertEquals(malformed, rejectOf(RawPeer.call(1, 9), RawPeer.callBody(1, 0, false)));
         assertEquals(0, mDelivered.get());
     }
 
