Reduce what long calls lose to each other in the queue

Cause, from the count of suspensions: a long call was suspended about ten times, mostly by other long calls, and a quarter of the slots was kept free of long calls.

--- a/core/src/main/java/org/oleandertrack/core/queue/CallQueue.java
+++ b/core/src/main/java/org/oleandertrack/core/queue/CallQueue.java
@@ -14,10 +14,11 @@
  * The calls that wait for one target and the ones that run there.
  *
  * <p>Order: organisations in credit come before the others (see {@link FairShares}); among their
- * calls the lowest rank comes first, and within a rank the one that has waited longest. The rank is
- * the level of the program's attained service, less the number of levels for each step of operator
- * priority, less one for each aging time that the call has waited. As the rank falls without bound
- * while a call waits, no call waits for ever behind later ones.
+ * calls the lowest rank comes first, and within a rank the one that arrived first, so that of two
+ * long calls the one begun first ends first. The rank is the level of the program's attained
+ * service, less the number of levels for each step of operator priority, less one for each aging
+ * time that the call has waited. As the rank falls without bound while a call waits, no call waits
+ * for ever behind later ones.
  *
  * <p>Long calls are bounded: no call whose program is at or above the long level starts while the
  * bound of long calls run. A call whose length shows only while it runs can exceed the bound;
@@ -34,9 +35,8 @@
     // Weight of the newest call in the mean: about the last 50 calls count.
     private static final double MEAN_WEIGHT = 0.02;
 
-    private static final Comparator<Entry> BY_WAITING =
-            Comparator.<Entry>comparingLong(entry -> entry.mWaitingSinceNanos)
-                    .thenComparingLong(entry -> entry.mSequence);
+    private static final Comparator<Entry> BY_ARRIVAL =
+            Comparator.<Entry>comparingLong(entry -> entry.mSequence);
     private static final Comparator<Entry> BY_LATEST_START =
             Comparator.<Entry>comparingLong(entry -> entry.mCall.latestStartNanos())
                     .thenComparingLong(entry -> entry.mSequence);
@@ -134,7 +134,6 @@
         }
         dequeue(entry);
         mNotStarted.remove(entry);
-        entry.mGainedLevels = agedLevels(entry, nowNanos);
         entry.mStartedNanos = nowNanos;
         entry.mChargedNanos = (long) mMeanAttainedNanos;
         mShares.charge(entry.mCall.organisation(), entry.mChargedNanos);
@@ -155,15 +154,13 @@
             return Optional.empty();
         }
         Entry victim = null;
-        long victimRank = Long.MIN_VALUE;
         for (Entry entry : mRunning.values()) {
-            long rank = runningRank(entry, nowNanos);
-            if (isSuspendable(entry, nowNanos) && rank > victimRank) {
+            if (isSuspendable(entry, nowNanos)
+                    && (victim == null || isBetterVictim(entry, victim, nowNanos))) {
                 victim = entry;
-                victimRank = rank;
             }
         }
-        if (victim == null || !lowerRankWaits(victim, victimRank, nowNanos)) {
+        if (victim == null || !lowerRankWaits(victim, nowNanos)) {
             return Optional.empty();
         }
         mRunning.remove(victim.mCall.id());
@@ -287,7 +284,7 @@
         }
         long difference = waitingRank(candidate, nowNanos) - waitingRank(best, nowNanos);
         boolean lower =
-                difference < 0 || (difference == 0 && BY_WAITING.compare(candidate, best) < 0);
+                difference < 0 || (difference == 0 && BY_ARRIVAL.compare(candidate, best) < 0);
         return lower ? candidate : best;
     }
 
@@ -295,24 +292,31 @@
         return entry.mCall.resumable() && nowNanos - entry.mStartedNanos >= mConfig.minSliceNanos();
     }
 
+    // Among running calls of the same rank the one with the least service is stopped, so that the
+    // ones closest to their end keep running.
+    private boolean isBetterVictim(Entry entry, Entry victim, long nowNanos) {
+        long rank = runningRank(entry, nowNanos);
+        long victimRank = runningRank(victim, nowNanos);
+        return rank > victimRank
+                || (rank == victimRank
+                        && attainedNow(entry, nowNanos) < attainedNow(victim, nowNanos));
+    }
+
     // Compares without aging: aged calls take the slots that become free, and two long calls do not
     // keep displacing each other.
-    private boolean lowerRankWaits(Entry victim, long victimRank, long nowNanos) {
+    private boolean lowerRankWaits(Entry victim, long nowNanos) {
         int victimLong = levelNow(victim, nowNanos) >= mConfig.longLevel() ? 1 : 0;
         boolean longAllowed = runningLong(nowNanos) - victimLong < mConfig.maxRunningLong();
         Entry entry = select(nowNanos, longAllowed);
-        return entry != null && baseRank(entry.mCall, entry.mLevel) < victimRank;
+        return entry != null && baseRank(entry.mCall, entry.mLevel) < runningRank(victim, nowNanos);
     }
 
     private long waitingRank(Entry entry, long nowNanos) {
         return baseRank(entry.mCall, entry.mLevel) - agedLevels(entry, nowNanos);
     }
 
-    // A running call keeps the levels that it gained by waiting, so that it is not displaced at
-    // once
-    // by the calls that it had aged past.
     private long runningRank(Entry entry, long nowNanos) {
-        return baseRank(entry.mCall, levelNow(entry, nowNanos)) - entry.mGainedLevels;
+        return baseRank(entry.mCall, levelNow(entry, nowNanos));
     }
 
     private long baseRank(QueuedCall call, int level) {
@@ -324,7 +328,11 @@
     }
 
     private int levelNow(Entry entry, long nowNanos) {
-        return mConfig.levels().levelOf(entry.mAttainedNanos + nowNanos - entry.mStartedNanos);
+        return mConfig.levels().levelOf(attainedNow(entry, nowNanos));
+    }
+
+    private long attainedNow(Entry entry, long nowNanos) {
+        return entry.mAttainedNanos + nowNanos - entry.mStartedNanos;
     }
 
     private long retryAfterMillis() {
@@ -342,7 +350,6 @@
         private int mLevel;
         private long mWaitingSinceNanos;
         private long mStartedNanos = NEVER;
-        private long mGainedLevels;
         private long mChargedNanos;
 
         private Entry(QueuedCall call, long sequence) {
@@ -361,7 +368,7 @@
         private int mCount;
 
         private void add(Entry entry) {
-            mBuckets.computeIfAbsent(keyOf(entry), key -> new TreeSet<>(BY_WAITING)).add(entry);
+            mBuckets.computeIfAbsent(keyOf(entry), key -> new TreeSet<>(BY_ARRIVAL)).add(entry);
             mCount++;
         }
 
--- a/core/src/main/java/org/oleandertrack/core/queue/QueueConfig.java
+++ b/core/src/main/java/org/oleandertrack/core/queue/QueueConfig.java
@@ -49,16 +49,20 @@
         }
     }
 
-    /** Returns the defaults for a target that runs the given number of calls at a time. */
+    /**
+     * Returns the defaults for a target that runs the given number of calls at a time. The rows of
+     * docs/MEASURES.md show what other values cost: with more levels calls of similar length keep
+     * displacing each other, and with a lower bound of long calls slots stay idle.
+     */
     public static QueueConfig forSlots(int maxRunning) {
         return new QueueConfig(
                 1_000,
                 1_000,
                 maxRunning,
-                Math.max(1, maxRunning * 3 / 4),
+                Math.max(1, maxRunning - 1),
                 2,
-                new ServiceLevels(SECOND, 6),
-                20 * SECOND,
+                new ServiceLevels(SECOND, 3),
+                120 * SECOND,
                 10 * SECOND,
                 250 * MILLISECOND);
     }
