Add durable programs with turn history, budget grants and adoption

Cause: a holder can die, pause or lose a reply at any moment, and a program must keep its turn order, its history and its budget across holders.

ProgramStore creates and adopts; ProgramSession reserves, commits turns and ends programs. Writes of one session follow each other, because sub-agents share the root's row.

Ruled out: - a renewed grant below what is left of the present one: runs reserve from it while the commit is under way - counting a grant as spent when an adoption is retried: no run was dispatched under it; the write ids of unconfirmed openings are remembered - remembering them from the start of an opening: two openings at once would then share one grant - one condition for sub-agent row and root row: each half alone is safe, because the next holder counts the root's grant as spent

Before: no programs.

The virtual clock now collects failures of callbacks, whose assertions ended in futures that nobody read.

--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/program/ProgramRow.java
@@ -0,0 +1,150 @@
+package org.oleandertrack.coordination.program;
+
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import org.oleandertrack.coordination.commit.RecordLocation;
+import org.oleandertrack.core.budget.BudgetAccount;
+import org.oleandertrack.core.program.HistoryDigest;
+
+/**
+ * Value of the row {@code program/{organisation}/{program}}. Immutable.
+ *
+ * @param programClass class of the program
+ * @param headTurn last committed turn, 0 if there is none
+ * @param headDigest digest of the history up to that turn
+ * @param headRequestDigest digest of that turn's request body
+ * @param budgetTokens budget; 0 in the row of a sub-agent, whose root carries it
+ * @param spentTokens tokens settled or counted as spent
+ * @param grantTokens tokens granted to the holder and not settled
+ * @param fence fencing number of the holder that wrote the row
+ * @param ended whether the program has ended
+ * @param batch key of the batch object with the head's record; empty without a turn
+ * @param offset first byte of the record
+ * @param length bytes of the record
+ * @param createdMillis time of creation, in milliseconds since 1970
+ * @param writeId id of the write
+ */
+public record ProgramRow(
+        @JsonProperty("c") String programClass,
+        @JsonProperty("t") long headTurn,
+        @JsonProperty("d") String headDigest,
+        @JsonProperty("r") String headRequestDigest,
+        @JsonProperty("b") long budgetTokens,
+        @JsonProperty("s") long spentTokens,
+        @JsonProperty("g") long grantTokens,
+        @JsonProperty("f") long fence,
+        @JsonProperty("e") boolean ended,
+        @JsonProperty("k") String batch,
+        @JsonProperty("o") int offset,
+        @JsonProperty("l") int length,
+        @JsonProperty("m") long createdMillis,
+        @JsonProperty("w") String writeId) {
+
+    static ProgramRow create(
+            String programClass,
+            BudgetAccount account,
+            long fence,
+            long createdMillis,
+            String writeId) {
+        return new ProgramRow(
+                programClass,
+                0,
+                HistoryDigest.EMPTY,
+                "",
+                account.budgetTokens(),
+                account.spentTokens(),
+                account.grantTokens(),
+                fence,
+                false,
+                "",
+                0,
+                0,
+                createdMillis,
+                writeId);
+    }
+
+    /** Returns the budget part of the row. */
+    @JsonIgnore
+    public BudgetAccount account() {
+        return new BudgetAccount(budgetTokens, spentTokens, grantTokens);
+    }
+
+    /** Returns where the head's record is stored. */
+    @JsonIgnore
+    public RecordLocation location() {
+        return new RecordLocation(batch, offset, length);
+    }
+
+    ProgramRow withAccount(BudgetAccount account, String id) {
+        return new ProgramRow(
+                programClass,
+                headTurn,
+                headDigest,
+                headRequestDigest,
+                account.budgetTokens(),
+                account.spentTokens(),
+                account.grantTokens(),
+                fence,
+                ended,
+                batch,
+                offset,
+                length,
+                createdMillis,
+                id);
+    }
+
+    ProgramRow withFence(long newFence, String id) {
+        return new ProgramRow(
+                programClass,
+                headTurn,
+                headDigest,
+                headRequestDigest,
+                budgetTokens,
+                spentTokens,
+                grantTokens,
+                newFence,
+                ended,
+                batch,
+                offset,
+                length,
+                createdMillis,
+                id);
+    }
+
+    ProgramRow withEnded(String id) {
+        return new ProgramRow(
+                programClass,
+                headTurn,
+                headDigest,
+                headRequestDigest,
+                budgetTokens,
+                spentTokens,
+                grantTokens,
+                fence,
+                true,
+                batch,
+                offset,
+                length,
+                createdMillis,
+                id);
+    }
+
+    ProgramRow withHead(
+            long turn, String digest, String requestDigest, RecordLocation at, String id) {
+        return new ProgramRow(
+                programClass,
+                turn,
+                digest,
+                requestDigest,
+                budgetTokens,
+                spentTokens,
+                grantTokens,
+                fence,
+                ended,
+                at.batch(),
+                at.offset(),
+                at.length(),
+                createdMillis,
+                id);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/program/ProgramStore.java
@@ -0,0 +1,244 @@
+package org.oleandertrack.coordination.program;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import org.oleandertrack.coordination.commit.CommitResult;
+import org.oleandertrack.coordination.commit.GroupCommit;
+import org.oleandertrack.coordination.commit.RecordLocation;
+import org.oleandertrack.coordination.store.ConditionalWrite;
+import org.oleandertrack.coordination.store.ObjectStore;
+import org.oleandertrack.coordination.store.Row;
+import org.oleandertrack.coordination.store.RowJson;
+import org.oleandertrack.coordination.store.StoreException;
+import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.coordination.store.TableStore;
+import org.oleandertrack.coordination.store.WriteIds;
+import org.oleandertrack.coordination.store.WriteOutcome;
+import org.oleandertrack.core.budget.BudgetAccount;
+import org.oleandertrack.core.program.HistoryDigest;
+import org.oleandertrack.core.result.Execution;
+
+/**
+ * Creates, adopts and reads programs. The caller holds the program's shard and passes its fencing
+ * number. Futures fail with {@link StoreException}. Thread safe.
+ */
+public final class ProgramStore {
+
+    // An adoption races with at most one commit of the former holder for each turn under way.
+    private static final int ADOPTION_ATTEMPTS = 4;
+    private static final int MAX_UNSETTLED_OPENINGS = 4_096;
+
+    private final TableStore mTable;
+    private final ObjectStore mObjects;
+    private final GroupCommit mCommit;
+    private final WriteIds mWriteIds;
+    private final long mGrantTokens;
+
+    private final Object mLock = new Object();
+
+    /**
+     * Write ids, by row, of openings that were not confirmed. No run has been dispatched under
+     * their grants, so a grant found with such an id is not lost. When the map is full the oldest
+     * is forgotten, and its grant then counts as spent.
+     */
+    private final Map<String, Set<String>> mUnsettledOpenings =
+            new LinkedHashMap<>() {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, Set<String>> eldest) {
+                    return size() > MAX_UNSETTLED_OPENINGS;
+                }
+            };
+
+    /**
+     * Creates a store of programs.
+     *
+     * @param grantTokens size of a grant beyond the reservations under way; a larger one costs
+     *     fewer writes and puts more budget out of use after a crash
+     */
+    public ProgramStore(
+            TableStore table,
+            ObjectStore objects,
+            GroupCommit commit,
+            RandomGenerator random,
+            long grantTokens) {
+        mTable = table;
+        mObjects = objects;
+        mCommit = commit;
+        mWriteIds = new WriteIds(random);
+        mGrantTokens = grantTokens;
+    }
+
+    // Operations.
+
+    /**
+     * Creates a root program together with its first grant.
+     *
+     * @param createdMillis time of creation, in milliseconds since 1970
+     * @param deadlineNanos reading of the nano clock at which the attempt ends
+     */
+    public CompletableFuture<OpenOutcome> create(
+            ProgramKey key,
+            String programClass,
+            long budgetTokens,
+            long createdMillis,
+            long fence,
+            long deadlineNanos) {
+        requireRoot(key);
+        BudgetAccount account = BudgetAccount.open(budgetTokens, mGrantTokens);
+        ProgramRow row =
+                ProgramRow.create(programClass, account, fence, createdMillis, mWriteIds.next());
+        return open(key, 0, row, deadlineNanos)
+                .thenApply(opened -> opened.orElseGet(OpenOutcome.Exists::new));
+    }
+
+    /**
+     * Takes a root program over: rewrites its row with this holder's fencing number, so that no
+     * commit of the former holder can follow. An open grant of the former holder counts as spent.
+     *
+     * @param deadlineNanos reading of the nano clock at which the attempt ends
+     */
+    public CompletableFuture<OpenOutcome> adopt(ProgramKey key, long fence, long deadlineNanos) {
+        requireRoot(key);
+        return adopt(key, fence, deadlineNanos, ADOPTION_ATTEMPTS);
+    }
+
+    /** Reads a program's row as it is in the store; another holder may write it at any time. */
+    public CompletableFuture<Optional<ProgramRow>> find(ProgramKey key) {
+        return mTable.get(key.rowKey())
+                .thenApply(row -> row.map(found -> RowJson.decode(found, ProgramRow.class)));
+    }
+
+    /**
+     * Reads the record of a program's last committed turn.
+     *
+     * @return empty without a committed turn or if the batch object is gone
+     * @throws IllegalStateException through the future, if the record does not match the digest
+     */
+    public CompletableFuture<Optional<TurnRecord>> readTurn(ProgramRow row) {
+        return readTurn(row.location(), row.headDigest());
+    }
+
+    /** Reads the record at a location and compares its digest. */
+    public CompletableFuture<Optional<TurnRecord>> readTurn(
+            RecordLocation at, String expectedDigest) {
+        if (at.batch().isEmpty()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        return mObjects.get(at.batch())
+                .thenApply(object -> object.map(data -> verified(data, at, expectedDigest)));
+    }
+
+    // Helpers.
+
+    private CompletableFuture<OpenOutcome> adopt(
+            ProgramKey key, long fence, long deadlineNanos, int attempts) {
+        if (attempts == 0) {
+            return CompletableFuture.failedFuture(
+                    new StoreException(
+                            Execution.NOT_RUN, key.rowKey() + " changes too often", null));
+        }
+        return StoreFailures.asNotRun(mTable.get(key.rowKey()))
+                .thenCompose(
+                        found -> {
+                            if (found.isEmpty()) {
+                                return CompletableFuture.completedFuture(new OpenOutcome.Missing());
+                            }
+                            Row row = found.get();
+                            ProgramRow current = RowJson.decode(row, ProgramRow.class);
+                            if (current.fence() > fence) {
+                                return CompletableFuture.completedFuture(
+                                        new OpenOutcome.Fenced(current.fence()));
+                            }
+                            ProgramRow adopted = adopted(key, current, fence);
+                            return open(key, row.version(), adopted, deadlineNanos)
+                                    .thenCompose(
+                                            opened ->
+                                                    opened.map(CompletableFuture::completedFuture)
+                                                            .orElseGet(
+                                                                    () ->
+                                                                            adopt(
+                                                                                    key,
+                                                                                    fence,
+                                                                                    deadlineNanos,
+                                                                                    attempts - 1)));
+                        });
+    }
+
+    private ProgramRow adopted(ProgramKey key, ProgramRow current, long fence) {
+        boolean untouched;
+        synchronized (mLock) {
+            untouched =
+                    mUnsettledOpenings
+                            .getOrDefault(key.rowKey(), Set.of())
+                            .contains(current.writeId());
+        }
+        BudgetAccount account =
+                untouched
+                        ? current.account().withGrant(mGrantTokens)
+                        : current.account().takenOver(mGrantTokens);
+        String id = mWriteIds.next();
+        return current.withFence(fence, id).withAccount(account, id);
+    }
+
+    /** Writes a row that opens a session; empty if the row's version has changed. */
+    private CompletableFuture<Optional<OpenOutcome>> open(
+            ProgramKey key, long version, ProgramRow row, long deadlineNanos) {
+        ConditionalWrite write =
+                new ConditionalWrite(key.rowKey(), version, Optional.of(RowJson.encode(row)));
+        return mCommit.submit(List.of(write), deadlineNanos)
+                .whenComplete((result, failure) -> noteOpening(key, row, result, failure))
+                .thenApply(
+                        result ->
+                                result.outcomes().getFirst() instanceof WriteOutcome.Applied applied
+                                        ? Optional.of(
+                                                new OpenOutcome.Opened(
+                                                        session(key, row, applied.version())))
+                                        : Optional.empty());
+    }
+
+    // A conflict may be caused by an earlier opening, so it does not clear what is remembered.
+    private void noteOpening(
+            ProgramKey key, ProgramRow row, CommitResult result, Throwable failure) {
+        synchronized (mLock) {
+            if (failure != null && StoreFailures.executionOf(failure) != Execution.NOT_RUN) {
+                mUnsettledOpenings
+                        .computeIfAbsent(key.rowKey(), absent -> new HashSet<>())
+                        .add(row.writeId());
+            } else if (failure == null
+                    && result.outcomes().getFirst() instanceof WriteOutcome.Applied) {
+                mUnsettledOpenings.remove(key.rowKey());
+            }
+        }
+    }
+
+    private ProgramSession session(ProgramKey key, ProgramRow row, long version) {
+        return new ProgramSession(key, row, version, mTable, mCommit, mWriteIds, mGrantTokens);
+    }
+
+    static TurnRecord verified(byte[] data, RecordLocation at, String expectedDigest) {
+        byte[] bytes = Arrays.copyOfRange(data, at.offset(), at.offset() + at.length());
+        TurnRecord record =
+                RowJson.decode(
+                        at.toString(), new String(bytes, StandardCharsets.UTF_8), TurnRecord.class);
+        if (!HistoryDigest.next(record.predecessorDigest(), bytes).equals(expectedDigest)) {
+            throw new IllegalStateException("record does not match its digest: " + at);
+        }
+        return record;
+    }
+
+    private static void requireRoot(ProgramKey key) {
+        if (!key.isRoot()) {
+            throw new IllegalArgumentException(key + " is not a root program");
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/program/package-info.java
@@ -0,0 +1,2 @@
+/** Durable programs: head, history and budget. */
+package org.oleandertrack.coordination.program;
--- a/coordination/src/main/java/org/oleandertrack/coordination/store/StoreFailures.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/store/StoreFailures.java
@@ -1,5 +1,6 @@
 package org.oleandertrack.coordination.store;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.oleandertrack.core.result.Execution;
 
@@ -26,6 +27,17 @@
         return new StoreException(Execution.UNKNOWN, "store request failed: " + cause, cause);
     }
 
+    /** Returns a read whose failure says that the operation that needed it was not run. */
+    public static <T> CompletableFuture<T> asNotRun(CompletableFuture<T> read) {
+        return read.exceptionallyCompose(
+                failure ->
+                        CompletableFuture.failedFuture(
+                                new StoreException(
+                                        Execution.NOT_RUN,
+                                        "store read failed: " + unwrap(failure).getMessage(),
+                                        unwrap(failure))));
+    }
+
     private static Throwable unwrap(Throwable failure) {
         Throwable cause = failure;
         while (cause instanceof CompletionException && cause.getCause() != null) {
--- a/coordination/src/test/java/org/oleandertrack/coordination/lease/Cluster.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/lease/Cluster.java
@@ -63,12 +63,12 @@
 
         @Override
         public void onAcquired(int shard, long fence) {
-            assertTrue(mAnnounced.put(shard, fence) == null, "acquired twice: shard " + shard);
+            mTime.expect(mAnnounced.put(shard, fence) == null, "acquired twice: shard " + shard);
         }
 
         @Override
         public void onLost(int shard) {
-            assertTrue(mAnnounced.remove(shard) != null, "lost twice: shard " + shard);
+            mTime.expect(mAnnounced.remove(shard) != null, "lost twice: shard " + shard);
         }
 
         @Override
--- /dev/null
+++ b/coordination/src/test/java/org/oleandertrack/coordination/program/ProgramFaultTest.java
@@ -0,0 +1,251 @@
+package org.oleandertrack.coordination.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.oleandertrack.coordination.commit.GroupCommit;
+import org.oleandertrack.coordination.commit.GroupCommitLimits;
+import org.oleandertrack.coordination.commit.RecordLocation;
+import org.oleandertrack.coordination.sim.FakeStore;
+import org.oleandertrack.coordination.sim.FaultInjector;
+import org.oleandertrack.coordination.sim.SeededRuns;
+import org.oleandertrack.coordination.sim.VirtualNode;
+import org.oleandertrack.coordination.sim.VirtualTime;
+import org.oleandertrack.coordination.store.Row;
+import org.oleandertrack.coordination.store.RowJson;
+import org.oleandertrack.coordination.store.TimeLimitedTableStore;
+import org.oleandertrack.core.program.HistoryDigest;
+
+final class ProgramFaultTest {
+
+    private static final int SCHEDULES_PER_TRY = 500;
+    private static final long GRANT_TOKENS = 300;
+    private static final long MAX_RUN_TOKENS = 400;
+
+    /**
+     * Guards against overspent budgets, grants that are lost without a run under them, and turns
+     * that are lost, repeated, reordered or mixed between programs, while holders overlap.
+     */
+    @Property(tries = 20, shrinking = ShrinkingMode.OFF)
+    void budgetAndHistoryHoldUnderFaults(@ForAll long seed) {
+        SeededRuns.run(seed, SCHEDULES_PER_TRY, drawn -> new Schedule(drawn).run());
+    }
+
+    private static final class Schedule {
+        private final VirtualTime mTime;
+        private final FakeStore mStore;
+        private final Random mRandom;
+        private final long mBudget;
+        private final List<Holder> mHolders = new ArrayList<>();
+        private final Map<String, String> mAcknowledged = new HashMap<>();
+        private long mTrueSpent;
+        private int mGrantsAtRisk;
+
+        Schedule(long seed) {
+            mTime = new VirtualTime(seed);
+            mStore = new FakeStore(mTime);
+            mRandom = mTime.random();
+            mBudget = mRandom.nextLong(1_000, 20_000);
+            mTime.afterEach(() -> assertTrue(mTrueSpent <= mBudget, mTrueSpent + " of " + mBudget));
+        }
+
+        void run() {
+            Holder first = new Holder(1);
+            FaultInjector faults =
+                    new FaultInjector(
+                            mTime,
+                            mStore,
+                            () ->
+                                    mHolders.stream()
+                                            .map(
+                                                    h ->
+                                                            new FaultInjector.SimProcess(
+                                                                    h.mNode, h.mView))
+                                            .toList());
+            first.open();
+            faults.start();
+            int takeovers = mRandom.nextInt(4);
+            for (int i = 0; i < takeovers; i++) {
+                mTime.runFor(mRandom.nextLong(5 * VirtualTime.SECOND));
+                // The former holder goes on, as if its lease had not ended yet.
+                new Holder(i + 2).open();
+            }
+            mTime.runFor(mRandom.nextLong(5 * VirtualTime.SECOND));
+            faults.end();
+            mTime.runFor(5 * VirtualTime.SECOND);
+            mHolders.forEach(holder -> holder.mNode.kill());
+            check();
+        }
+
+        private void check() {
+            Map<String, String> committed = new HashMap<>();
+            for (Row row : mStore.rows(ProgramKey.PREFIX)) {
+                ProgramRow program = RowJson.decode(row, ProgramRow.class);
+                assertTrue(program.spentTokens() + program.grantTokens() <= mBudget);
+                String id = row.key().substring((ProgramKey.PREFIX + "o/").length());
+                walk(id, program, committed);
+                if (id.equals("p")) {
+                    long bound = mTrueSpent + mGrantsAtRisk * (GRANT_TOKENS + 2 * MAX_RUN_TOKENS);
+                    assertTrue(program.spentTokens() <= bound, "grants lost twice");
+                    assertTrue(
+                            mTrueSpent <= program.spentTokens() + program.grantTokens(),
+                            "spending forgotten");
+                }
+            }
+            mAcknowledged.forEach((turn, answer) -> assertEquals(answer, committed.get(turn)));
+        }
+
+        /** Reads the history from the head back to the first turn. */
+        private void walk(String id, ProgramRow program, Map<String, String> committed) {
+            RecordLocation at = program.location();
+            String digest = program.headDigest();
+            for (long turn = program.headTurn(); turn > 0; turn--) {
+                TurnRecord record = read(at, digest);
+                assertEquals(turn, record.turn());
+                assertEquals(id, record.program());
+                committed.put(id + "#" + turn, record.answer());
+                at = record.predecessor();
+                digest = record.predecessorDigest();
+            }
+            assertEquals(HistoryDigest.EMPTY, digest);
+        }
+
+        private TurnRecord read(RecordLocation at, String digest) {
+            byte[] object = mStore.object(at.batch()).orElseThrow();
+            return ProgramStore.verified(object, at, digest);
+        }
+
+        /** A process that believes to hold the program's shard. */
+        private final class Holder {
+            private final VirtualNode mNode = new VirtualNode(mTime);
+            private final FakeStore.View mView = mStore.view(mNode);
+            private final ProgramStore mPrograms;
+            private final long mFence;
+
+            Holder(long fence) {
+                mFence = fence;
+                TimeLimitedTableStore table =
+                        new TimeLimitedTableStore(mView, mNode, 3 * VirtualTime.SECOND);
+                GroupCommit commit =
+                        new GroupCommit(
+                                table,
+                                mView.objects(),
+                                mNode,
+                                mNode::nanos,
+                                mNode.random(),
+                                GroupCommitLimits.defaults(),
+                                "turns/" + fence + "-");
+                commit.start();
+                mPrograms =
+                        new ProgramStore(
+                                table, mView.objects(), commit, mNode.random(), GRANT_TOKENS);
+                mHolders.add(this);
+                // A holder that is replaced while its opening is unsettled puts one grant at risk.
+                mGrantsAtRisk++;
+            }
+
+            void open() {
+                ProgramKey key = new ProgramKey("o", "p");
+                var _ =
+                        mPrograms
+                                .adopt(key, mFence, deadline())
+                                .thenCompose(
+                                        outcome ->
+                                                outcome instanceof OpenOutcome.Missing
+                                                        ? mPrograms.create(
+                                                                key,
+                                                                "c",
+                                                                mBudget,
+                                                                1,
+                                                                mFence,
+                                                                deadline())
+                                                        : CompletableFuture.completedFuture(
+                                                                outcome))
+                                .whenComplete((outcome, failure) -> onOpened(outcome));
+            }
+
+            private void onOpened(OpenOutcome outcome) {
+                if (outcome instanceof OpenOutcome.Opened opened) {
+                    mGrantsAtRisk++;
+                    runTurn(opened.session(), "p");
+                    var _ =
+                            opened.session()
+                                    .openChild(new ProgramKey("o", "p/s"), "c", 1, deadline())
+                                    .whenComplete(
+                                            (child, failure) -> {
+                                                if (child instanceof ProgramOutcome.Written) {
+                                                    runTurn(opened.session(), "p/s");
+                                                }
+                                            });
+                } else if (!(outcome instanceof OpenOutcome.Fenced)) {
+                    var _ = mNode.schedule(pause(), this::open);
+                }
+            }
+
+            private void runTurn(ProgramSession session, String id) {
+                long worst = 1 + mRandom.nextLong(MAX_RUN_TOKENS);
+                Optional<ProgramSession.Reservation> reservation = session.reserve(worst);
+                if (reservation.isPresent()) {
+                    long used = mRandom.nextLong(worst + 1);
+                    mTrueSpent += used;
+                    var _ =
+                            mNode.schedule(
+                                    pause(), () -> finish(session, id, reservation.get(), used));
+                } else {
+                    var _ =
+                            session.extendGrant(worst, deadline())
+                                    .whenComplete((outcome, failure) -> onExtended(session, id));
+                }
+            }
+
+            private void onExtended(ProgramSession session, String id) {
+                if (session.isUsable()) {
+                    var _ = mNode.schedule(pause(), () -> runTurn(session, id));
+                } else if (id.equals("p")) {
+                    var _ = mNode.schedule(pause(), this::open);
+                }
+            }
+
+            private void finish(
+                    ProgramSession session,
+                    String id,
+                    ProgramSession.Reservation reservation,
+                    long used) {
+                session.settle(reservation, used);
+                long turn = session.row(id).orElseThrow().headTurn() + 1;
+                String answer = "answer " + mRandom.nextLong();
+                var _ =
+                        session.commitTurn(
+                                        new TurnCommit(id, turn, "r", "q", answer, false),
+                                        deadline())
+                                .whenComplete(
+                                        (outcome, failure) -> {
+                                            if (outcome instanceof ProgramOutcome.Written) {
+                                                String before =
+                                                        mAcknowledged.put(id + "#" + turn, answer);
+                                                mTime.expect(before == null, "committed twice");
+                                            }
+                                            onExtended(session, id);
+                                        });
+            }
+
+            private long deadline() {
+                return mNode.nanos() + 1 + mRandom.nextLong(4 * VirtualTime.SECOND);
+            }
+
+            private long pause() {
+                return mRandom.nextLong(300 * VirtualTime.MILLI);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/oleandertrack/coordination/program/ProgramStoreTest.java
@@ -0,0 +1,205 @@
+package org.oleandertrack.coordination.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.junit.jupiter.api.Test;
+import org.oleandertrack.coordination.commit.GroupCommit;
+import org.oleandertrack.coordination.commit.GroupCommitLimits;
+import org.oleandertrack.coordination.sim.FakeStore;
+import org.oleandertrack.coordination.sim.VirtualNode;
+import org.oleandertrack.coordination.sim.VirtualTime;
+import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.core.result.Execution;
+
+final class ProgramStoreTest {
+
+    private static final ProgramKey KEY = new ProgramKey("o", "p");
+    private static final long GRANT_TOKENS = 100;
+
+    private VirtualTime mTime;
+    private FakeStore mStore;
+    private VirtualNode mNode;
+    private ProgramStore mPrograms;
+
+    ProgramStoreTest() {
+        start(1);
+    }
+
+    private void start(long seed) {
+        mTime = new VirtualTime(seed);
+        mStore = new FakeStore(mTime);
+        mNode = new VirtualNode(mTime);
+        mPrograms = programs("turns/a-");
+    }
+
+    private ProgramStore programs(String batchPrefix) {
+        FakeStore.View view = mStore.view(mNode);
+        GroupCommit commit =
+                new GroupCommit(
+                        view,
+                        view.objects(),
+                        mNode,
+                        mNode::nanos,
+                        mNode.random(),
+                        GroupCommitLimits.defaults(),
+                        batchPrefix);
+        commit.start();
+        return new ProgramStore(view, view.objects(), commit, mNode.random(), GRANT_TOKENS);
+    }
+
+    /** Guards against losing a grant with every retry of an adoption whose reply was lost. */
+    @Test
+    void unconfirmedAdoptionsLoseOneGrant() {
+        create();
+        ProgramStore next = programs("turns/b-");
+        mStore.setLostReplies(1);
+        for (int i = 0; i < 5; i++) {
+            var adoption = next.adopt(KEY, 2, mNode.nanos() + 41 * VirtualTime.MILLI);
+            mTime.runFor(VirtualTime.SECOND);
+            assertTrue(adoption.isCompletedExceptionally());
+        }
+        mStore.healFaults();
+        ProgramRow row = session(next.adopt(KEY, 2, deadline())).row("p").orElseThrow();
+        assertEquals(GRANT_TOKENS, row.spentTokens());
+    }
+
+    /** Guards against losing a grant to an adoption that takes effect after its deadline. */
+    @Test
+    void lateAdoptionLosesOneGrant() {
+        int overtaken = 0;
+        for (int seed = 0; seed < 300; seed++) {
+            start(seed);
+            create();
+            ProgramStore next = programs("turns/b-");
+            mStore.setLateWrites(1);
+            var first = next.adopt(KEY, 2, mNode.nanos() + 45 * VirtualTime.MILLI);
+            mTime.runFor(46 * VirtualTime.MILLI);
+            assertTrue(first.isDone());
+            mStore.healFaults();
+            overtaken += mStore.row(KEY.rowKey()).orElseThrow().version() == 1 ? 1 : 0;
+            ProgramSession session = session(next.adopt(KEY, 2, deadline()));
+            // A first adoption that was confirmed in time had a grant of its own to lose.
+            long lostGrants = first.isCompletedExceptionally() ? 1 : 2;
+            assertEquals(lostGrants * GRANT_TOKENS, session.row("p").orElseThrow().spentTokens());
+        }
+        assertNotEquals(0, overtaken);
+    }
+
+    /** Guards against a wrong answer, or one of another turn, as the replay of the last turn. */
+    @Test
+    void lastAnswerIsReadBackAndCheckedAgainstItsDigest() {
+        ProgramSession session = create();
+        ProgramRow first = commit(session, "p", 1, "one");
+        ProgramRow second = commit(session, "p", 2, "two");
+        assertEquals("two", await(mPrograms.readTurn(second)).orElseThrow().answer());
+        assertEquals("one", await(mPrograms.readTurn(first)).orElseThrow().answer());
+        CompletableFuture<Optional<TurnRecord>> mixed =
+                mPrograms.readTurn(first.location(), second.headDigest());
+        mTime.runFor(VirtualTime.SECOND);
+        assertInstanceOf(
+                IllegalStateException.class,
+                assertThrows(CompletionException.class, mixed::join).getCause());
+    }
+
+    /** Guards against forgetting what a withheld turn used, and against losing its session. */
+    @Test
+    void turnThatWasNotCommittedStaysSpent() {
+        ProgramSession session = create();
+        ProgramSession.Reservation reservation = session.reserve(60).orElseThrow();
+        session.settle(reservation, 50);
+        mStore.setDown(true);
+        var late = session.commitTurn(turn("p", 1, "lost"), mNode.nanos());
+        mTime.runFor(VirtualTime.SECOND);
+        mStore.healFaults();
+        assertEquals(Execution.NOT_RUN, StoreFailures.executionOf(late.exceptionNow()));
+        assertTrue(session.isUsable());
+        assertTrue(session.reserve(51).isEmpty());
+        assertEquals(50, commit(session, "p", 1, "kept").spentTokens());
+    }
+
+    /** Guards against work on a program whose state in the store is not known. */
+    @Test
+    void unknownOutcomeEndsTheSession() {
+        ProgramSession session = create();
+        mStore.setLostReplies(1);
+        var unknown = session.extendGrant(200, deadline());
+        mTime.runFor(20 * VirtualTime.MILLI);
+        mStore.setDown(true);
+        mTime.runFor(2 * VirtualTime.SECOND);
+        assertEquals(Execution.UNKNOWN, StoreFailures.executionOf(unknown.exceptionNow()));
+        assertFalse(session.isUsable());
+        assertTrue(session.reserve(1).isEmpty());
+    }
+
+    /** Guards against a sub-agent that spends beside its root's budget or outlives an adoption. */
+    @Test
+    void subAgentSharesBudgetAndOwnership() {
+        ProgramSession session = create();
+        ProgramKey child = new ProgramKey("o", "p/s");
+        await(session.openChild(child, "c", 1, deadline()));
+        session.settle(session.reserve(40).orElseThrow(), 40);
+        commit(session, "p/s", 1, "child");
+        assertEquals(40, session.row("p").orElseThrow().spentTokens());
+        session(programs("turns/b-").adopt(KEY, 2, deadline()));
+        var outcome = session.commitTurn(turn("p", 1, "root"), deadline());
+        mTime.runFor(VirtualTime.SECOND);
+        assertEquals(new ProgramOutcome.OwnershipLost(), outcome.join());
+        assertFalse(session.isUsable());
+    }
+
+    /** Guards against a holder that takes a program back with an old fencing number. */
+    @Test
+    void lowerFenceCannotAdopt() {
+        create();
+        session(mPrograms.adopt(KEY, 5, deadline()));
+        assertEquals(new OpenOutcome.Fenced(5), await(mPrograms.adopt(KEY, 4, deadline())));
+    }
+
+    /** Guards against turns after the end, and against two programs with one row. */
+    @Test
+    void endedProgramTakesNoTurn() {
+        ProgramSession session = create();
+        await(session.end("p", deadline()));
+        var refused = session.commitTurn(turn("p", 1, "a"), deadline());
+        mTime.runFor(VirtualTime.SECOND);
+        assertEquals(Execution.NOT_RUN, StoreFailures.executionOf(refused.exceptionNow()));
+        assertNotEquals(new ProgramKey("a/b", "c").rowKey(), new ProgramKey("a", "b/c").rowKey());
+    }
+
+    private ProgramSession create() {
+        return session(mPrograms.create(KEY, "c", 10_000, 1, 1, deadline()));
+    }
+
+    private ProgramRow commit(ProgramSession session, String program, long turn, String answer) {
+        return assertInstanceOf(
+                        ProgramOutcome.Written.class,
+                        await(session.commitTurn(turn(program, turn, answer), deadline())))
+                .row();
+    }
+
+    private ProgramSession session(CompletableFuture<OpenOutcome> opening) {
+        return assertInstanceOf(OpenOutcome.Opened.class, await(opening)).session();
+    }
+
+    private <T> T await(CompletableFuture<T> future) {
+        mTime.runFor(VirtualTime.SECOND);
+        assertTrue(future.isDone());
+        return future.join();
+    }
+
+    private long deadline() {
+        return mNode.nanos() + VirtualTime.SECOND;
+    }
+
+    private static TurnCommit turn(String program, long turn, String answer) {
+        return new TurnCommit(program, turn, "digest", "request", answer, false);
+    }
+}
--- a/coordination/src/test/java/org/oleandertrack/coordination/sim/VirtualTime.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/sim/VirtualTime.java
@@ -37,6 +37,7 @@
     private final PriorityQueue<Event> mEvents = new PriorityQueue<>();
     private final Random mRandom;
     private Runnable mAfterEach = () -> {};
+    private String mFailure = "";
     private long mNowNanos;
 
     public VirtualTime(long seed) {
@@ -56,6 +57,13 @@
         mAfterEach = check;
     }
 
+    /** Records a failure in a callback, whose own exceptions end in a future nobody reads. */
+    public void expect(boolean condition, String message) {
+        if (!condition && mFailure.isEmpty()) {
+            mFailure = message;
+        }
+    }
+
     @Override
     public Timer schedule(long delayNanos, Runnable task) {
         Event event = new Event(mNowNanos + Math.max(0, delayNanos), mRandom.nextInt(), task);
@@ -71,6 +79,9 @@
             if (!event.mCancelled) {
                 event.mTask.run();
                 mAfterEach.run();
+                if (!mFailure.isEmpty()) {
+                    throw new AssertionError(mFailure);
+                }
             }
         }
         mNowNanos = end;
