Run turns of programs with durable history, budget and leased shards

An entry host claims shards under its member lease, passes calls of other shards on to their holder, adopts a program before its first turn, reserves the worst case from a durable grant and releases the end of an answer after the turn is committed. Operators' queries are answered at /ctl for the whole region. Calls that may not be repeated are refused until their intents are wired; the configuration is local to each process until its log is wired.

--- a/server/src/main/java/org/oleandertrack/server/entry/CallLimiter.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/CallLimiter.java
@@ -66,6 +66,10 @@
 
     // Accessors
 
+    synchronized boolean isClosed() {
+        return mClosed;
+    }
+
     synchronized int calls() {
         return mCalls;
     }
--- a/server/src/main/java/org/oleandertrack/server/entry/CallRouter.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/CallRouter.java
@@ -69,7 +69,7 @@
                         .setReceiverIncarnation(connection.peer().getIncarnation())
                         .setStartDeadlineReceiverNanos(connection.toPeerNanos(deadlineNanos))
                         .build();
-        mForwarder.run(connection, head, request, sink);
+        mForwarder.run(connection, head, request.body(), request.timeoutMillis(), sink);
     }
 
     private static ResultException refusal(ResultCode code, String message) {
--- a/server/src/main/java/org/oleandertrack/server/entry/CallerRequest.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/CallerRequest.java
@@ -56,9 +56,4 @@
         int slash = program.indexOf('/');
         return slash < 0 ? program : program.substring(0, slash);
     }
-
-    /** Returns what decides the shard: the root program, else the key, else nothing in common. */
-    String shardKey() {
-        return organisation + '\n' + rootProgram().or(() -> idempotencyKey).orElse("");
-    }
 }
--- a/server/src/main/java/org/oleandertrack/server/entry/DirectCallService.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/DirectCallService.java
@@ -2,34 +2,34 @@
 
 import java.util.Set;
 import java.util.UUID;
-import java.util.function.LongSupplier;
 
 /** Runs calls that belong to no program and may be repeated: they need no lasting state. */
-final class DirectCallService implements CallService {
+final class DirectCallService implements LocalCallService.ActiveCallService {
+
+    /** Calls without a holder carry no fencing number, and the sidecar checks none. */
+    private static final long NO_FENCE = 0;
 
     private final Dispatcher mDispatcher;
-    private final ShardDirectory mShards;
-    private final LongSupplier mNanoClock;
 
-    DirectCallService(Dispatcher dispatcher, ShardDirectory shards, LongSupplier nanoClock) {
+    DirectCallService(Dispatcher dispatcher) {
         mDispatcher = dispatcher;
-        mShards = shards;
-        mNanoClock = nanoClock;
     }
 
     @Override
-    public void run(CallerRequest request, ResponseSink sink) {
-        int shard = mShards.shardOf(request);
+    public void run(ActiveCall call, ResponseSink sink) {
+        CallerRequest request = call.request();
+        long deadlineNanos = Dispatcher.deadlineNanos(call.startNanos(), request.timeoutMillis());
         DispatchGrant grant =
                 new DispatchGrant(
                         UUID.randomUUID().toString(),
-                        shard,
-                        mShards.fence(shard).orElse(0L),
-                        Dispatcher.deadlineNanos(mNanoClock.getAsLong(), request.timeoutMillis()),
+                        0,
+                        NO_FENCE,
+                        deadlineNanos,
+                        () -> Long.MAX_VALUE,
                         0,
                         0,
                         Set.of());
-        mDispatcher.run(request, grant, sink);
+        mDispatcher.run(call, grant, sink);
         sink.end();
     }
 }
--- a/server/src/main/java/org/oleandertrack/server/entry/DispatchGrant.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/DispatchGrant.java
@@ -1,6 +1,7 @@
 package org.oleandertrack.server.entry;
 
 import java.util.Set;
+import java.util.function.LongSupplier;
 
 /**
  * The right to dispatch a call, given by the owner of its shard. Immutable.
@@ -8,7 +9,9 @@
  * @param attemptId identity of the call; each attempt adds its number
  * @param shard the program's shard
  * @param fence the holder's fencing number for the shard
- * @param startDeadlineNanos latest start of an attempt on the local monotonic clock
+ * @param deadlineNanos end of the caller's patience on the local monotonic clock
+ * @param leaseEndNanos end of the holder's lease on the same clock, which moves with each renewal;
+ *     no attempt may start after it
  * @param attainedNanos service that the program had attained before this call
  * @param classPriority operator's priority of the program class; higher is sooner
  * @param allowedTargets names of the targets that the program class may use; empty for all
@@ -17,7 +20,14 @@
         String attemptId,
         int shard,
         long fence,
-        long startDeadlineNanos,
+        long deadlineNanos,
+        LongSupplier leaseEndNanos,
         long attainedNanos,
         int classPriority,
-        Set<String> allowedTargets) {}
+        Set<String> allowedTargets) {
+
+    /** Returns the latest start of an attempt that is sent now. */
+    long startDeadlineNanos() {
+        return Math.min(deadlineNanos, leaseEndNanos.getAsLong());
+    }
+}
--- a/server/src/main/java/org/oleandertrack/server/entry/Dispatcher.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/Dispatcher.java
@@ -43,14 +43,15 @@
      * @param sink receives head and body of the successful attempt, but not the end
      * @return the usage of the successful attempt
      */
-    Usage run(CallerRequest request, DispatchGrant grant, ResponseSink sink) {
+    Usage run(ActiveCall call, DispatchGrant grant, ResponseSink sink) {
+        CallerRequest request = call.request();
         TargetPool pool = mPools.pool(request.destination()).orElseThrow(() -> unknown(request));
         pool.callCounted(request.streamed());
         Set<String> excluded = new HashSet<>();
         Execution execution = Execution.NOT_RUN;
         DecisionKind kind = DecisionKind.PLACEMENT;
         for (int round = 1; ; round++) {
-            AttemptResult result = runRound(pool, request, grant, excluded, kind, round, sink);
+            AttemptResult result = runRound(pool, call, grant, excluded, kind, round, sink);
             if (result instanceof AttemptResult.Completed completed) {
                 return completed.usage();
             }
@@ -70,16 +71,17 @@
 
     private AttemptResult runRound(
             TargetPool pool,
-            CallerRequest request,
+            ActiveCall call,
             DispatchGrant grant,
             Set<String> excluded,
             DecisionKind kind,
             int round,
             ResponseSink sink) {
+        CallerRequest request = call.request();
         LinkedBlockingQueue<Attempt.Tagged> events = new LinkedBlockingQueue<>();
         AttemptRace race = new AttemptRace(request, pool, sink, mNanoClock, mStallMillis, events);
         Optional<AttemptRace.Runner> first =
-                start(pool, request, grant, excluded, kind, round + ".1", events);
+                start(pool, call, grant, excluded, kind, round + ".1", events);
         if (first.isEmpty()) {
             return AttemptResult.Failed.of(
                     ResultCode.NO_TARGET_AVAILABLE,
@@ -94,7 +96,7 @@
                             all.addAll(used);
                             return start(
                                     pool,
-                                    request,
+                                    call,
                                     grant,
                                     all,
                                     DecisionKind.HEDGE,
@@ -107,12 +109,13 @@
 
     private Optional<AttemptRace.Runner> start(
             TargetPool pool,
-            CallerRequest request,
+            ActiveCall call,
             DispatchGrant grant,
             Set<String> excluded,
             DecisionKind kind,
             String attemptSuffix,
             LinkedBlockingQueue<Attempt.Tagged> events) {
+        CallerRequest request = call.request();
         Optional<TargetPool.Choice> choice = mPools.choose(pool, request, grant, excluded, kind);
         if (choice.isEmpty()) {
             return Optional.empty();
@@ -130,6 +133,7 @@
         }
         Call head = callHead(request, grant, attemptSuffix, target, connection.get());
         long startNanos = mNanoClock.getAsLong();
+        call.dispatched(target, startNanos);
         Attempt attempt = Attempt.start(connection.get(), head, request.body(), events);
         return Optional.of(new AttemptRace.Runner(target, attempt, startNanos));
     }
@@ -147,7 +151,11 @@
                 failed.code() == ResultCode.CANCELLED
                         || failed.code() == ResultCode.STALE_FENCE
                         || !sink.isUncommitted()
-                        || mNanoClock.getAsLong() >= grant.startDeadlineNanos();
+                        || mNanoClock.getAsLong() >= grant.deadlineNanos();
+        // The lease that bounded the wait in the queue has been renewed since.
+        if (!mustEnd && failed.code() == ResultCode.DEADLINE_EXCEEDED) {
+            return 0;
+        }
         RetryDecision decision =
                 mustEnd
                         ? new RetryDecision.GiveUp()
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryDaemon.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryDaemon.java
@@ -1,5 +1,7 @@
 package org.oleandertrack.server.entry;
 
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.oleandertrack.protocol.LocalNode;
 import org.oleandertrack.protocol.PeerConnector;
 import org.oleandertrack.protocol.PeerServer;
@@ -13,37 +15,44 @@
 /** The entry host's process. Thread safe. */
 public final class EntryDaemon implements Daemon {
 
+    /** Longer than any call may take, so that it only ends a stop that hangs. */
+    private static final long STOP_HOURS = 24;
+
     private final EntrySettings mSettings;
     private final LocalNode mNode;
     private final HttpService mHttp;
-    private final PeerServer mPeerServer;
-    private final PeerConnector mConnector;
-    private final HostDirectory mHosts;
+    private final EntryPeers mPeers;
+    private final EntryCoordination mCoordination;
     private final CallLimiter mLimiter;
+    private final ScheduledExecutorService mTimer;
+
+    /** The connections to other processes. */
+    record EntryPeers(PeerServer server, PeerConnector connector, HostDirectory hosts) {}
 
     EntryDaemon(
             EntrySettings settings,
             LocalNode node,
             HttpService http,
-            PeerServer peerServer,
-            PeerConnector connector,
-            HostDirectory hosts,
-            CallLimiter limiter) {
+            EntryPeers peers,
+            EntryCoordination coordination,
+            CallLimiter limiter,
+            ScheduledExecutorService timer) {
         mSettings = settings;
         mNode = node;
         mHttp = http;
-        mPeerServer = peerServer;
-        mConnector = connector;
-        mHosts = hosts;
+        mPeers = peers;
+        mCoordination = coordination;
         mLimiter = limiter;
+        mTimer = timer;
     }
 
     // Life-cycle
 
     @Override
     public void start() throws Exception {
-        mPeerServer.start(mSettings.peer().address(), mSettings.peer().port());
-        mHosts.start();
+        mPeers.server().start(mSettings.peer().address(), mSettings.peer().port());
+        mCoordination.start();
+        mPeers.hosts().start();
         mHttp.start();
         Logger.info(
                 "listening as entry host {} in zone {}: httpPort={} adminPort={} peerPort={}"
@@ -52,24 +61,29 @@
                 mNode.zone(),
                 mHttp.port(),
                 mHttp.adminPort(),
-                mPeerServer.port(),
+                mPeers.server().port(),
                 Long.toHexString(mNode.incarnation()));
     }
 
+    /** New calls are refused as not run; the calls in flight end before anything is closed. */
     @Override
     public void stop() {
         mLimiter.close();
-        mPeerServer.broadcast(Frame.newBuilder().setLeaving(Leaving.getDefaultInstance()).build());
+        mPeers.server()
+                .broadcast(Frame.newBuilder().setLeaving(Leaving.getDefaultInstance()).build());
         Logger.info("stopping: waiting for {} calls", mLimiter.calls());
         try {
+            mCoordination.releaseShards().get(STOP_HOURS, TimeUnit.HOURS);
             mLimiter.awaitIdle();
             mHttp.stop();
+            mCoordination.stop().get(STOP_HOURS, TimeUnit.HOURS);
         } catch (Exception e) {
             Logger.warn(e, "the stop was not complete");
         }
-        mHosts.stop();
-        mPeerServer.stop();
-        mConnector.stop();
+        mPeers.hosts().stop();
+        mPeers.server().stop();
+        mPeers.connector().stop();
+        mTimer.shutdownNow();
         Logger.info("stopped");
     }
 }
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryModule.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryModule.java
@@ -6,23 +6,15 @@
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
 import io.dropwizard.core.setup.Environment;
-import java.net.URI;
-import java.net.http.HttpClient;
 import java.security.SecureRandom;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.LongSupplier;
-import org.oleandertrack.coordination.membership.HostList;
-import org.oleandertrack.platform.http.HttpHostList;
-import org.oleandertrack.platform.http.PlatformHttpContext;
+import org.oleandertrack.command.CommandParser;
 import org.oleandertrack.protocol.LocalNode;
-import org.oleandertrack.protocol.NodeStatus;
-import org.oleandertrack.protocol.PeerConnector;
-import org.oleandertrack.protocol.PeerServer;
-import org.oleandertrack.protocol.message.Load;
 import org.oleandertrack.protocol.message.Role;
 import org.oleandertrack.server.http.AdminServlets;
 import org.oleandertrack.server.http.HttpService;
@@ -31,7 +23,6 @@
 import org.oleandertrack.server.metrics.MetricsRegistry;
 import org.oleandertrack.server.metrics.MetricsServlet;
 import org.oleandertrack.server.settings.EntrySettings;
-import org.oleandertrack.server.settings.PeerLimits;
 
 /** Puts the parts of the entry host together. */
 public final class EntryModule extends AbstractModule {
@@ -45,6 +36,12 @@
         mSettings = settings;
     }
 
+    @Override
+    protected void configure() {
+        install(new EntryStateModule(mSettings));
+        install(new EntryPeerModule(mSettings));
+    }
+
     // Process
 
     @Provides
@@ -59,6 +56,13 @@
         return Executors.newThreadPerTaskExecutor(Thread.ofVirtual().name("call-", 0).factory());
     }
 
+    @Provides
+    @Singleton
+    ScheduledExecutorService timer() {
+        return Executors.newSingleThreadScheduledExecutor(
+                Thread.ofPlatform().daemon().name("timer").factory());
+    }
+
     @Provides
     @Singleton
     LocalNode localNode() {
@@ -73,66 +77,6 @@
                 mSettings.http().maxConcurrentCalls(), mSettings.http().maxBufferedBytes());
     }
 
-    // Platform
-
-    @Provides
-    @Singleton
-    PlatformHttpContext platform() {
-        HttpClient client =
-                HttpClient.newBuilder()
-                        .version(HttpClient.Version.HTTP_1_1)
-                        .connectTimeout(Duration.ofMillis(mSettings.platform().timeoutMillis()))
-                        .build();
-        return new PlatformHttpContext(client, mSettings.platform().timeoutMillis());
-    }
-
-    @Provides
-    @Singleton
-    HostList hostList(PlatformHttpContext platform) {
-        return new HttpHostList(platform, URI.create(mSettings.platform().hostsUrl()));
-    }
-
-    // Peers
-
-    @Provides
-    @Singleton
-    EntryControlHandler controlHandler(Provider<HostDirectory> hosts) {
-        return new EntryControlHandler(hosts);
-    }
-
-    @Provides
-    @Singleton
-    PeerConnector connector(LocalNode node, EntryControlHandler control, LongSupplier nanoClock) {
-        return new PeerConnector(node, PeerLimits.from(mSettings.peer()), control, nanoClock);
-    }
-
-    @Provides
-    @Singleton
-    HostDirectory hosts(HostList hostList, PeerConnector connector, TargetPools pools) {
-        return new HostDirectory(
-                hostList,
-                connector,
-                mSettings.node(),
-                mSettings.platform().hostsPollMillis(),
-                pools);
-    }
-
-    @Provides
-    @Singleton
-    PeerServer peerServer(
-            LocalNode node,
-            ForwardedCallHandler forwarded,
-            EntryControlHandler control,
-            LongSupplier nanoClock) {
-        return new PeerServer(
-                node,
-                PeerLimits.from(mSettings.peer()),
-                forwarded,
-                control,
-                nanoClock,
-                () -> new NodeStatus(Load.getDefaultInstance(), 0, 0, false));
-    }
-
     // Calls
 
     @Provides
@@ -153,47 +97,89 @@
 
     @Provides
     @Singleton
-    ShardDirectory shards() {
-        return new SingleHostShardDirectory(mSettings.shards().count());
+    ActiveCalls activeCalls(LongSupplier nanoClock) {
+        return new ActiveCalls(nanoClock);
     }
 
     @Provides
     @Singleton
-    DirectCallService directCalls(
-            Dispatcher dispatcher, ShardDirectory shards, LongSupplier nanoClock) {
-        return new DirectCallService(dispatcher, shards, nanoClock);
+    LocalCallService localCalls(
+            ActiveCalls active,
+            ProgramCallService programs,
+            IntentCallService intents,
+            Dispatcher dispatcher,
+            MetricsRegistry metrics,
+            LongSupplier nanoClock) {
+        return new LocalCallService(
+                active,
+                new LocalCallService.CallHandlers(
+                        programs, intents, new DirectCallService(dispatcher)),
+                metrics,
+                nanoClock);
     }
 
     @Provides
     @Singleton
-    ForwardedCallHandler forwardedCalls(
-            ShardDirectory shards,
-            DirectCallService calls,
-            CallLimiter limiter,
-            Executor executor,
+    CallRouter callRouter(
+            EntryCoordination coordination,
+            HostDirectory hosts,
+            LocalCallService calls,
+            Forwarder forwarder,
             LongSupplier nanoClock) {
-        return new ForwardedCallHandler(shards, calls, limiter, executor, nanoClock);
+        return new CallRouter(coordination.registry(), hosts, calls, forwarder, nanoClock);
     }
 
+    // Operators' interface
+
     @Provides
     @Singleton
-    CallRouter callRouter(
-            ShardDirectory shards,
+    QueryService queries(
+            LocalNode node,
+            ActiveCalls active,
             HostDirectory hosts,
-            DirectCallService calls,
+            EntryCoordination coordination,
+            ConfigSource config,
             LongSupplier nanoClock) {
-        return new CallRouter(shards, hosts, calls, new Forwarder(), nanoClock);
+        return new QueryService(
+                node,
+                active,
+                hosts,
+                coordination.registry(),
+                coordination.shards(),
+                mSettings.shards().count(),
+                config,
+                nanoClock);
     }
 
-    // Callers' interface
+    @Provides
+    @Singleton
+    StatementService statements(
+            QueryService queries,
+            HostDirectory hosts,
+            Forwarder forwarder,
+            ConfigWriter config,
+            ProgramEnder ender,
+            LongSupplier nanoClock) {
+        return new StatementService(
+                new CommandParser(),
+                queries,
+                hosts,
+                new PeerStatements(forwarder, nanoClock),
+                config,
+                ender);
+    }
+
+    // HTTP
 
     @Provides
     @Singleton
     HttpService http(
-            CallRouter calls,
+            Provider<CallRouter> calls,
+            Provider<StatementService> statements,
             CallLimiter limiter,
             Executor executor,
             HostDirectory hosts,
+            EntryCoordination coordination,
             MetricsRegistry metrics) {
         HttpServiceConfig config =
                 new HttpServiceConfig(
@@ -207,9 +193,17 @@
         return new HttpService(
                 config,
                 environment -> {
-                    registerResources(environment, calls, limiter, executor);
+                    registerResources(
+                            environment,
+                            new CallResponder(calls.get(), limiter, executor),
+                            statements.get());
                     AdminServlets.register(
-                            environment, new MetricsServlet(metrics), hosts::isListed);
+                            environment,
+                            new MetricsServlet(metrics),
+                            () ->
+                                    hosts.isListed()
+                                            && coordination.isReady()
+                                            && !limiter.isClosed());
                 });
     }
 
@@ -218,25 +212,26 @@
     EntryDaemon daemon(
             LocalNode node,
             HttpService http,
-            PeerServer peerServer,
-            PeerConnector connector,
-            HostDirectory hosts,
-            CallLimiter limiter) {
-        return new EntryDaemon(mSettings, node, http, peerServer, connector, hosts, limiter);
+            EntryDaemon.EntryPeers peers,
+            EntryCoordination coordination,
+            CallLimiter limiter,
+            ScheduledExecutorService timer) {
+        return new EntryDaemon(mSettings, node, http, peers, coordination, limiter, timer);
     }
 
     // Helpers
 
     private void registerResources(
-            Environment environment, CallRouter calls, CallLimiter limiter, Executor executor) {
+            Environment environment, CallResponder responder, StatementService statements) {
+        ObjectMapper mapper = new ObjectMapper();
         CallerRequestFactory requests =
                 new CallerRequestFactory(
-                        new ObjectMapper(),
+                        mapper,
                         mSettings.calls().defaultTimeoutMillis(),
                         mSettings.calls().defaultMaxTokens());
         RequestBodyReader bodies = new RequestBodyReader(mSettings.http().maxBodyBytes());
-        CallResponder responder = new CallResponder(calls, limiter, executor);
         environment.jersey().register(new ModelResource(requests, bodies, responder));
+        environment.jersey().register(new StatementResource(statements, bodies, mapper));
         environment
                 .jersey()
                 .getResourceConfig()
--- a/server/src/main/java/org/oleandertrack/server/entry/ForwardedCallHandler.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/ForwardedCallHandler.java
@@ -1,5 +1,6 @@
 package org.oleandertrack.server.entry;
 
+import com.google.inject.Provider;
 import com.google.protobuf.ByteString;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -17,8 +18,11 @@
 /** Runs calls that other entry hosts pass on to this one as the holder. Thread safe. */
 final class ForwardedCallHandler implements CallHandler {
 
+    private static final int STATUS_OK = 200;
+
     private final ShardDirectory mShards;
     private final CallService mLocalCalls;
+    private final Provider<StatementService> mStatements;
     private final CallLimiter mLimiter;
     private final Executor mExecutor;
     private final LongSupplier mNanoClock;
@@ -26,11 +30,13 @@
     ForwardedCallHandler(
             ShardDirectory shards,
             CallService localCalls,
+            Provider<StatementService> statements,
             CallLimiter limiter,
             Executor executor,
             LongSupplier nanoClock) {
         mShards = shards;
         mLocalCalls = localCalls;
+        mStatements = statements;
         mLimiter = limiter;
         mExecutor = executor;
         mNanoClock = nanoClock;
@@ -66,6 +72,11 @@
     private void runLimited(InboundCall call) {
         CallLimiter.Permit permit = mLimiter.acquire(call.body().size());
         try (permit) {
+            if (call.head().getPath().equals(PeerStatements.PATH)) {
+                answerStatement(call);
+                return;
+            }
+            requireHolder(call);
             mLocalCalls.run(CallHeads.toRequest(call.head(), call.body()), new PeerSink(call));
         }
     }
@@ -75,6 +86,9 @@
             throw new ResultException(
                     ResultCode.DEADLINE_EXCEEDED, "the forwarded call arrived too late");
         }
+    }
+
+    private void requireHolder(InboundCall call) {
         if (!mShards.isHeldHere(call.head().getShard())) {
             throw new ResultException(
                     ResultCode.NOT_SHARD_HOLDER,
@@ -82,6 +96,20 @@
         }
     }
 
+    private void answerStatement(InboundCall call) {
+        byte[] rows = statementAnswer(call).toJson();
+        PeerSink sink = new PeerSink(call);
+        sink.head(ResponseHead.newBuilder().setStatus(STATUS_OK).build());
+        sink.body(ByteString.copyFrom(rows));
+        sink.end();
+    }
+
+    private StatementAnswer statementAnswer(InboundCall call) {
+        return mStatements
+                .get()
+                .runLocally(call.body().toStringUtf8(), call.head().getOrganisation());
+    }
+
     private static ResponseEnd failure(ResultException failure) {
         return ResponseEnd.newBuilder()
                 .setResultCode(failure.code().number())
--- a/server/src/main/java/org/oleandertrack/server/entry/Forwarder.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/Forwarder.java
@@ -1,5 +1,6 @@
 package org.oleandertrack.server.entry;
 
+import com.google.protobuf.ByteString;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -20,9 +21,14 @@
      *
      * @throws ResultException if the call fails, with what the holder said of its execution
      */
-    void run(PeerConnection connection, Call head, CallerRequest request, ResponseSink sink) {
+    void run(
+            PeerConnection connection,
+            Call head,
+            ByteString body,
+            long timeoutMillis,
+            ResponseSink sink) {
         LinkedBlockingQueue<Attempt.Tagged> events = new LinkedBlockingQueue<>();
-        Attempt attempt = Attempt.start(connection, head, request.body(), events);
+        Attempt attempt = Attempt.start(connection, head, body, events);
         CompletableFuture<Void> callerGone =
                 sink.cancelled()
                         .thenRun(
@@ -31,7 +37,7 @@
                                                 new Attempt.Tagged(
                                                         attempt, new AttemptEvent.CallerGone())));
         try {
-            relay(attempt, events, request.timeoutMillis() + GRACE_MILLIS, sink);
+            relay(attempt, events, timeoutMillis + GRACE_MILLIS, sink);
         } catch (ResultException e) {
             attempt.cancel();
             throw e;
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/entry/HostMemory.java
@@ -0,0 +1,29 @@
+package org.oleandertrack.server.entry;
+
+import com.google.inject.Provider;
+import org.oleandertrack.protocol.message.Frame;
+import org.oleandertrack.protocol.message.ReleaseMemory;
+
+/** Tells the sidecars of all reachable targets to free what a program holds. Thread safe. */
+final class HostMemory implements EngineMemory {
+
+    private final Provider<HostDirectory> mHosts;
+
+    HostMemory(Provider<HostDirectory> hosts) {
+        mHosts = hosts;
+    }
+
+    @Override
+    public void release(String organisation, String program) {
+        Frame frame =
+                Frame.newBuilder()
+                        .setReleaseMemory(
+                                ReleaseMemory.newBuilder()
+                                        .setOrganisation(organisation)
+                                        .setProgram(program))
+                        .build();
+        for (TargetHandle target : mHosts.get().targets()) {
+            target.connection().ifPresent(connection -> connection.send(frame));
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/entry/RequestDigest.java
@@ -0,0 +1,31 @@
+package org.oleandertrack.server.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** Digest by which a repeated request is recognised. */
+final class RequestDigest {
+
+    private RequestDigest() {}
+
+    /** Returns a digest over method, path and body, as 64 hexadecimal digits. */
+    static String of(CallerRequest request) {
+        MessageDigest digest = sha256();
+        digest.update(request.method().getBytes(StandardCharsets.UTF_8));
+        digest.update((byte) 0);
+        digest.update(request.path().getBytes(StandardCharsets.UTF_8));
+        digest.update((byte) 0);
+        digest.update(request.body().asReadOnlyByteBuffer());
+        return HexFormat.of().formatHex(digest.digest());
+    }
+
+    private static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/entry/StoredAnswer.java
@@ -0,0 +1,78 @@
+package org.oleandertrack.server.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Base64;
+import org.oleandertrack.protocol.message.Header;
+import org.oleandertrack.protocol.message.ResponseHead;
+
+/**
+ * An answer as it is kept for a replay. Immutable.
+ *
+ * @param head status and headers
+ * @param body the whole body
+ */
+record StoredAnswer(ResponseHead head, ByteString body) {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String STATUS = "status";
+    private static final String HEADERS = "headers";
+    private static final String TEXT = "text";
+    private static final String BASE64 = "base64";
+
+    // Operations
+
+    /** Returns the answer as JSON; a body that is not UTF-8 text is encoded. */
+    String encode() {
+        ObjectNode root = MAPPER.createObjectNode();
+        root.put(STATUS, head.getStatus());
+        ArrayNode headers = root.putArray(HEADERS);
+        for (Header header : head.getHeadersList()) {
+            headers.addArray().add(header.getName()).add(header.getValue());
+        }
+        if (body.isValidUtf8()) {
+            root.put(TEXT, body.toStringUtf8());
+        } else {
+            root.put(BASE64, Base64.getEncoder().encodeToString(body.toByteArray()));
+        }
+        return root.toString();
+    }
+
+    static StoredAnswer decode(String text) {
+        try {
+            JsonNode root = MAPPER.readTree(text);
+            ResponseHead.Builder head =
+                    ResponseHead.newBuilder().setStatus(root.path(STATUS).asInt());
+            for (JsonNode header : root.path(HEADERS)) {
+                head.addHeaders(
+                        Header.newBuilder()
+                                .setName(header.path(0).asText())
+                                .setValue(header.path(1).asText()));
+            }
+            return new StoredAnswer(head.build(), body(root));
+        } catch (IOException e) {
+            throw new UncheckedIOException("a stored answer cannot be read", e);
+        }
+    }
+
+    void sendTo(ResponseSink sink) {
+        sink.head(head);
+        if (!body.isEmpty()) {
+            sink.body(body);
+        }
+        sink.end();
+    }
+
+    // Helpers
+
+    private static ByteString body(JsonNode root) {
+        return root.has(BASE64)
+                ? ByteString.copyFrom(Base64.getDecoder().decode(root.path(BASE64).asText()))
+                : ByteString.copyFromUtf8(root.path(TEXT).asText());
+    }
+}
--- a/server/src/main/java/org/oleandertrack/server/sidecar/SidecarCallHandler.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarCallHandler.java
@@ -77,7 +77,7 @@
         Call head = waiting.head();
         if (mNanoClock.getAsLong() > head.getStartDeadlineReceiverNanos()) {
             refuseStarted(waiting, ResultCode.DEADLINE_EXCEEDED, "the latest start has passed");
-        } else if (!mFences.admit(head.getShard(), head.getFence())) {
+        } else if (isFenced(head)) {
             refuseStarted(
                     waiting,
                     ResultCode.STALE_FENCE,
@@ -99,6 +99,11 @@
 
     // Helpers
 
+    /** Calls without a shard holder carry no fencing number. */
+    private boolean isFenced(Call head) {
+        return head.getFence() > 0 && !mFences.admit(head.getShard(), head.getFence());
+    }
+
     private void dispatch(WaitingCall waiting) {
         long startNanos = mNanoClock.getAsLong();
         TargetExchange exchange = mTarget.start(waiting.call());
