--- a/system-tests/src/main/java/org/oleandertrack/system/LocalDeployment.java
+++ b/system-tests/src/main/java/org/oleandertrack/system/LocalDeployment.java
@@ -29,9 +29,6 @@
     private static final Pattern ENTRY_READY =
             Pattern.compile(
                     "listening as entry host .*httpPort=(\\d+) adminPort=(\\d+) peerPort=(\\d+)");
-    private static final int STANDIN_HEAP_MEGABYTES = 128;
-    private static final int SIDECAR_HEAP_MEGABYTES = 32;
-    private static final int ENTRY_HEAP_MEGABYTES = 256;
 
     private final DeploymentFiles mFiles;
     private final HttpCaller mHttp;
@@ -80,7 +77,7 @@
                         node + ".toml",
                         SettingsText.sidecar(node, zone, spec, mAddresses.get(target)));
         ManagedProcess process =
-                startServer(node, "sidecar", settings, SIDECAR_READY, SIDECAR_HEAP_MEGABYTES);
+                startServer(node, "sidecar", settings, SIDECAR_READY, JvmOptions.SIDECAR);
         Matcher ready = process.awaitReady();
         mAdminAddresses.put(node, loopback(ready.group(2)));
         list(node, "SIDECAR", zone, ready.group(1), spec);
@@ -94,7 +91,7 @@
                         SettingsText.entry(node, zone, mAddresses.get("platform"))
                                 + mExtraEntrySettings);
         ManagedProcess process =
-                startServer(node, "entry", settings, ENTRY_READY, ENTRY_HEAP_MEGABYTES);
+                startServer(node, "entry", settings, ENTRY_READY, JvmOptions.ENTRY);
         Matcher ready = process.awaitReady();
         mAddresses.put(node, loopback(ready.group(1)));
         mAdminAddresses.put(node, loopback(ready.group(2)));
@@ -173,7 +170,7 @@
                 ManagedProcess.start(
                         name,
                         ManagedProcess.javaCommand(
-                                mFiles.standinsJar(), STANDIN_HEAP_MEGABYTES, arguments),
+                                mFiles.standinsJar(), JvmOptions.STANDIN, arguments),
                         STANDIN_READY,
                         mFiles.log(name));
         mProcesses.put(name, process);
@@ -181,13 +178,13 @@
     }
 
     private ManagedProcess startServer(
-            String node, String role, Path settings, Pattern ready, int heapMegabytes) {
+            String node, String role, Path settings, Pattern ready, List<String> jvmOptions) {
         ManagedProcess process =
                 ManagedProcess.start(
                         node,
                         ManagedProcess.javaCommand(
                                 mFiles.serverJar(),
-                                heapMegabytes,
+                                jvmOptions,
                                 List.of(role, "--settings", settings.toString())),
                         ready,
                         mFiles.log(node));
--- a/system-tests/src/main/java/org/oleandertrack/system/ManagedProcess.java
+++ b/system-tests/src/main/java/org/oleandertrack/system/ManagedProcess.java
@@ -53,12 +53,11 @@
     }
 
     /** Returns the command line of one of the project's shaded jars. */
-    public static List<String> javaCommand(Path jar, int heapMegabytes, List<String> arguments) {
+    public static List<String> javaCommand(
+            Path jar, List<String> jvmOptions, List<String> arguments) {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.add("-Xmx" + heapMegabytes + "m");
-        command.add("-XX:+UseSerialGC");
-        command.add("-XX:TieredStopAtLevel=1");
+        command.addAll(jvmOptions);
         command.add("-jar");
         command.add(jar.toString());
         command.addAll(arguments);
--- a/system-tests/src/main/java/org/oleandertrack/system/PathMeasureMain.java
+++ b/system-tests/src/main/java/org/oleandertrack/system/PathMeasureMain.java
@@ -101,7 +101,8 @@
                                 Integer.toString(concurrency),
                                 "--header",
                                 "Oleandertrack-Organisation=kaasik-paern"));
-        List<String> command = ManagedProcess.javaCommand(mFiles.standinsJar(), 256, arguments);
+        List<String> command =
+                ManagedProcess.javaCommand(mFiles.standinsJar(), JvmOptions.STANDIN, arguments);
         Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
         String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         return mMapper.readTree(output);
