--- /dev/null
+++ b/bench/src/main/java/org/oleandertrack/bench/EntryHost.java
@@ -0,0 +1,242 @@
+package org.oleandertrack.bench;
+
+import static org.oleandertrack.bench.VirtualClock.MILLISECOND;
+import static org.oleandertrack.bench.VirtualClock.SECOND;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.oleandertrack.core.health.HealthConfig;
+import org.oleandertrack.core.health.HealthTracker;
+import org.oleandertrack.core.health.HedgePolicy;
+import org.oleandertrack.core.health.RetryDecision;
+import org.oleandertrack.core.health.RetryPolicy;
+import org.oleandertrack.core.placement.Placement;
+import org.oleandertrack.core.placement.PlacementConfig;
+import org.oleandertrack.core.placement.PlacementRequest;
+import org.oleandertrack.core.placement.PlacementResult;
+import org.oleandertrack.core.placement.PrefixLocation;
+import org.oleandertrack.core.placement.PrefixLocations;
+import org.oleandertrack.core.placement.TargetInfo;
+import org.oleandertrack.core.placement.TargetLoad;
+import org.oleandertrack.core.queue.AttainedService;
+import org.oleandertrack.core.result.Execution;
+
+/** The product's placement, health, hedge and retry policies as one entry host applies them. */
+final class EntryHost implements Dispatcher {
+
+    private static final long REPORT_INTERVAL_NANOS = SECOND;
+    private static final int MAX_ATTEMPTS = 4;
+    // A hedge watches the time to this many tokens: it covers the wait, the prompt and the speed.
+    private static final int WATCHED_TOKENS = 8;
+
+    private final VirtualClock mClock;
+    private final Map<String, Target> mTargets = new LinkedHashMap<>();
+    private final AttainedService mAttained;
+    private final HealthTracker mHealth = new HealthTracker(HealthConfig.DEFAULT);
+    private final HedgePolicy mHedges = new HedgePolicy();
+    private final RetryPolicy mRetries;
+    private final Placement mPlacement;
+    private final PrefixLocations mPrefixes = new PrefixLocations(100_000);
+    private final boolean mHedging;
+    private long mCalls;
+    private long mAttempts;
+    private long mHedged;
+
+    EntryHost(
+            VirtualClock clock,
+            List<Target> targets,
+            int slots,
+            AttainedService attained,
+            boolean hedging,
+            RandomGenerator random) {
+        mClock = clock;
+        mAttained = attained;
+        mHedging = hedging;
+        mRetries = new RetryPolicy(100 * MILLISECOND, 5 * SECOND, MAX_ATTEMPTS, random);
+        mPlacement =
+                new Placement(PlacementConfig.DEFAULT, "z", (zone, other) -> 0, mHealth, random);
+        for (Target target : targets) {
+            String id = "t" + mTargets.size();
+            mTargets.put(id, target);
+            mHealth.add(id);
+            mPlacement.add(new TargetLoad(new TargetInfo(id, "z", slots), 2 * SECOND));
+        }
+    }
+
+    long calls() {
+        return mCalls;
+    }
+
+    long attempts() {
+        return mAttempts;
+    }
+
+    long hedged() {
+        return mHedged;
+    }
+
+    /** Takes load reports at a fixed interval until the given time; each is one interval old. */
+    void takeReports(long untilNanos) {
+        for (Map.Entry<String, Target> target : mTargets.entrySet()) {
+            mClock.every(
+                    REPORT_INTERVAL_NANOS,
+                    untilNanos,
+                    () ->
+                            mPlacement
+                                    .target(target.getKey())
+                                    .ifPresent(load -> load.reported(target.getValue().load())));
+        }
+    }
+
+    /** Frees the prefix of a program that has ended. */
+    void release(Program program) {
+        mPrefixes
+                .find(program.id())
+                .ifPresent(at -> mTargets.get(at.targetId()).engine().release(program.id()));
+        mPrefixes.forget(program.id());
+        mAttained.forget(program.id());
+    }
+
+    @Override
+    public void dispatch(Call call, Consumer<Attempt.Outcome> done) {
+        mCalls++;
+        mHedges.counted();
+        mRetries.counted();
+        new Dispatch(call, done).send();
+    }
+
+    /** One call with all its attempts. */
+    private final class Dispatch {
+        private final Call mCall;
+        private final Consumer<Attempt.Outcome> mDone;
+        private final Set<String> mTried = new HashSet<>();
+        private final List<Sent> mUnderWay = new ArrayList<>();
+        private int mFailures;
+        private boolean mEnded;
+
+        private Dispatch(Call call, Consumer<Attempt.Outcome> done) {
+            mCall = call;
+            mDone = done;
+        }
+
+        private boolean send() {
+            PlacementRequest request =
+                    PlacementRequest.of(mCall.promptTokens()).withExcluded(mTried);
+            request = mPrefixes.find(mCall.program().id()).map(request::withPrefix).orElse(request);
+            PlacementResult result = mPlacement.choose(request, mClock.now());
+            if (!(result instanceof PlacementResult.Placed placed)) {
+                return false;
+            }
+            mAttempts++;
+            String id = placed.targetId();
+            mTried.add(id);
+            mPlacement.target(id).ifPresent(TargetLoad::sent);
+            mHealth.sent(id);
+            Sent sent = new Sent(this, id);
+            mUnderWay.add(sent);
+            mTargets.get(id).submit(sent.mAttempt);
+            OptionalLong delay = mHedges.delayNanos();
+            if (mHedging && delay.isPresent()) {
+                mClock.after(delay.getAsLong(), this::hedge);
+            }
+            return true;
+        }
+
+        private void hedge() {
+            boolean late = mUnderWay.size() == 1 && !mUnderWay.get(0).mWatched;
+            if (!mEnded && late && mHedges.tryHedge(true) && send()) {
+                mHedged++;
+            }
+        }
+
+        private void ended(Sent sent, Attempt.Outcome outcome, long serviceNanos) {
+            mUnderWay.remove(sent);
+            mPlacement.target(sent.mTargetId).ifPresent(load -> load.finished(serviceNanos));
+            mAttained.add(mCall.program().id(), serviceNanos, mClock.now());
+            switch (outcome) {
+                case DONE -> succeeded(sent, serviceNanos);
+                case FAILED -> {
+                    mHealth.failed(sent.mTargetId, mClock.now());
+                    failed(outcome);
+                }
+                default -> {
+                    mHealth.abandoned(sent.mTargetId);
+                    failed(outcome);
+                }
+            }
+        }
+
+        private void succeeded(Sent sent, long serviceNanos) {
+            mHealth.succeeded(sent.mTargetId, serviceNanos, mClock.now());
+            int tokens = mCall.promptTokens() + mCall.generatedTokens();
+            mPrefixes.put(mCall.program().id(), new PrefixLocation(sent.mTargetId, tokens));
+            mEnded = true;
+            for (Sent other : mUnderWay) {
+                mTargets.get(other.mTargetId).cancel(other.mAttempt);
+                mPlacement.target(other.mTargetId).ifPresent(load -> load.finished(0));
+                mHealth.abandoned(other.mTargetId);
+            }
+            mUnderWay.clear();
+            mDone.accept(Attempt.Outcome.DONE);
+        }
+
+        private void failed(Attempt.Outcome outcome) {
+            mFailures++;
+            if (mEnded || !mUnderWay.isEmpty()) {
+                return;
+            }
+            Execution execution =
+                    outcome == Attempt.Outcome.NOT_RUN ? Execution.NOT_RUN : Execution.UNKNOWN;
+            switch (mRetries.afterFailure(mFailures, execution, true)) {
+                case RetryDecision.Retry(long delayNanos) ->
+                        mClock.after(
+                                delayNanos,
+                                () -> {
+                                    if (!send()) {
+                                        mDone.accept(outcome);
+                                    }
+                                });
+                case RetryDecision.GiveUp() -> mDone.accept(outcome);
+            }
+        }
+    }
+
+    /** One attempt of a call. */
+    private final class Sent implements Attempt.Listener {
+        private final Dispatch mDispatch;
+        private final String mTargetId;
+        private final Attempt mAttempt;
+        private final long mSentNanos = mClock.now();
+        private int mTokens;
+        private boolean mWatched;
+
+        private Sent(Dispatch dispatch, String targetId) {
+            mDispatch = dispatch;
+            mTargetId = targetId;
+            mAttempt = new Attempt(dispatch.mCall, true, this);
+        }
+
+        @Override
+        public void progressed(int tokens, long nanos) {
+            mHealth.observed(mTargetId, tokens, nanos, mClock.now());
+            mTokens += tokens;
+            int watched = Math.min(WATCHED_TOKENS, mDispatch.mCall.generatedTokens());
+            if (!mWatched && mTokens >= watched) {
+                mWatched = true;
+                mHedges.recorded(mClock.now() - mSentNanos);
+            }
+        }
+
+        @Override
+        public void ended(Attempt.Outcome outcome, long serviceNanos) {
+            mDispatch.ended(this, outcome, serviceNanos);
+        }
+    }
+}
--- a/bench/src/main/java/org/oleandertrack/bench/MeasureMain.java
+++ b/bench/src/main/java/org/oleandertrack/bench/MeasureMain.java
@@ -9,7 +9,13 @@
 
     private static final int EXIT_USAGE = 2;
     private static final long DEFAULT_SEED = 1;
-    private static final List<Measure> MEASURES = List.of(new HeadOfLineMeasure());
+    private static final List<Measure> MEASURES =
+            List.of(
+                    new HeadOfLineMeasure(),
+                    new SlowTargetsMeasure(),
+                    new PrefixMeasure(),
+                    new FailingTargetsMeasure(),
+                    new PlacementCostMeasure());
 
     private MeasureMain() {}
 
