Hedge calls that are later than predicted, not merely slow

By definition 5 in 100 calls take longer than the p95, and long prompts are among them; each hedge computes the whole prompt again. Now the time beyond the prediction is watched, and an attempt has to be later than a second one costs.

--- a/bench/src/main/java/org/oleandertrack/bench/EntryHost.java
+++ b/bench/src/main/java/org/oleandertrack/bench/EntryHost.java
@@ -139,10 +139,12 @@
             mTried.add(id);
             mPlacement.target(id).ifPresent(TargetLoad::sent);
             mHealth.sent(id);
-            Sent sent = new Sent(this, id);
+            Sent sent = new Sent(this, id, placed.predicted().totalNanos());
             mUnderWay.add(sent);
             mTargets.get(id).submit(sent.mAttempt);
-            OptionalLong delay = mHedges.delayNanos();
+            OptionalLong delay =
+                    mHedges.delayNanos(
+                            sent.mExpectedNanos, mCall.promptTokens() * Engine.PREFILL_NANOS);
             if (mHedging && delay.isPresent()) {
                 mClock.after(delay.getAsLong(), this::hedge);
             }
@@ -214,10 +216,12 @@
         private final String mTargetId;
         private final Attempt mAttempt;
         private final long mSentNanos = mClock.now();
+        private final long mExpectedNanos;
         private int mTokens;
         private boolean mWatched;
 
-        private Sent(Dispatch dispatch, String targetId) {
+        private Sent(Dispatch dispatch, String targetId, long expectedNanos) {
+            mExpectedNanos = expectedNanos;
             mDispatch = dispatch;
             mTargetId = targetId;
             mAttempt = new Attempt(dispatch.mCall, true, this);
@@ -230,7 +234,7 @@
             int watched = Math.min(WATCHED_TOKENS, mDispatch.mCall.generatedTokens());
             if (!mWatched && mTokens >= watched) {
                 mWatched = true;
-                mHedges.recorded(mClock.now() - mSentNanos);
+                mHedges.recorded(mExpectedNanos, mClock.now() - mSentNanos);
             }
         }
 
--- a/core/src/main/java/org/oleandertrack/core/health/HedgePolicy.java
+++ b/core/src/main/java/org/oleandertrack/core/health/HedgePolicy.java
@@ -5,8 +5,9 @@
 
 /**
  * Decides when a second attempt of a call is sent to another target. Only calls that may be
- * repeated are hedged, after the expected p95 of the watched time, and at most 5 in 100 calls. What
- * is watched, for instance the time to the first token, is the owner's choice: calls of one policy
+ * repeated are hedged, at most 5 in 100 calls, and only once the attempt is later than expected by
+ * more than the p95 of what attempts are late, and by more than the second attempt costs. What is
+ * watched, for instance the time to the first tokens, is the owner's choice: calls of one policy
  * must be comparable.
  *
  * <p>Not thread-safe: the owner guards each instance with its own lock.
@@ -26,27 +27,41 @@
     private final Allowance mAllowance = new Allowance(PER_HUNDRED, MAX_SAVED);
     private final long[] mSamples = new long[WINDOW];
     private int mCount;
-    private long mDelayNanos = -1;
+    private boolean mKnown;
+    private long mLateNanos;
 
     /** Counts a call of a caller; its attempts are not counted. */
     public void counted() {
         mAllowance.counted();
     }
 
-    /** Takes in the watched time of an attempt that was not cancelled, in nanoseconds. */
-    public void recorded(long nanos) {
-        mSamples[mCount % WINDOW] = nanos;
+    /**
+     * Takes in the watched time of an attempt that was not cancelled.
+     *
+     * @param expectedNanos time predicted when the attempt was sent, in nanoseconds
+     * @param nanos time that it took, in nanoseconds
+     */
+    public void recorded(long expectedNanos, long nanos) {
+        mSamples[mCount % WINDOW] = nanos - expectedNanos;
         mCount++;
-        if (mCount >= MIN_SAMPLES && (mDelayNanos < 0 || mCount % REFRESH == 0)) {
+        if (mCount >= MIN_SAMPLES && (!mKnown || mCount % REFRESH == 0)) {
             long[] sorted = Arrays.copyOf(mSamples, Math.min(mCount, WINDOW));
             Arrays.sort(sorted);
-            mDelayNanos = sorted[(int) (QUANTILE * (sorted.length - 1))];
+            mLateNanos = sorted[(int) (QUANTILE * (sorted.length - 1))];
+            mKnown = true;
         }
     }
 
-    /** Returns the time after which an attempt is hedged, once enough calls have been seen. */
-    public OptionalLong delayNanos() {
-        return mDelayNanos < 0 ? OptionalLong.empty() : OptionalLong.of(mDelayNanos);
+    /**
+     * Returns the time after which an attempt is hedged, once enough calls have been seen.
+     *
+     * @param expectedNanos time predicted when the attempt was sent, in nanoseconds
+     * @param repeatNanos what a second attempt computes again, in nanoseconds
+     */
+    public OptionalLong delayNanos(long expectedNanos, long repeatNanos) {
+        return mKnown
+                ? OptionalLong.of(expectedNanos + Math.max(mLateNanos, repeatNanos))
+                : OptionalLong.empty();
     }
 
     /**
--- a/core/src/test/java/org/oleandertrack/core/health/ExtraCallsTest.java
+++ b/core/src/test/java/org/oleandertrack/core/health/ExtraCallsTest.java
@@ -80,17 +80,18 @@
     }
 
     @Test
-    void hedgesAfterP95OfRecentCalls() {
+    void hedgesCallsThatAreLaterThanP95AndThanTheCostOfRepeating() {
         HedgePolicy hedges = new HedgePolicy();
         for (int i = 1; i < 40; i++) {
-            hedges.recorded(i);
+            hedges.recorded(0, i);
         }
-        assertTrue(hedges.delayNanos().isEmpty());
+        assertTrue(hedges.delayNanos(0, 0).isEmpty());
         for (int i = 0; i < 10; i++) {
             for (int value = 1; value <= 100; value++) {
-                hedges.recorded(value);
+                hedges.recorded(1_000, 1_000 + value);
             }
         }
-        assertEquals(95L, hedges.delayNanos().orElseThrow());
+        assertEquals(595L, hedges.delayNanos(500, 0).orElseThrow());
+        assertEquals(700L, hedges.delayNanos(500, 200).orElseThrow(), "costs more than it saves");
     }
 }
