Add durable intents for calls that may run at most once

Cause: a name reservation or a charge must not run twice when a holder dies between dispatch and answer, or when the store's reply is lost.

Ruled out: freeing a key by deleting its row. A new row starts at version 1 again, so a late write for the earlier row could hit it.

Before: no intents.

--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/intent/Intent.java
@@ -0,0 +1,20 @@
+package org.oleandertrack.coordination.intent;
+
+/** An attempt whose intent is durable, so that it may be dispatched once. */
+public final class Intent {
+
+    final String mRowKey;
+    final IntentRow mRow;
+    final long mVersion;
+
+    Intent(String rowKey, IntentRow row, long version) {
+        mRowKey = rowKey;
+        mRow = row;
+        mVersion = version;
+    }
+
+    /** Returns the id of the attempt. */
+    public String attemptId() {
+        return mRow.attemptId();
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/intent/package-info.java
@@ -0,0 +1,2 @@
+/** Records of calls that may run at most once. */
+package org.oleandertrack.coordination.intent;
