--- a/bench/src/main/java/org/oleandertrack/bench/EntryHost.java
+++ b/bench/src/main/java/org/oleandertrack/bench/EntryHost.java
@@ -127,13 +127,21 @@
         }
 
         private boolean send() {
+            if (!(choose() instanceof PlacementResult.Placed placed)) {
+                return false;
+            }
+            sendTo(placed);
+            return true;
+        }
+
+        private PlacementResult choose() {
             PlacementRequest request =
                     PlacementRequest.of(mCall.promptTokens()).withExcluded(mTried);
             request = mPrefixes.find(mCall.program().id()).map(request::withPrefix).orElse(request);
-            PlacementResult result = mPlacement.choose(request, mClock.now());
-            if (!(result instanceof PlacementResult.Placed placed)) {
-                return false;
-            }
+            return mPlacement.choose(request, mClock.now());
+        }
+
+        private void sendTo(PlacementResult.Placed placed) {
             mAttempts++;
             String id = placed.targetId();
             mTried.add(id);
@@ -148,13 +156,18 @@
             if (mHedging && delay.isPresent()) {
                 mClock.after(delay.getAsLong(), this::hedge);
             }
-            return true;
         }
 
         private void hedge() {
-            boolean late = mUnderWay.size() == 1 && !mUnderWay.get(0).mWatched;
-            if (!mEnded && late && mHedges.tryHedge(true) && send()) {
+            if (mEnded || mUnderWay.size() != 1 || mUnderWay.get(0).mWatched) {
+                return;
+            }
+            Sent first = mUnderWay.get(0);
+            long late = mClock.now() - first.mSentNanos - first.mExpectedNanos;
+            if (choose() instanceof PlacementResult.Placed placed
+                    && mHedges.tryHedge(true, late, placed.predicted().totalNanos())) {
                 mHedged++;
+                sendTo(placed);
             }
         }
 
--- a/core/src/main/java/org/oleandertrack/core/health/HedgePolicy.java
+++ b/core/src/main/java/org/oleandertrack/core/health/HedgePolicy.java
@@ -69,8 +69,10 @@
      * takes the hedge from the allowance.
      *
      * @param repeatable whether the call may be repeated
+     * @param lateNanos time that the attempt has taken beyond the predicted one, in nanoseconds
+     * @param predictedNanos time predicted for the second attempt, in nanoseconds
      */
-    public boolean tryHedge(boolean repeatable) {
-        return repeatable && mAllowance.take();
+    public boolean tryHedge(boolean repeatable, long lateNanos, long predictedNanos) {
+        return repeatable && predictedNanos <= lateNanos && mAllowance.take();
     }
 }
--- a/core/src/test/java/org/oleandertrack/core/health/ExtraCallsTest.java
+++ b/core/src/test/java/org/oleandertrack/core/health/ExtraCallsTest.java
@@ -34,7 +34,7 @@
                 attempts++;
                 retried++;
             }
-            hedged += hedges.tryHedge(true) ? 1 : 0;
+            hedged += hedges.tryHedge(true, 2, 1) ? 1 : 0;
         }
         assertTrue(retried <= calls * 4 / 100, retried + " retries of " + calls + " calls");
         assertTrue(hedged <= calls * 5 / 100, hedged + " hedges of " + calls + " calls");
@@ -75,8 +75,9 @@
         assertEquals(new RetryDecision.GiveUp(), retries.afterFailure(1, Execution.RUN, false));
         assertTrue(
                 retries.afterFailure(1, Execution.NOT_RUN, false) instanceof RetryDecision.Retry);
-        assertFalse(hedges.tryHedge(false));
-        assertTrue(hedges.tryHedge(true));
+        assertFalse(hedges.tryHedge(false, 2, 1));
+        assertFalse(hedges.tryHedge(true, 2, 3), "the second attempt takes longer");
+        assertTrue(hedges.tryHedge(true, 2, 1));
     }
 
     @Test
