Weight prompt tokens computed again three times in placement

A call that leaves a busy target saves its own wait, but computing its prompt again delays the calls of the other target.

--- a/bench/src/main/java/org/oleandertrack/bench/EntryHost.java
+++ b/bench/src/main/java/org/oleandertrack/bench/EntryHost.java
@@ -165,7 +165,7 @@
             Sent first = mUnderWay.get(0);
             long late = mClock.now() - first.mSentNanos - first.mExpectedNanos;
             if (choose() instanceof PlacementResult.Placed placed
-                    && mHedges.tryHedge(true, late, placed.predicted().totalNanos())) {
+                    && mHedges.tryHedge(true, late, placed.predicted().costNanos())) {
                 mHedged++;
                 sendTo(placed);
             }
--- a/core/src/main/java/org/oleandertrack/core/placement/Placement.java
+++ b/core/src/main/java/org/oleandertrack/core/placement/Placement.java
@@ -150,7 +150,7 @@
 
         private void considerNormal(TargetLoad target, Predicted cost) {
             mCompared++;
-            if (mBest == null || cost.totalNanos() < mBestCost.totalNanos()) {
+            if (mBest == null || cost.costNanos() < mBestCost.costNanos()) {
                 mBest = target;
                 mBestCost = cost;
             }
@@ -166,7 +166,7 @@
         }
 
         private void considerLastResort(TargetLoad target, Predicted cost) {
-            if (mLastResort == null || cost.totalNanos() < mLastResortCost.totalNanos()) {
+            if (mLastResort == null || cost.costNanos() < mLastResortCost.costNanos()) {
                 mLastResort = target;
                 mLastResortCost = cost;
             }
@@ -196,11 +196,12 @@
                     && mRequest.prefix().get().targetId().equals(target.info().id())) {
                 held = Math.min(mRequest.prefix().get().tokens(), mRequest.promptTokens());
             }
-            return new Predicted(
-                    target.predictedWaitNanos(),
-                    (mRequest.promptTokens() - held) * mConfig.prefillNanosPerToken(),
-                    assessment.penaltyNanos(),
-                    mDistance.roundTripNanos(mZone, target.info().zone()));
+            long wait = target.predictedWaitNanos();
+            long prefill = (mRequest.promptTokens() - held) * mConfig.prefillNanosPerToken();
+            long penalty = assessment.penaltyNanos();
+            long zone = mDistance.roundTripNanos(mZone, target.info().zone());
+            long cost = wait + mConfig.prefillWeight() * prefill + penalty + zone;
+            return new Predicted(wait, prefill, penalty, zone, cost);
         }
     }
 }
--- a/core/src/main/java/org/oleandertrack/core/placement/PlacementConfig.java
+++ b/core/src/main/java/org/oleandertrack/core/placement/PlacementConfig.java
@@ -6,11 +6,13 @@
  * @param choices number of targets drawn at random and compared, besides the one with the prefix;
  *     positive
  * @param prefillNanosPerToken time to compute a prompt token, in nanoseconds; not negative
+ * @param prefillWeight how much more a second of computing prompt tokens again counts than a second
+ *     of waiting, because it also delays the other calls of the target; at least 1
  */
-public record PlacementConfig(int choices, long prefillNanosPerToken) {
+public record PlacementConfig(int choices, long prefillNanosPerToken, int prefillWeight) {
 
-    /** Four choices and 10,000 prompt tokens per second. */
-    public static final PlacementConfig DEFAULT = new PlacementConfig(4, 100_000);
+    /** Four choices, 10,000 prompt tokens per second and a weight of 3. */
+    public static final PlacementConfig DEFAULT = new PlacementConfig(4, 100_000, 3);
 
     /**
      * Checks the values.
@@ -18,19 +20,29 @@
      * @throws IllegalArgumentException if a value is out of range
      */
     public PlacementConfig {
-        if (choices <= 0 || prefillNanosPerToken < 0) {
+        if (choices <= 0 || prefillNanosPerToken < 0 || prefillWeight < 1) {
             throw new IllegalArgumentException(
-                    "choices " + choices + ", prefillNanosPerToken " + prefillNanosPerToken);
+                    "choices "
+                            + choices
+                            + ", prefillNanosPerToken "
+                            + prefillNanosPerToken
+                            + ", prefillWeight "
+                            + prefillWeight);
         }
     }
 
     /** Returns a copy with another number of choices. */
     public PlacementConfig withChoices(int number) {
-        return new PlacementConfig(number, prefillNanosPerToken);
+        return new PlacementConfig(number, prefillNanosPerToken, prefillWeight);
     }
 
     /** Returns a copy with another prefill time, in nanoseconds per token. */
     public PlacementConfig withPrefillNanosPerToken(long nanos) {
-        return new PlacementConfig(choices, nanos);
+        return new PlacementConfig(choices, nanos, prefillWeight);
+    }
+
+    /** Returns a copy with another weight of prompt tokens computed again. */
+    public PlacementConfig withPrefillWeight(int weight) {
+        return new PlacementConfig(choices, prefillNanosPerToken, weight);
     }
 }
--- a/core/src/main/java/org/oleandertrack/core/placement/PlacementResult.java
+++ b/core/src/main/java/org/oleandertrack/core/placement/PlacementResult.java
@@ -34,14 +34,17 @@
     }
 
     /**
-     * Predicted cost of a target, each part in nanoseconds.
+     * Predicted time at a target, each part in nanoseconds.
      *
      * @param waitNanos wait before the call starts
      * @param prefillNanos computation of the prompt tokens that the target does not hold
      * @param penaltyNanos loss because of the target's health
      * @param zoneNanos distance to the target's zone
+     * @param costNanos what targets are compared by: the sum of the parts, with the prompt tokens
+     *     to compute weighted
      */
-    record Predicted(long waitNanos, long prefillNanos, long penaltyNanos, long zoneNanos) {
+    record Predicted(
+            long waitNanos, long prefillNanos, long penaltyNanos, long zoneNanos, long costNanos) {
 
         /** Returns the sum of the parts in nanoseconds. */
         public long totalNanos() {
