--- /dev/null
+++ b/core/src/main/java/org/oleandertrack/core/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Admission of whole programs. */
+package org.oleandertrack.core.admission;
