--- a/bench/src/main/java/org/oleandertrack/bench/FifoTarget.java
+++ b/bench/src/main/java/org/oleandertrack/bench/FifoTarget.java
@@ -5,15 +5,19 @@
 import java.util.Set;
 import org.oleandertrack.core.placement.LoadReport;
 
-/** Baseline: first come first served, without any bound. */
+/** Baseline: first come first served, without any bound. It may drop calls whose callers left. */
 final class FifoTarget implements Target {
 
+    private final VirtualClock mClock;
+    private final boolean mDropping;
     private final Engine mEngine;
     private final int mSlots;
     private final ArrayDeque<Attempt> mWaiting = new ArrayDeque<>();
     private final Set<Attempt> mRunning = new HashSet<>();
 
-    FifoTarget(VirtualClock clock, int slots, long memoryTokens) {
+    FifoTarget(VirtualClock clock, int slots, long memoryTokens, boolean dropping) {
+        mClock = clock;
+        mDropping = dropping;
         mEngine = new Engine(clock, memoryTokens, this::freed);
         mSlots = slots;
     }
@@ -52,6 +56,10 @@
     private void pump() {
         while (mRunning.size() < mSlots && !mWaiting.isEmpty()) {
             Attempt attempt = mWaiting.remove();
+            if (mDropping && attempt.mCall.latestStartNanos() < mClock.now()) {
+                mClock.after(0, () -> attempt.mListener.ended(Attempt.Outcome.NOT_RUN, 0));
+                continue;
+            }
             mRunning.add(attempt);
             mEngine.start(attempt);
         }
--- a/bench/src/main/java/org/oleandertrack/bench/Fleet.java
+++ b/bench/src/main/java/org/oleandertrack/bench/Fleet.java
@@ -25,9 +25,18 @@
 
     /** Creates targets with first come first served queues, called in turn. */
     static Fleet baseline(int targets, int slots, long memoryTokens) {
+        return baseline(targets, slots, memoryTokens, false);
+    }
+
+    /** Creates the same with queues that drop calls whose callers have left. */
+    static Fleet baselineDropping(int targets, int slots, long memoryTokens) {
+        return baseline(targets, slots, memoryTokens, true);
+    }
+
+    private static Fleet baseline(int targets, int slots, long memoryTokens, boolean dropping) {
         Fleet fleet = new Fleet();
         for (int i = 0; i < targets; i++) {
-            fleet.mTargets.add(new FifoTarget(fleet.mClock, slots, memoryTokens));
+            fleet.mTargets.add(new FifoTarget(fleet.mClock, slots, memoryTokens, dropping));
         }
         fleet.mRoundRobin =
                 new RoundRobinDispatcher(
--- a/bench/src/main/java/org/oleandertrack/bench/HeadOfLineMeasure.java
+++ b/bench/src/main/java/org/oleandertrack/bench/HeadOfLineMeasure.java
@@ -50,7 +50,7 @@
         Result fifo =
                 run(
                         fifoClock,
-                        new FifoTarget(fifoClock, SLOTS, MEMORY_TOKENS),
+                        new FifoTarget(fifoClock, SLOTS, MEMORY_TOKENS, false),
                         programs,
                         resumable);
         VirtualClock clock = new VirtualClock();
--- a/bench/src/main/java/org/oleandertrack/bench/MeasureMain.java
+++ b/bench/src/main/java/org/oleandertrack/bench/MeasureMain.java
@@ -13,6 +13,7 @@
             List.of(
                     new HeadOfLineMeasure(),
                     new SlowTargetsMeasure(),
+                    new PeakDemandMeasure(),
                     new PrefixMeasure(),
                     new FailingTargetsMeasure(),
                     new PlacementCostMeasure());
