Bound probes of targets that are left out to 1 in 100 calls

Cause, from counting calls sent as probes at a load of 0.15: three entry hosts probe four slow targets about five times in each half minute, which is some 60 of 480 calls, so that half of the programs of six calls meet a slow target. The same holds for failing targets, whose probes fail a caller's call. The tracker's tests count calls first, because probes need them now, and a new one checks the bound.

--- a/bench/src/main/java/org/oleandertrack/bench/SlowTargetsMeasure.java
+++ b/bench/src/main/java/org/oleandertrack/bench/SlowTargetsMeasure.java
@@ -49,6 +49,8 @@
         Samples unhedgedTimes = run(unhedged, programs, seed);
         long calls = programs.stream().mapToLong(program -> program.turns().size()).sum();
         String load = " (load " + utilisation + ")";
+        Samples unloaded = new Samples();
+        programs.forEach(program -> unloaded.add(program.unloadedNanos()));
         double base = plainTimes.quantileSeconds(0.99);
         return List.of(
                 Figure.ratio(
@@ -61,6 +63,11 @@
                         base,
                         unhedgedTimes.quantileSeconds(0.99),
                         Bar.none()),
+                Figure.ratio(
+                        "p99 of programs if nothing waited or were slow, s" + load,
+                        base,
+                        unloaded.quantileSeconds(0.99),
+                        Bar.none()),
                 Figure.ratio(
                         "mean of programs, s" + load,
                         plainTimes.meanSeconds(),
--- a/core/src/main/java/org/oleandertrack/core/health/Allowance.java
+++ b/core/src/main/java/org/oleandertrack/core/health/Allowance.java
@@ -35,9 +35,14 @@
         mHundredths = Math.min(mMaxHundredths, mHundredths + mPerHundred);
     }
 
+    /** Returns whether an extra call is left. */
+    public boolean isAvailable() {
+        return mHundredths >= HUNDRED;
+    }
+
     /** Takes one extra call from the allowance and returns whether there was one. */
     public boolean take() {
-        if (mHundredths < HUNDRED) {
+        if (!isAvailable()) {
             return false;
         }
         mHundredths -= HUNDRED;
--- a/core/src/main/java/org/oleandertrack/core/health/HealthTracker.java
+++ b/core/src/main/java/org/oleandertrack/core/health/HealthTracker.java
@@ -27,6 +27,10 @@
     /** At most one target out of this many is set aside for being slow. */
     public static final int SET_ASIDE_DIVISOR = 3;
 
+    /** Probes of targets that are left out, for each hundred calls. */
+    public static final int PROBES_PER_HUNDRED = 1;
+
+    private static final int MAX_SAVED_PROBES = 4;
     // Weight of the newest observation in a target's time per token: about three observations
     // replace the former value, which finds a target slowed five times after one or two.
     private static final double OBSERVATION_WEIGHT = 0.4;
@@ -36,6 +40,7 @@
     private static final int MIN_PEERS = 3;
 
     private final HealthConfig mConfig;
+    private final Allowance mProbes = new Allowance(PROBES_PER_HUNDRED, MAX_SAVED_PROBES);
     private final Map<String, State> mStates = new HashMap<>();
     private double mMedianNanos;
     private double mMeanCallNanos;
@@ -67,7 +72,8 @@
             return TargetAssessment.HEALTHY;
         }
         if (state.isLeftOut()) {
-            boolean due = !state.mProbing && nowNanos >= state.mNextProbeNanos;
+            boolean due =
+                    !state.mProbing && nowNanos >= state.mNextProbeNanos && mProbes.isAvailable();
             return new TargetAssessment(due ? Use.PROBE : Use.LAST_RESORT, state.mPenaltyNanos);
         }
         return state.mPenaltyNanos == 0
@@ -89,8 +95,10 @@
 
     /** Notes that a call is sent to a target. A call to a target that is left out is a probe. */
     public void sent(String targetId) {
+        mProbes.counted();
         State state = mStates.get(targetId);
         if (state != null && state.isLeftOut()) {
+            mProbes.take();
             state.mProbing = true;
         }
     }
--- a/core/src/test/java/org/oleandertrack/core/health/HealthTrackerTest.java
+++ b/core/src/test/java/org/oleandertrack/core/health/HealthTrackerTest.java
@@ -75,6 +75,24 @@
         assertEquals(0, mTracker.failing());
     }
 
+    /** Guards against probes that make up much of a small load and slow its programs down. */
+    @Test
+    void probesAtMostOneCallInAHundred() {
+        addTargets(mTracker, 30);
+        observeAll(mTracker, 30, 8, 0);
+        observeAll(mTracker, 30, 8, SECOND);
+        int probes = 0;
+        for (int call = 0; call < 1_000; call++) {
+            long now = (10 + call) * SECOND;
+            String id = "t" + call % 8;
+            boolean probe = use(id, now) == Use.PROBE;
+            probes += probe ? 1 : 0;
+            mTracker.sent(probe ? id : "t20");
+            mTracker.abandoned(id);
+        }
+        assertTrue(probes >= 4 && probes <= 14, probes + " probes in 1,000 calls");
+    }
+
     /** Guards against a slowdown of many targets that takes most of the capacity away. */
     @Property(tries = 100)
     void atMostAThirdIsSetAside(
@@ -103,6 +121,14 @@
         for (int i = 0; i < count; i++) {
             tracker.add("t" + i);
         }
+        allowProbes(tracker);
+    }
+
+    /** Counts enough calls for four probes. */
+    private static void allowProbes(HealthTracker tracker) {
+        for (int i = 0; i < 400; i++) {
+            tracker.sent("another");
+        }
     }
 
     /** Observes 1 ms per token at every target, five times as much at the first {@code slow}. */
