--- a/bench/src/main/java/org/oleandertrack/bench/Figure.java
+++ b/bench/src/main/java/org/oleandertrack/bench/Figure.java
@@ -88,7 +88,7 @@
 
     private static String row(String... cells) {
         return String.format(
-                Locale.ROOT, "| %-62s | %9s | %9s | %7s | %8s | %-6s |", (Object[]) cells);
+                Locale.ROOT, "| %-70s | %9s | %9s | %7s | %8s | %-6s |", (Object[]) cells);
     }
 
     private static String format(double value) {
