--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/config/ConfigLog.java
@@ -0,0 +1,405 @@
+package org.oleandertrack.coordination.config;
+
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.oleandertrack.coordination.commit.CommitResult;
+import org.oleandertrack.coordination.commit.GroupCommit;
+import org.oleandertrack.coordination.schedule.Scheduler;
+import org.oleandertrack.coordination.store.ConditionalWrite;
+import org.oleandertrack.coordination.store.Row;
+import org.oleandertrack.coordination.store.RowJson;
+import org.oleandertrack.coordination.store.StoreException;
+import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.coordination.store.TableScans;
+import org.oleandertrack.coordination.store.TableStore;
+import org.oleandertrack.coordination.store.WriteOutcome;
+import org.oleandertrack.core.result.Execution;
+import org.tinylog.Logger;
+
+/**
+ * The log of configuration changes: reads it from the store and from peers, and appends to it.
+ *
+ * <p>A process takes only the change that follows its own version, and a snapshot only if it is
+ * newer, so its configuration never reverts. Version v is created on condition that its row is
+ * absent, by a process that is at version v - 1, so the log has no gaps.
+ *
+ * <p>Thread safe. Listeners are called without locks held, in the order of the versions.
+ */
+public final class ConfigLog {
+
+    private final TableStore mTable;
+    private final SnapshotStore mSnapshots;
+    private final GroupCommit mCommit;
+    private final Scheduler mScheduler;
+    private final LongSupplier mNanoClock;
+    private final RandomGenerator mRandom;
+    private final ConfigSettings mSettings;
+    private final IntSupplier mPollers;
+    private final ConfigState mState;
+    private final Consumer<ConfigChange> mListener;
+
+    private final Object mLock = new Object();
+    private final ArrayDeque<ConfigChange> mKept = new ArrayDeque<>();
+    private final ArrayDeque<ConfigChange> mUndelivered = new ArrayDeque<>();
+    private boolean mDelivering;
+    private boolean mRunning;
+    private boolean mSnapshotLoaded;
+    private boolean mConfirmed;
+    private long mConfirmedNanos;
+    private long mVersion;
+    private Scheduler.Timer mNextPoll = () -> {};
+
+    /**
+     * Creates a log at version 0.
+     *
+     * @param table answers reads; its requests must end, see {@code TimeLimitedTableStore}
+     * @param pollers returns the number of processes of the zone that poll, this one included
+     * @param listener told about each new change; not about those inside a snapshot
+     */
+    public ConfigLog(
+            TableStore table,
+            SnapshotStore snapshots,
+            GroupCommit commit,
+            Scheduler scheduler,
+            LongSupplier nanoClock,
+            RandomGenerator random,
+            ConfigSettings settings,
+            IntSupplier pollers,
+            ConfigState state,
+            Consumer<ConfigChange> listener) {
+        mTable = table;
+        mSnapshots = snapshots;
+        mCommit = commit;
+        mScheduler = scheduler;
+        mNanoClock = nanoClock;
+        mRandom = random;
+        mSettings = settings;
+        mPollers = pollers;
+        mState = state;
+        mListener = listener;
+    }
+
+    // Life-cycle.
+
+    /** Loads the latest snapshot and starts to poll. */
+    public void start() {
+        synchronized (mLock) {
+            mRunning = true;
+        }
+        poll();
+    }
+
+    /** Stops polling. */
+    public void stop() {
+        synchronized (mLock) {
+            mRunning = false;
+            mNextPoll.cancel();
+        }
+    }
+
+    // Accessors.
+
+    /** Returns the version of the last change taken; 0 if there is none. */
+    public long version() {
+        synchronized (mLock) {
+            return mVersion;
+        }
+    }
+
+    /**
+     * Returns how many milliseconds ago this process last is known to have had every accepted
+     * change, from the store or from a peer; {@code Long.MAX_VALUE} if that is not known.
+     */
+    public long confirmedAgeMillis() {
+        synchronized (mLock) {
+            if (!mConfirmed) {
+                return Long.MAX_VALUE;
+            }
+            return Math.ceilDiv(mNanoClock.getAsLong() - mConfirmedNanos, 1_000_000L);
+        }
+    }
+
+    /** Returns the changes after a version; empty if they are not all kept in memory any more. */
+    public Optional<List<ConfigChange>> changesAfter(long version) {
+        synchronized (mLock) {
+            if (version < mVersion - mKept.size()) {
+                return Optional.empty();
+            }
+            return Optional.of(
+                    mKept.stream().filter(change -> change.version() > version).toList());
+        }
+    }
+
+    /** Returns the present state for a peer that is too far behind for single changes. */
+    public ConfigSnapshot snapshot() {
+        synchronized (mLock) {
+            return new ConfigSnapshot(mVersion, mState.encode());
+        }
+    }
+
+    // Operations.
+
+    /**
+     * Appends a change.
+     *
+     * @param replacedVersion version that the operator's command replaces
+     * @param changeId id of the change; a repetition after an unknown outcome uses the same one and
+     *     is recognised among the latest {@code keptChanges} versions
+     * @param deadlineNanos reading of the nano clock at which the attempt ends
+     * @return fails with {@link StoreException} only if the change was not made
+     */
+    public CompletableFuture<AppendOutcome> append(
+            long replacedVersion,
+            String command,
+            String operator,
+            String changeId,
+            long deadlineNanos) {
+        CompletableFuture<Void> upToDate =
+                replacedVersion > version()
+                        ? StoreFailures.asNotRun(readChanges())
+                        : CompletableFuture.completedFuture(null);
+        return upToDate.thenCompose(done -> StoreFailures.asNotRun(readEarlierChanges()))
+                .thenCompose(
+                        done -> {
+                            Optional<AppendOutcome> decided = decide(replacedVersion, changeId);
+                            if (decided.isPresent()) {
+                                return CompletableFuture.completedFuture(decided.get());
+                            }
+                            return create(
+                                    new ConfigChange(
+                                            replacedVersion + 1, command, operator, changeId),
+                                    deadlineNanos);
+                        });
+    }
+
+    /** Takes changes that a peer sent; those that do not follow this version are ignored. */
+    public void offerChanges(List<ConfigChange> changes) {
+        synchronized (mLock) {
+            changes.forEach(this::take);
+        }
+        deliver();
+    }
+
+    /** Takes a snapshot that a peer sent, if it is newer than this version. */
+    public void offerSnapshot(ConfigSnapshot snapshot) {
+        synchronized (mLock) {
+            if (snapshot.version() > mVersion) {
+                mState.restore(snapshot);
+                mVersion = snapshot.version();
+                mKept.clear();
+            }
+        }
+    }
+
+    /**
+     * Takes a peer's statement about its version.
+     *
+     * @param ageMillis the peer's {@link #confirmedAgeMillis} plus the longest time for which the
+     *     message may have been under way
+     * @return whether the peer has changes that this process lacks
+     */
+    public boolean confirmByPeer(long version, long ageMillis) {
+        synchronized (mLock) {
+            // This process has all that the peer had, and so all that existed at that moment.
+            if (version <= mVersion && ageMillis < Long.MAX_VALUE / 2_000_000) {
+                confirm(mNanoClock.getAsLong() - ageMillis * 1_000_000L);
+            }
+            return version > mVersion;
+        }
+    }
+
+    // Helpers: reading.
+
+    private void poll() {
+        boolean load;
+        synchronized (mLock) {
+            if (!mRunning) {
+                return;
+            }
+            load = !mSnapshotLoaded;
+        }
+        CompletableFuture<Void> loaded =
+                load ? loadSnapshot() : CompletableFuture.completedFuture(null);
+        var _ =
+                loaded.thenCompose(done -> readChanges())
+                        .thenCompose(done -> mSnapshots.writePending())
+                        .whenComplete((done, failure) -> onPolled(failure));
+    }
+
+    private void onPolled(Throwable failure) {
+        if (failure != null) {
+            Logger.debug("poll of the configuration failed: {}", failure.toString());
+        }
+        synchronized (mLock) {
+            if (mRunning) {
+                long interval = mSettings.zonePollNanos() * Math.max(1, mPollers.getAsInt());
+                long jitter = mRandom.nextLong(interval / 10 + 1);
+                mNextPoll = mScheduler.schedule(interval - jitter, this::poll);
+            }
+        }
+    }
+
+    private CompletableFuture<Void> loadSnapshot() {
+        return mSnapshots
+                .load()
+                .thenAccept(
+                        found -> {
+                            found.ifPresent(this::offerSnapshot);
+                            synchronized (mLock) {
+                                mSnapshotLoaded = true;
+                            }
+                        });
+    }
+
+    private CompletableFuture<Void> readChanges() {
+        long sentNanos = mNanoClock.getAsLong();
+        String after = ConfigChange.key(version());
+        return TableScans.all(mTable, ConfigChange.PREFIX, after, mSettings.pageRows())
+                .thenAccept(rows -> onRead(rows, sentNanos));
+    }
+
+    private void onRead(List<Row> rows, long sentNanos) {
+        List<ConfigChange> changes =
+                rows.stream().map(row -> RowJson.decode(row, ConfigChange.class)).toList();
+        synchronized (mLock) {
+            changes.forEach(this::take);
+            // The store had nothing newer when it was asked.
+            if (changes.isEmpty() || changes.getLast().version() == mVersion) {
+                confirm(sentNanos);
+            }
+        }
+        deliver();
+    }
+
+    private void confirm(long nanos) {
+        if (!mConfirmed || nanos - mConfirmedNanos > 0) {
+            mConfirmed = true;
+            mConfirmedNanos = nanos;
+        }
+    }
+
+    /** Takes a change if it is the one that follows. */
+    private void take(ConfigChange change) {
+        if (change.version() != mVersion + 1) {
+            return;
+        }
+        mVersion = change.version();
+        mState.apply(change);
+        mKept.add(change);
+        if (mKept.size() > mSettings.keptChanges()) {
+            mKept.poll();
+        }
+        mUndelivered.add(change);
+        if (mVersion % mSettings.snapshotVersions() == 0) {
+            mSnapshots.offer(new ConfigSnapshot(mVersion, mState.encode()));
+        }
+    }
+
+    // Helpers: appending.
+
+    private Optional<AppendOutcome> decide(long replacedVersion, String changeId) {
+        synchronized (mLock) {
+            for (ConfigChange change : mKept) {
+                if (change.changeId().equals(changeId)) {
+                    return Optional.of(new AppendOutcome.Accepted(change.version()));
+                }
+            }
+            return replacedVersion == mVersion
+                    ? Optional.empty()
+                    : Optional.of(new AppendOutcome.Conflict(mVersion));
+        }
+    }
+
+    /**
+     * Reads the changes that a snapshot has skipped. Their ids must be known before an append, or a
+     * change repeated after an unknown outcome could be made twice.
+     */
+    private CompletableFuture<Void> readEarlierChanges() {
+        long after;
+        synchronized (mLock) {
+            if (mKept.size() >= Math.min(mVersion, mSettings.keptChanges())) {
+                return CompletableFuture.completedFuture(null);
+            }
+            after = Math.max(0, mVersion - mSettings.keptChanges());
+        }
+        return TableScans.all(
+                        mTable, ConfigChange.PREFIX, ConfigChange.key(after), mSettings.pageRows())
+                .thenAccept(
+                        rows -> {
+                            synchronized (mLock) {
+                                rows.reversed().forEach(this::keepEarlier);
+                            }
+                        });
+    }
+
+    private void keepEarlier(Row row) {
+        ConfigChange change = RowJson.decode(row, ConfigChange.class);
+        if (change.version() == mVersion - mKept.size() && mKept.size() < mSettings.keptChanges()) {
+            mKept.addFirst(change);
+        }
+    }
+
+    private CompletableFuture<AppendOutcome> create(ConfigChange change, long deadlineNanos) {
+        ConditionalWrite write =
+                ConditionalWrite.create(ConfigChange.key(change.version()), RowJson.encode(change));
+        return mCommit.submit(List.of(write), deadlineNanos)
+                .thenCompose(result -> onCreated(change, result))
+                .exceptionallyCompose(
+                        failure ->
+                                StoreFailures.executionOf(failure) == Execution.NOT_RUN
+                                        ? CompletableFuture.failedFuture(
+                                                StoreFailures.asStoreException(failure))
+                                        : CompletableFuture.completedFuture(
+                                                new AppendOutcome.Unknown()));
+    }
+
+    private CompletableFuture<AppendOutcome> onCreated(ConfigChange change, CommitResult result) {
+        if (result.outcomes().getFirst() instanceof WriteOutcome.Applied) {
+            offerChanges(List.of(change));
+            return CompletableFuture.completedFuture(new AppendOutcome.Accepted(change.version()));
+        }
+        return mTable.get(ConfigChange.key(change.version()))
+                .handle((found, readFailure) -> onConflict(change, found, readFailure));
+    }
+
+    /** Names the winner, which is this change if another process has sent it before. */
+    private AppendOutcome onConflict(
+            ConfigChange change, Optional<Row> found, Throwable readFailure) {
+        if (readFailure != null || found.isEmpty()) {
+            return new AppendOutcome.Unknown();
+        }
+        ConfigChange winner = RowJson.decode(found.get(), ConfigChange.class);
+        offerChanges(List.of(winner));
+        return winner.changeId().equals(change.changeId())
+                ? new AppendOutcome.Accepted(winner.version())
+                : new AppendOutcome.Conflict(Math.max(winner.version(), version()));
+    }
+
+    private void deliver() {
+        while (true) {
+            ConfigChange change;
+            synchronized (mLock) {
+                if (mDelivering || mUndelivered.isEmpty()) {
+                    return;
+                }
+                mDelivering = true;
+                change = mUndelivered.poll();
+            }
+            try {
+                mListener.accept(change);
+            } catch (RuntimeException e) {
+                Logger.error(e, "listener failed on configuration version {}", change.version());
+            } finally {
+                synchronized (mLock) {
+                    mDelivering = false;
+                }
+            }
+        }
+    }
+}
--- a/coordination/src/test/java/org/oleandertrack/coordination/sim/FakeStore.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/sim/FakeStore.java
@@ -106,7 +106,13 @@
             return request(
                     false,
                     () ->
-                            mRows.tailMap(afterKey, false).tailMap(prefix, true).values().stream()
+                            mRows
+                                    .tailMap(
+                                            afterKey.compareTo(prefix) > 0 ? afterKey : prefix,
+                                            true)
+                                    .values()
+                                    .stream()
+                                    .filter(row -> row.key().compareTo(afterKey) > 0)
                                     .takeWhile(row -> row.key().startsWith(prefix))
                                     .limit(limit)
                                     .toList());
