Add a scenario language for tests with real processes

Scenario files start processes on loopback, send turns, calls and operators' statements, signal processes and set faults, and check answers and counts. One dynamic test runs each file; files that name the same deployment share it. Processes can be asked to stop without waiting and started again with the same settings.

--- a/system-tests/src/main/java/org/oleandertrack/system/LocalDeployment.java
+++ b/system-tests/src/main/java/org/oleandertrack/system/LocalDeployment.java
@@ -3,15 +3,13 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.URI;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -29,6 +27,10 @@
     private static final Pattern ENTRY_READY =
             Pattern.compile(
                     "listening as entry host .*httpPort=(\\d+) adminPort=(\\d+) peerPort=(\\d+)");
+
+    /** The exit code that the JVM reports for an orderly end after SIGTERM. */
+    private static final int TERMINATED = 143;
+
     private static final int STANDIN_HEAP_MEGABYTES = 128;
     private static final int SIDECAR_HEAP_MEGABYTES = 32;
     private static final int ENTRY_HEAP_MEGABYTES = 256;
@@ -38,10 +40,15 @@
     private final ObjectMapper mMapper = new ObjectMapper();
     private final Map<String, ManagedProcess> mProcesses = new LinkedHashMap<>();
     private final Map<String, ObjectNode> mHosts = new LinkedHashMap<>();
-    private final Map<String, URI> mAddresses = new LinkedHashMap<>();
-    private final Map<String, URI> mAdminAddresses = new LinkedHashMap<>();
+
+    /** Concurrent, because background callers read it while a node starts again. */
+    private final Map<String, URI> mAddresses = new ConcurrentHashMap<>();
+
+    private final Map<String, URI> mAdminAddresses = new ConcurrentHashMap<>();
     private final Map<String, TargetSpec> mTargets = new LinkedHashMap<>();
+    private final Map<String, Runnable> mLaunches = new LinkedHashMap<>();
     private String mExtraEntrySettings = "";
+    private String mExtraSidecarSettings = "";
 
     /** Creates a deployment that keeps settings and logs in the given folder. */
     public LocalDeployment(DeploymentFiles files, HttpCaller http) {
@@ -78,12 +85,9 @@
         Path settings =
                 mFiles.write(
                         node + ".toml",
-                        SettingsText.sidecar(node, zone, spec, mAddresses.get(target)));
-        ManagedProcess process =
-                startServer(node, "sidecar", settings, SIDECAR_READY, SIDECAR_HEAP_MEGABYTES);
-        Matcher ready = process.awaitReady();
-        mAdminAddresses.put(node, loopback(ready.group(2)));
-        list(node, "SIDECAR", zone, ready.group(1), spec);
+                        SettingsText.sidecar(node, zone, spec, mAddresses.get(target))
+                                + mExtraSidecarSettings);
+        launch(node, () -> launchSidecar(node, zone, spec, settings));
     }
 
     /** Starts an entry host and lists it. */
@@ -93,22 +97,37 @@
                         node + ".toml",
                         SettingsText.entry(node, zone, mAddresses.get("platform"))
                                 + mExtraEntrySettings);
-        ManagedProcess process =
-                startServer(node, "entry", settings, ENTRY_READY, ENTRY_HEAP_MEGABYTES);
-        Matcher ready = process.awaitReady();
-        mAddresses.put(node, loopback(ready.group(1)));
-        mAdminAddresses.put(node, loopback(ready.group(2)));
-        list(node, "ENTRY", zone, ready.group(3), new TargetSpec("", "", ""));
+        launch(node, () -> launchEntry(node, zone, settings));
+    }
+
+    /**
+     * Starts a daemon again with the settings of its first start and lists its new ports. A daemon
+     * that runs is stopped before.
+     */
+    public void restart(String node) {
+        stop(node);
+        mLaunches.get(node).run();
+        publishHosts();
+    }
+
+    /** Stops a process if it runs; fails if it ends with an error. */
+    public void stop(String name) {
+        ManagedProcess process = mProcesses.remove(name);
+        if (process != null && process.isAlive()) {
+            checkExit(name, process.stop());
+        }
+    }
+
+    /** Waits for the end of a process that was asked to stop; fails if it ends with an error. */
+    public void awaitExit(String name) {
+        checkExit(name, mProcesses.get(name).awaitExit());
     }
 
     /** Stops all processes in the reverse order of their start; fails if one ends with an error. */
     public void stopAll() {
         List<String> names = new ArrayList<>(mProcesses.keySet());
         for (String name : names.reversed()) {
-            int exitCode = mProcesses.remove(name).stop();
-            if (exitCode != 0 && exitCode != 143) {
-                throw new IllegalStateException(name + " ended with exit code " + exitCode);
-            }
+            stop(name);
         }
     }
 
@@ -125,6 +144,11 @@
         mExtraEntrySettings = toml;
     }
 
+    /** Sets TOML text that is appended to the settings of sidecars started afterwards. */
+    public void appendToSidecarSettings(String toml) {
+        mExtraSidecarSettings = toml;
+    }
+
     /** Sends the host list to the platform's stand-in. */
     public void publishHosts() {
         ObjectNode body = mMapper.createObjectNode();
@@ -162,12 +186,50 @@
         return mAdminAddresses.get(name);
     }
 
+    /** Returns a process that was started and not stopped. */
     public ManagedProcess process(String name) {
-        return mProcesses.get(name);
+        ManagedProcess process = mProcesses.get(name);
+        if (process == null) {
+            throw new IllegalArgumentException("no process " + name);
+        }
+        return process;
+    }
+
+    /** Returns the log file of a process, which all its starts share. */
+    public Path log(String name) {
+        return mFiles.log(name);
     }
 
     // Helpers
 
+    private void launch(String node, Runnable launch) {
+        mLaunches.put(node, launch);
+        launch.run();
+    }
+
+    private void launchSidecar(String node, String zone, TargetSpec spec, Path settings) {
+        ManagedProcess process =
+                startServer(node, "sidecar", settings, SIDECAR_READY, SIDECAR_HEAP_MEGABYTES);
+        Matcher ready = process.awaitReady();
+        mAdminAddresses.put(node, loopback(ready.group(2)));
+        list(node, "SIDECAR", zone, ready.group(1), spec);
+    }
+
+    private void launchEntry(String node, String zone, Path settings) {
+        ManagedProcess process =
+                startServer(node, "entry", settings, ENTRY_READY, ENTRY_HEAP_MEGABYTES);
+        Matcher ready = process.awaitReady();
+        mAddresses.put(node, loopback(ready.group(1)));
+        mAdminAddresses.put(node, loopback(ready.group(2)));
+        list(node, "ENTRY", zone, ready.group(3), new TargetSpec("", "", ""));
+    }
+
+    private static void checkExit(String name, int exitCode) {
+        if (exitCode != 0 && exitCode != TERMINATED) {
+            throw new IllegalStateException(name + " ended with exit code " + exitCode);
+        }
+    }
+
     private URI startStandin(String name, List<String> arguments) {
         ManagedProcess process =
                 ManagedProcess.start(
@@ -215,13 +277,4 @@
 
     /** What stands behind a sidecar. */
     record TargetSpec(String name, String models, String service) {}
-
-    /** Returns a folder's files for a deployment of the built jars. */
-    static String read(Path file) {
-        try {
-            return Files.readString(file);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
--- a/system-tests/src/main/java/org/oleandertrack/system/ManagedProcess.java
+++ b/system-tests/src/main/java/org/oleandertrack/system/ManagedProcess.java
@@ -76,10 +76,28 @@
 
     /** Asks the process to stop (SIGTERM), waits and returns its exit code. */
     public int stop() {
+        terminate();
+        return awaitExit();
+    }
+
+    /** Asks the process to stop (SIGTERM) without waiting for its end. */
+    public void terminate() {
         resume();
         // Process.destroy would also close the output that is still to be read.
         mProcess.toHandle().destroy();
-        return awaitExit();
+    }
+
+    /** Waits for the end of the process and returns its exit code. */
+    public int awaitExit() {
+        try {
+            if (!mProcess.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
+                throw new IllegalStateException(mName + " did not end");
+            }
+            return mProcess.exitValue();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
     }
 
     /** Kills the process (SIGKILL) and waits for its end. */
@@ -144,18 +162,6 @@
         mReady.completeExceptionally(new IllegalStateException(mName + " ended; see " + logFile));
     }
 
-    private int awaitExit() {
-        try {
-            if (!mProcess.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
-                throw new IllegalStateException(mName + " did not end");
-            }
-            return mProcess.exitValue();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IllegalStateException(e);
-        }
-    }
-
     private void signal(String name) {
         try {
             new ProcessBuilder("kill", "-" + name, Long.toString(mProcess.pid())).start().waitFor();
--- /dev/null
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/Answer.java
@@ -0,0 +1,100 @@
+package org.oleandertrack.system.scenario;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.http.HttpHeaders;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/**
+ * What came back for a request. Immutable.
+ *
+ * @param status 0 if no head arrived
+ * @param failure why the answer is not whole; absent if the connection ended in order
+ */
+record Answer(int status, Optional<HttpHeaders> headers, String body, Optional<String> failure) {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String EVENT = "data: ";
+    private static final String DONE = "data: [DONE]";
+
+    /** Returns a header's value or an empty text. */
+    String header(String name) {
+        return headers.flatMap(all -> all.firstValue(name)).orElse("");
+    }
+
+    /** Returns the number of the result code, or 0 if the answer is no refusal. */
+    long code() {
+        String value = header("Oleandertrack-Result-Code");
+        return value.isEmpty() ? error().path("code").asLong(0) : Long.parseLong(value);
+    }
+
+    /** Returns the execution that the refusal reports, or an empty text. */
+    String execution() {
+        String value = header("Oleandertrack-Execution");
+        return value.isEmpty() ? error().path("execution").asText("") : value;
+    }
+
+    /** Returns whether the whole answer of a target arrived. */
+    boolean isWhole() {
+        if (status != 200 || failure.isPresent()) {
+            return false;
+        }
+        return !isEventStream() || (body.stripTrailing().endsWith(DONE) && !hasErrorEvent());
+    }
+
+    /** Returns the generated text of a model's answer, or the body of another one. */
+    String text() {
+        if (isEventStream()) {
+            StringBuilder text = new StringBuilder();
+            events().forEach(event -> text.append(event.at("/choices/0/delta/content").asText()));
+            return text.toString();
+        }
+        JsonNode content = json(body).at("/choices/0/message/content");
+        return content.isMissingNode() ? body : content.asText();
+    }
+
+    @Override
+    public String toString() {
+        return "status "
+                + status
+                + failure.map(reason -> ", " + reason).orElse("")
+                + ", body "
+                + (body.length() > 2_000 ? body.substring(0, 2_000) + "..." : body);
+    }
+
+    // Helpers
+
+    private boolean isEventStream() {
+        return header("Content-Type").startsWith("text/event-stream");
+    }
+
+    private boolean hasErrorEvent() {
+        return events().anyMatch(event -> event.has("error"));
+    }
+
+    private JsonNode error() {
+        if (isEventStream()) {
+            return events().filter(event -> event.has("error"))
+                    .findFirst()
+                    .map(event -> event.path("error"))
+                    .orElseGet(MAPPER::createObjectNode);
+        }
+        return json(body).path("error");
+    }
+
+    private Stream<JsonNode> events() {
+        return body.lines()
+                .filter(line -> line.startsWith(EVENT + "{"))
+                .map(line -> json(line.substring(EVENT.length())));
+    }
+
+    private static JsonNode json(String text) {
+        try {
+            return MAPPER.readTree(text);
+        } catch (JsonProcessingException e) {
+            return MAPPER.createObjectNode();
+        }
+    }
+}
--- /dev/null
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/BackgroundLoad.java
@@ -0,0 +1,176 @@
+package org.oleandertrack.system.scenario;
+
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+/**
+ * A bounded number of callers that run programs one after another. As a balancer does, a caller
+ * sends a request that was refused as not run, or whose connection could not be opened, to the next
+ * entry host. Any other failure counts as a lost call. Thread safe.
+ */
+final class BackgroundLoad {
+
+    private static final int MAX_TRIES = 400;
+    private static final long TOKENS = 8;
+
+    /** What the load does. */
+    record Plan(
+            String name,
+            String organisation,
+            int clients,
+            int programs,
+            int turns,
+            Optional<String> service,
+            List<String> nodes) {}
+
+    private final Plan mPlan;
+    private final String mModel;
+    private final ScenarioHttp mHttp;
+    private final Function<String, URI> mAddresses;
+    private final Supplier<URI> mTarget;
+    private final AtomicBoolean mFinishing = new AtomicBoolean();
+    private final AtomicLong mCompleted = new AtomicLong();
+    private final ConcurrentLinkedQueue<String> mLost = new ConcurrentLinkedQueue<>();
+    private final List<Thread> mThreads = new ArrayList<>();
+
+    BackgroundLoad(
+            Plan plan,
+            String model,
+            ScenarioHttp http,
+            Function<String, URI> addresses,
+            Supplier<URI> target) {
+        mPlan = plan;
+        mModel = model;
+        mHttp = http;
+        mAddresses = addresses;
+        mTarget = target;
+    }
+
+    // Life-cycle
+
+    void start() {
+        for (int i = 0; i < mPlan.clients(); i++) {
+            int client = i;
+            mThreads.add(Thread.ofVirtual().start(() -> runClient(client)));
+        }
+    }
+
+    /** Lets the programs under way end and waits for them. */
+    void finish() {
+        mFinishing.set(true);
+        for (Thread thread : mThreads) {
+            try {
+                thread.join();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+
+    // Accessors
+
+    long completed() {
+        return mCompleted.get();
+    }
+
+    /** Returns a description of each lost call. */
+    List<String> lost() {
+        return List.copyOf(mLost);
+    }
+
+    // Helpers
+
+    private void runClient(int client) {
+        for (int i = 0; i < mPlan.programs() && !mFinishing.get(); i++) {
+            String program = mPlan.name() + "-" + client + "-" + i;
+            List<String> texts = new ArrayList<>();
+            for (int turn = 1; turn <= mPlan.turns(); turn++) {
+                if (!runTurn(program, turn, texts, client + i)) {
+                    return;
+                }
+            }
+            if (mPlan.service().isPresent()) {
+                runReservation(mPlan.service().get(), program, client + i);
+            }
+        }
+    }
+
+    private boolean runTurn(String program, int turn, List<String> texts, int firstNode) {
+        Map<String, String> headers =
+                turn == mPlan.turns() ? Map.of("Oleandertrack-End", "true") : Map.of();
+        Request.Turn request =
+                new Request.Turn(
+                        "",
+                        mPlan.organisation(),
+                        program,
+                        turn,
+                        "Question " + turn + " of " + program,
+                        turn % 2 == 0,
+                        TOKENS,
+                        mModel,
+                        headers);
+        SentRequest sent = RequestFactory.turn(request, texts, mModel);
+        String what = program + " turn " + turn;
+        Optional<Answer> answer = deliver(sent, what, firstNode + turn);
+        if (answer.isEmpty()) {
+            return false;
+        }
+        Answer direct = mHttp.send(mTarget.get(), RequestFactory.direct(sent)).await();
+        if (!direct.text().equals(answer.get().text())) {
+            mLost.add(what + ": expected " + direct + "; found " + answer.get());
+            return false;
+        }
+        texts.add(request.text());
+        texts.add(answer.get().text());
+        return true;
+    }
+
+    private void runReservation(String service, String program, int firstNode) {
+        SentRequest sent =
+                new SentRequest(
+                        "POST",
+                        "/services/" + service + "/reservations",
+                        Map.of(
+                                "Oleandertrack-Organisation",
+                                mPlan.organisation(),
+                                "Idempotency-Key",
+                                program),
+                        "name=" + program,
+                        Optional.empty(),
+                        List.of());
+        deliver(sent, program + " reservation", firstNode);
+    }
+
+    private Optional<Answer> deliver(SentRequest request, String what, int firstNode) {
+        Answer answer = new Answer(0, Optional.empty(), "", Optional.of("not sent"));
+        for (int i = 0; i < MAX_TRIES; i++) {
+            String node = mPlan.nodes().get((firstNode + i) % mPlan.nodes().size());
+            answer = mHttp.send(mAddresses.apply(node), request).await();
+            if (answer.isWhole()) {
+                mCompleted.incrementAndGet();
+                return Optional.of(answer);
+            }
+            if (!isNotRun(answer)) {
+                break;
+            }
+            Poller.pause();
+        }
+        mLost.add(what + ": " + answer);
+        return Optional.empty();
+    }
+
+    private static boolean isNotRun(Answer answer) {
+        return answer.status() == 0
+                ? answer.failure().orElse("").contains("ConnectException")
+                : answer.execution().equals("not run");
+    }
+}
--- /dev/null
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/CallBook.java
@@ -0,0 +1,51 @@
+package org.oleandertrack.system.scenario;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The requests of a scenario by name, and the conversations of its programs. Not thread safe. */
+final class CallBook {
+
+    private final Map<String, PendingCall> mCalls = new LinkedHashMap<>();
+    private final Map<String, List<String>> mConversations = new HashMap<>();
+
+    void add(String name, PendingCall call) {
+        mCalls.put(name, call);
+    }
+
+    PendingCall call(String name) {
+        PendingCall call = mCalls.get(name);
+        if (call == null) {
+            throw new AssertionError("no request has the name " + name);
+        }
+        return call;
+    }
+
+    /** Waits for an answer and continues the conversation of a turn that succeeded. */
+    Answer finish(PendingCall call) {
+        Answer answer = call.await();
+        SentRequest request = call.request();
+        if (request.conversation().isPresent() && answer.isWhole()) {
+            List<String> texts = new ArrayList<>(request.texts());
+            texts.add(answer.text());
+            mConversations.merge(
+                    request.conversation().get(),
+                    List.copyOf(texts),
+                    (known, now) -> known.size() >= now.size() ? known : now);
+        }
+        return answer;
+    }
+
+    /** Returns the texts and answers of a program's turns so far. */
+    List<String> conversation(String key) {
+        return mConversations.getOrDefault(key, List.of());
+    }
+
+    /** Closes the connections of all requests whose answer is not whole. */
+    void leaveAll() {
+        mCalls.values().stream().filter(call -> !call.isDone()).forEach(PendingCall::leave);
+    }
+}
--- /dev/null
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/CheckParser.java
@@ -0,0 +1,119 @@
+package org.oleandertrack.system.scenario;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Parses what {@code expect} and {@code await} name. */
+final class CheckParser {
+
+    private static final Set<String> EXECUTIONS = Set.of("not run", "run", "unknown");
+
+    private final TokenReader mReader;
+
+    CheckParser(TokenReader reader) {
+        mReader = reader;
+    }
+
+    // Operations
+
+    Check check() {
+        String first = mReader.word("the name of a request or a count");
+        Optional<Count> count = count(first);
+        if (count.isPresent()) {
+            return new Check.Counted(count.get(), bound());
+        }
+        String kind =
+                mReader.oneOf(
+                        Set.of("status", "code", "answer", "same", "cut", "contains", "header"));
+        return switch (kind) {
+            case "status" -> new Check.Status(first, alternatives("a status"));
+            case "code" -> new Check.Code(first, alternatives("a result code"), execution());
+            case "answer" -> answer(first);
+            case "same" -> {
+                mReader.keyword("as");
+                yield new Check.Same(first, mReader.word("the name of a request"));
+            }
+            case "cut" -> {
+                mReader.keyword("off");
+                yield new Check.CutOff(first);
+            }
+            case "contains" -> new Check.Contains(first, mReader.text("a text"));
+            default ->
+                    new Check.HeaderValue(
+                            first, mReader.text("a header's name"), mReader.text("a value"));
+        };
+    }
+
+    /** Parses the rest of a count, if the word begins one. */
+    Optional<Count> count(String word) {
+        return Optional.ofNullable(
+                switch (word) {
+                    case "stats" ->
+                            new Count.Stats(
+                                    mReader.word("the name of a stand-in"),
+                                    mReader.word("a field"));
+                    case "executions" -> {
+                        String name = mReader.word("the name of a service");
+                        mReader.keyword("key");
+                        yield new Count.Executions(name, mReader.text("an idempotency key"));
+                    }
+                    case "repeated" ->
+                            new Count.RepeatedKeys(mReader.word("the name of a service"));
+                    case "held" -> new Count.Held(mReader.word("the name of a service"));
+                    case "metric" ->
+                            new Count.Metric(
+                                    mReader.word("the name of a daemon"), mReader.word("a metric"));
+                    case "rows" ->
+                            new Count.Rows(
+                                    mReader.word("the name of an entry host"),
+                                    mReader.text("a query"));
+                    case "lost" -> new Count.Lost(mReader.word("the name of a load"));
+                    case "completed" -> new Count.Completed(mReader.word("the name of a load"));
+                    default -> null;
+                });
+    }
+
+    Bound bound() {
+        if (mReader.accept("exactly")) {
+            return new Bound(Bound.Kind.EXACTLY, mReader.number("a number"));
+        }
+        mReader.keyword("at");
+        Bound.Kind kind =
+                mReader.oneOf(Set.of("least", "most")).equals("least")
+                        ? Bound.Kind.AT_LEAST
+                        : Bound.Kind.AT_MOST;
+        return new Bound(kind, mReader.number("a number"));
+    }
+
+    // Helpers
+
+    private Check answer(String call) {
+        mReader.keyword("right");
+        if (mReader.accept("or")) {
+            mReader.keyword("refused");
+            return new Check.RightOrRefused(call);
+        }
+        return new Check.Right(call);
+    }
+
+    private List<Long> alternatives(String what) {
+        List<Long> numbers = new ArrayList<>();
+        do {
+            numbers.add(mReader.number(what));
+        } while (mReader.accept("or"));
+        return List.copyOf(numbers);
+    }
+
+    private Optional<String> execution() {
+        if (!mReader.accept("execution")) {
+            return Optional.empty();
+        }
+        String execution = mReader.text("an execution");
+        if (!EXECUTIONS.contains(execution)) {
+            throw mReader.error("expected one of " + EXECUTIONS);
+        }
+        return Optional.of(execution);
+    }
+}
--- /dev/null
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/Counts.java
@@ -0,0 +1,118 @@
+package org.oleandertrack.system.scenario;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.Map;
+import org.oleandertrack.system.LocalDeployment;
+
+/** Reads counts from processes and background loads. */
+final class Counts {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final LocalDeployment mDeployment;
+    private final ScenarioHttp mHttp;
+    private final Map<String, BackgroundLoad> mLoads;
+
+    Counts(LocalDeployment deployment, ScenarioHttp http, Map<String, BackgroundLoad> loads) {
+        mDeployment = deployment;
+        mHttp = http;
+        mLoads = loads;
+    }
+
+    long read(Count count) {
+        return switch (count) {
+            case Count.Stats stats -> stats(stats);
+            case Count.Executions executions -> executions(executions);
+            case Count.RepeatedKeys repeated -> repeatedKeys(repeated.name());
+            case Count.Held held -> service(held.name()).path("held").asLong();
+            case Count.Metric metric -> metric(metric);
+            case Count.Rows rows -> rows(rows);
+            case Count.Lost lost -> load(lost.load()).lost().size();
+            case Count.Completed completed -> load(completed.load()).completed();
+        };
+    }
+
+    /** Explains a count in a failure message. */
+    String describe(Count count) {
+        String detail = count instanceof Count.Lost lost ? " " + load(lost.load()).lost() : "";
+        return count + " is " + read(count) + detail;
+    }
+
+    // Helpers
+
+    private long stats(Count.Stats stats) {
+        JsonNode value = json(page(stats.name(), "/control/stats")).path(stats.field());
+        if (!value.isNumber()) {
+            throw new AssertionError(stats.name() + " reports no number " + stats.field());
+        }
+        return value.asLong();
+    }
+
+    private long executions(Count.Executions executions) {
+        long sum = 0;
+        for (JsonNode entry : service(executions.name()).path("executions")) {
+            if (entry.path("idempotencyKey").asText("").equals(executions.key())) {
+                sum += entry.path("count").asLong();
+            }
+        }
+        return sum;
+    }
+
+    private long repeatedKeys(String name) {
+        long repeated = 0;
+        for (JsonNode entry : service(name).path("executions")) {
+            boolean hasKey = !entry.path("idempotencyKey").asText("").isEmpty();
+            if (hasKey && entry.path("count").asLong() > 1) {
+                repeated++;
+            }
+        }
+        return repeated;
+    }
+
+    private JsonNode service(String name) {
+        return json(page(name, "/control/executions"));
+    }
+
+    private long metric(Count.Metric metric) {
+        String text = mHttp.page(mDeployment.adminAddress(metric.node()).resolve("/metrics"));
+        return text.lines()
+                .filter(
+                        line ->
+                                line.startsWith(metric.metric() + " ")
+                                        || line.startsWith(metric.metric() + "{"))
+                .mapToLong(line -> (long) Double.parseDouble(line.substring(line.lastIndexOf(' '))))
+                .sum();
+    }
+
+    private long rows(Count.Rows rows) {
+        Answer answer =
+                mHttp.send(mDeployment.address(rows.node()), RequestFactory.ctl(rows.query()))
+                        .await();
+        if (answer.status() != 200) {
+            throw new AssertionError(rows.query() + ": " + answer);
+        }
+        return json(answer.body()).path("rows").size();
+    }
+
+    private String page(String name, String path) {
+        return mHttp.page(mDeployment.address(name).resolve(path));
+    }
+
+    private BackgroundLoad load(String name) {
+        BackgroundLoad load = mLoads.get(name);
+        if (load == null) {
+            throw new AssertionError("no load has the name " + name);
+        }
+        return load;
+    }
+
+    private static JsonNode json(String text) {
+        try {
+            return MAPPER.readTree(text);
+        } catch (JsonProcessingException e) {
+            throw new AssertionError("not JSON: " + text, e);
+        }
+    }
+}
--- /dev/null
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/RequestParser.java
@@ -0,0 +1,137 @@
+package org.oleandertrack.system.scenario;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Parses requests with their options. */
+final class RequestParser {
+
+    static final Set<String> KINDS = Set.of("turn", "call", "ctl", "repeat");
+
+    private static final long DEFAULT_TOKENS = 16;
+    private static final Map<String, String> HEADER_OPTIONS =
+            Map.of(
+                    "org", "Oleandertrack-Organisation",
+                    "class", "Oleandertrack-Class",
+                    "program", "Oleandertrack-Program",
+                    "turn", "Oleandertrack-Turn",
+                    "parent", "Oleandertrack-Parent",
+                    "budget", "Oleandertrack-Budget-Tokens",
+                    "deadline", "Oleandertrack-Deadline-Ms",
+                    "repeatable", "Oleandertrack-Repeatable",
+                    "key", "Idempotency-Key");
+
+    private final TokenReader mReader;
+    private final Map<String, String> mHeaders = new LinkedHashMap<>();
+    private Optional<String> mName = Optional.empty();
+    private String mBody = "";
+    private boolean mStreamed;
+    private long mTokens = DEFAULT_TOKENS;
+    private String mModel = "";
+
+    RequestParser(TokenReader reader) {
+        mReader = reader;
+    }
+
+    // Operations
+
+    Request request(String kind) {
+        return switch (kind) {
+            case "turn" -> turn();
+            case "call" -> call();
+            case "ctl" -> ctl();
+            default -> repeat();
+        };
+    }
+
+    /** Returns the name that the request was given by {@code as}. */
+    Optional<String> name() {
+        return mName;
+    }
+
+    // Helpers
+
+    private Request turn() {
+        String node = mReader.word("the name of a process");
+        String organisation = mReader.word("an organisation");
+        String program = mReader.word("a program");
+        int turn = (int) mReader.number("a turn");
+        String text = mReader.text("the turn's text");
+        options(true, false);
+        return new Request.Turn(
+                node,
+                organisation,
+                program,
+                turn,
+                text,
+                mStreamed,
+                mTokens,
+                mModel,
+                Map.copyOf(mHeaders));
+    }
+
+    private Request call() {
+        String node = mReader.word("the name of a process");
+        String method = mReader.word("a method");
+        String path = mReader.word("a path");
+        options(false, true);
+        return new Request.Call(node, method, path, Map.copyOf(mHeaders), mBody);
+    }
+
+    private Request ctl() {
+        String node = mReader.word("the name of an entry host");
+        String command = mReader.text("an operator's statement");
+        options(false, false);
+        return new Request.Ctl(node, command);
+    }
+
+    private Request repeat() {
+        String of = mReader.word("the name of a request");
+        mReader.keyword("at");
+        String node = mReader.word("the name of a process");
+        options(false, false);
+        return new Request.Repeat(node, of);
+    }
+
+    private void options(boolean turn, boolean call) {
+        while (mReader.hasNext()) {
+            String option = mReader.word("an option");
+            if (option.equals("as")) {
+                mName = Optional.of(mReader.word("a name for the request"));
+            } else if (turn || call) {
+                option(option, turn);
+            } else {
+                throw mReader.error("unknown option '" + option + "'");
+            }
+        }
+    }
+
+    private void option(String option, boolean turn) {
+        if (HEADER_OPTIONS.containsKey(option)) {
+            mHeaders.put(HEADER_OPTIONS.get(option), mReader.text("a value"));
+        } else if (option.equals("header")) {
+            mHeaders.put(mReader.text("a header's name"), mReader.text("a header's value"));
+        } else if (turn) {
+            turnOption(option);
+        } else if (option.equals("body")) {
+            mBody = mReader.text("a body");
+        } else if (option.equals("json")) {
+            mBody = mReader.json();
+            mHeaders.putIfAbsent("Content-Type", "application/json");
+        } else {
+            throw mReader.error("unknown option '" + option + "'");
+        }
+    }
+
+    private void turnOption(String option) {
+        switch (option) {
+            case "streamed" -> mStreamed = true;
+            case "tokens" -> mTokens = mReader.number("a number of tokens");
+            case "model" -> mModel = mReader.word("a model");
+            case "end" -> mHeaders.put("Oleandertrack-End", "true");
+            default -> throw mReader.error("unknown option '" + option + "'");
+        }
+    }
+}
--- /dev/null
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/ScenarioFiles.java
@@ -0,0 +1,54 @@
+package org.oleandertrack.system.scenario;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** Finds and parses the scenario files of this module. */
+final class ScenarioFiles {
+
+    static final Path MODULE = Path.of("").toAbsolutePath();
+    static final Path ROOT = MODULE.getParent();
+
+    private static final Path RESOURCES = MODULE.resolve("src/test/resources");
+    private static final String EXTENSION = ".scenario";
+
+    private ScenarioFiles() {}
+
+    static Path scenarios() {
+        return RESOURCES.resolve("scenarios");
+    }
+
+    /** Returns all scenarios, those that share a deployment next to each other. */
+    static List<Scenario> all() {
+        try (Stream<Path> files = Files.list(scenarios())) {
+            return files.filter(file -> file.toString().endsWith(EXTENSION))
+                    .map(ScenarioFiles::parse)
+                    .sorted(
+                            Comparator.comparing(
+                                            (Scenario scenario) ->
+                                                    scenario.sharedDeployment().orElse(""))
+                                    .thenComparing(Scenario::file))
+                    .toList();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Returns the statements that start a shared deployment. */
+    static Scenario deployment(String name) {
+        return parse(RESOURCES.resolve("deployments").resolve(name + EXTENSION));
+    }
+
+    private static Scenario parse(Path file) {
+        try {
+            return new ScenarioParser(file.getFileName().toString()).parse(Files.readString(file));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/ScenarioHttp.java
@@ -0,0 +1,49 @@
+package org.oleandertrack.system.scenario;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Sends requests, each on a connection of its own. Thread safe. */
+final class ScenarioHttp {
+
+    static {
+        // An idle connection that a stopping process closes would fail the next request on it,
+        // although the process cut off nothing. With this header no connection is used again.
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "connection");
+    }
+
+    private final HttpClient mClient =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    /** Sends a request without waiting for its answer. */
+    PendingCall send(URI base, SentRequest request) {
+        HttpRequest.Builder builder =
+                HttpRequest.newBuilder(base.resolve(request.path()))
+                        .method(
+                                request.method(),
+                                request.body().isEmpty()
+                                        ? HttpRequest.BodyPublishers.noBody()
+                                        : HttpRequest.BodyPublishers.ofString(request.body()))
+                        .header("Connection", "close");
+        request.headers().forEach(builder::header);
+        PendingCall call = new PendingCall(request);
+        call.follow(mClient.sendAsync(builder.build(), HttpResponse.BodyHandlers.ofInputStream()));
+        return call;
+    }
+
+    /** Returns a page's body; fails unless its status is 200. */
+    String page(URI uri) {
+        SentRequest request =
+                new SentRequest("GET", uri.getRawPath(), Map.of(), "", Optional.empty(), List.of());
+        Answer answer = send(uri, request).await();
+        if (answer.status() != 200) {
+            throw new AssertionError(uri + ": " + answer);
+        }
+        return answer.body();
+    }
+}
--- /dev/null
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/ScenarioRunner.java
@@ -0,0 +1,134 @@
+package org.oleandertrack.system.scenario;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** Runs the statements of one scenario in order. Not thread safe. */
+final class ScenarioRunner {
+
+    private final TestDeployment mDeployment;
+    private final ScenarioHttp mHttp;
+    private final CallBook mCalls = new CallBook();
+    private final Map<String, String> mSources = new HashMap<>();
+    private final Map<String, BackgroundLoad> mLoads = new HashMap<>();
+    private final Transcript mTranscript = new Transcript();
+    private final Counts mCounts;
+    private final Checks mChecks;
+
+    ScenarioRunner(TestDeployment deployment, ScenarioHttp http) {
+        mDeployment = deployment;
+        mHttp = http;
+        mCounts = new Counts(deployment.local(), http, mLoads);
+        mChecks = new Checks(mCalls, mCounts, http, deployment::directTarget);
+    }
+
+    // Operations
+
+    /** Runs all statements; an error names the line of the one that failed. */
+    void run(Scenario scenario) {
+        try {
+            for (Scenario.Line line : scenario.lines()) {
+                runLine(scenario, line);
+            }
+        } finally {
+            mCalls.leaveAll();
+            mLoads.values().forEach(BackgroundLoad::finish);
+        }
+    }
+
+    /** Returns the exchanges so far. */
+    String transcript() {
+        return mTranscript.toString();
+    }
+
+    // Helpers
+
+    private void runLine(Scenario scenario, Scenario.Line line) {
+        try {
+            runStatement(line.statement());
+        } catch (AssertionError | RuntimeException e) {
+            throw new AssertionError(
+                    scenario.file() + ":" + line.number() + ": " + e.getMessage(), e);
+        }
+    }
+
+    private void runStatement(Statement statement) {
+        switch (statement) {
+            case Statement.Guards guards -> {}
+            case Statement.Uses uses -> {}
+            case Statement.Golden golden -> {}
+            case Statement.Settings settings -> mDeployment.settings(settings);
+            case Statement.StartPlatform platform -> mDeployment.startPlatform();
+            case Statement.StartTarget target -> mDeployment.startTarget(target);
+            case Statement.StartEntry entry -> mDeployment.startEntry(entry);
+            case Statement.Signal signal -> mDeployment.signal(signal);
+            case Statement.Fault fault -> mDeployment.fault(fault);
+            case Statement.Send send -> send(send);
+            case Statement.Leave leave -> mCalls.call(leave.call()).leave();
+            case Statement.StartLoad load -> startLoad(load.plan());
+            case Statement.FinishLoad finish -> mLoads.get(finish.load()).finish();
+            case Statement.AwaitReady ready -> mDeployment.local().awaitReady(ready.node());
+            case Statement.AwaitExit exit -> mDeployment.local().awaitExit(exit.name());
+            case Statement.AwaitCall call -> finish(call.call());
+            case Statement.AwaitBody body -> awaitBody(body.call());
+            case Statement.AwaitCount count -> awaitCount(count);
+            case Statement.Expect expect -> mChecks.require(expect.check());
+        }
+    }
+
+    private void send(Statement.Send send) {
+        SentRequest request = request(send.request());
+        PendingCall call = mHttp.send(mDeployment.address(send.request().node()), request);
+        String name = send.as().orElse("");
+        mCalls.add(name, call);
+        mSources.put(name, send.source());
+        if (!send.background()) {
+            finish(name);
+        }
+    }
+
+    private SentRequest request(Request request) {
+        return switch (request) {
+            case Request.Turn turn ->
+                    RequestFactory.turn(
+                            turn,
+                            mCalls.conversation(RequestFactory.conversation(turn)),
+                            mDeployment.defaultModel());
+            case Request.Call call -> RequestFactory.call(call);
+            case Request.Ctl ctl -> RequestFactory.ctl(ctl.command());
+            case Request.Repeat repeat -> mCalls.call(repeat.of()).request();
+        };
+    }
+
+    private void finish(String name) {
+        Answer answer = mCalls.finish(mCalls.call(name));
+        Optional.ofNullable(mSources.remove(name))
+                .ifPresent(source -> mTranscript.add(source, answer));
+    }
+
+    private void startLoad(BackgroundLoad.Plan plan) {
+        BackgroundLoad load =
+                new BackgroundLoad(
+                        plan,
+                        mDeployment.defaultModel(),
+                        mHttp,
+                        mDeployment::address,
+                        mDeployment::directTarget);
+        mLoads.put(plan.name(), load);
+        load.start();
+    }
+
+    private void awaitBody(String name) {
+        PendingCall call = mCalls.call(name);
+        Poller.await(
+                () -> "the first bytes of the body of " + name,
+                () -> !call.received().isEmpty() || call.isDone());
+    }
+
+    private void awaitCount(Statement.AwaitCount await) {
+        Poller.await(
+                () -> await.bound() + " of " + mCounts.describe(await.count()),
+                () -> await.bound().isMetBy(mCounts.read(await.count())));
+    }
+}
--- /dev/null
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/Scrubber.java
@@ -0,0 +1,65 @@
+package org.oleandertrack.system.scenario;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import java.util.Set;
+
+/** Replaces values that differ from run to run, so that golden files compare the rest. */
+final class Scrubber {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final Set<String> VOLATILE_COLUMNS =
+            Set.of(
+                    "incarnation",
+                    "address",
+                    "running-millis",
+                    "waiting-millis",
+                    "age-millis",
+                    "holder",
+                    "fence",
+                    "config-version",
+                    "running",
+                    "waiting");
+    private static final int MAX_CHARS = 4_000;
+
+    private Scrubber() {}
+
+    /** Returns a body without ports, ids, times and the cells of volatile columns. */
+    static String scrub(String body) {
+        String text = scrubRows(body);
+        text =
+                text.replaceAll(
+                                "[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}",
+                                "<id>")
+                        .replaceAll("127\\.0\\.0\\.1:\\d+", "<address>")
+                        .replaceAll("\"cached_tokens\":\\d+", "\"cached_tokens\":\"<count>\"")
+                        .replaceAll("\"retryAfterMs\":[1-9]\\d*", "\"retryAfterMs\":\"<time>\"")
+                        .replaceAll("(?m)\\s+$", "");
+        return text.length() > MAX_CHARS ? text.substring(0, MAX_CHARS) + "..." : text;
+    }
+
+    private static String scrubRows(String body) {
+        JsonNode answer;
+        try {
+            answer = MAPPER.readTree(body);
+        } catch (JsonProcessingException e) {
+            return body;
+        }
+        if (answer == null || !answer.path("columns").isArray()) {
+            return body;
+        }
+        StringBuilder text = new StringBuilder(answer.path("columns").toString());
+        for (JsonNode row : answer.path("rows")) {
+            for (int i = 0; i < row.size(); i++) {
+                String column = answer.path("columns").path(i).asText();
+                if (VOLATILE_COLUMNS.contains(column) && !row.path(i).isNull()) {
+                    ((ArrayNode) row).set(i, "<" + column + ">");
+                }
+            }
+            text.append('\n').append(row);
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/TestDeployment.java
@@ -0,0 +1,121 @@
+package org.oleandertrack.system.scenario;
+
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.oleandertrack.system.LocalDeployment;
+
+/** A deployment with what its scenarios need to know about it. Not thread safe. */
+final class TestDeployment implements AutoCloseable {
+
+    private static final String SIDECAR_SUFFIX = "-sidecar";
+    private static final String PLATFORM = "platform";
+
+    private final LocalDeployment mDeployment;
+    private final Map<String, String> mEngineModels = new LinkedHashMap<>();
+    private final List<String> mEntries = new ArrayList<>();
+
+    TestDeployment(LocalDeployment deployment) {
+        mDeployment = deployment;
+    }
+
+    // Life-cycle
+
+    void startPlatform() {
+        mDeployment.startPlatform();
+    }
+
+    /** Starts a target and the sidecar beside it, whose name is the target's and "-sidecar". */
+    void startTarget(Statement.StartTarget target) {
+        String[] arguments = target.arguments().toArray(String[]::new);
+        if (target.engine()) {
+            mDeployment.startEngine(target.name(), target.offer(), arguments);
+            mEngineModels.put(target.name(), target.offer());
+        } else {
+            mDeployment.startService(target.name(), target.offer(), arguments);
+        }
+        mDeployment.startSidecar(target.name() + SIDECAR_SUFFIX, target.zone(), target.name());
+        mDeployment.publishHosts();
+    }
+
+    void startEntry(Statement.StartEntry entry) {
+        mDeployment.startEntry(entry.node(), entry.zone());
+        mEntries.add(entry.node());
+        mDeployment.publishHosts();
+    }
+
+    @Override
+    public void close() {
+        mDeployment.close();
+    }
+
+    // Operations
+
+    void settings(Statement.Settings settings) {
+        if (settings.role().equals("entry")) {
+            mDeployment.appendToEntrySettings(settings.toml());
+        } else {
+            mDeployment.appendToSidecarSettings(settings.toml());
+        }
+    }
+
+    void signal(Statement.Signal signal) {
+        String name = signal.name();
+        switch (signal.kind()) {
+            case KILL -> mDeployment.process(name).kill();
+            case FREEZE -> mDeployment.process(name).freeze();
+            case RESUME -> mDeployment.process(name).resume();
+            case TERMINATE -> mDeployment.process(name).terminate();
+            case STOP -> mDeployment.stop(name);
+            case RESTART -> restart(name);
+            case LEAVING -> mDeployment.markLeaving(name);
+        }
+    }
+
+    void fault(Statement.Fault fault) {
+        mDeployment.control(fault.name(), "/control/faults", fault.json());
+    }
+
+    // Accessors
+
+    LocalDeployment local() {
+        return mDeployment;
+    }
+
+    URI address(String name) {
+        URI address = mDeployment.address(name);
+        if (address == null) {
+            throw new AssertionError("no process " + name + " takes requests");
+        }
+        return address;
+    }
+
+    /** Returns the model of the first engine, which turns use that name none. */
+    String defaultModel() {
+        return mEngineModels.values().stream().findFirst().orElse("");
+    }
+
+    /** Returns the address of an engine to which requests are sent past the system. */
+    URI directTarget() {
+        return address(mEngineModels.keySet().iterator().next());
+    }
+
+    List<String> entries() {
+        return List.copyOf(mEntries);
+    }
+
+    boolean hasPlatform() {
+        return mDeployment.address(PLATFORM) != null;
+    }
+
+    // Helpers
+
+    private void restart(String name) {
+        mDeployment.restart(name);
+        if (mEntries.contains(name)) {
+            mDeployment.awaitReady(name);
+        }
+    }
+}
