--- a/server/src/main/java/org/oleandertrack/server/entry/AttemptRace.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/AttemptRace.java
@@ -29,7 +29,8 @@
     /** Starts a second attempt at another target. */
     interface HedgeStarter {
 
-        Optional<Runner> startHedge(Set<String> excludedNodes);
+        /** Starts it, unless the call may not be hedged now. */
+        Optional<Runner> startHedge(Set<String> excludedNodes, long lateNanos);
     }
 
     /** An attempt with its target. */
@@ -253,9 +254,10 @@
 
     private void tryHedge(HedgeStarter hedges) {
         mHedgeTried = true;
-        if (mPool.tryHedge(mRequest)) {
-            hedges.startHedge(mUsedNodes).ifPresent(this::add);
-        }
+        Runner first = mRunners.values().iterator().next();
+        long elapsedNanos = mNanoClock.getAsLong() - first.startNanos();
+        hedges.startHedge(mUsedNodes, elapsedNanos - first.choice().expectedNanos())
+                .ifPresent(this::add);
     }
 
     // Bookkeeping
--- a/server/src/main/java/org/oleandertrack/server/entry/Dispatcher.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/Dispatcher.java
@@ -81,7 +81,8 @@
         LinkedBlockingQueue<Attempt.Tagged> events = new LinkedBlockingQueue<>();
         AttemptRace race = new AttemptRace(request, pool, sink, mNanoClock, mStallMillis, events);
         Optional<AttemptRace.Runner> first =
-                start(pool, call, grant, excluded, kind, round + ".1", events);
+                mPools.choose(pool, request, grant, excluded, kind)
+                        .flatMap(choice -> start(pool, call, grant, choice, round + ".1", events));
         if (first.isEmpty()) {
             return AttemptResult.Failed.of(
                     ResultCode.NO_TARGET_AVAILABLE,
@@ -91,36 +92,34 @@
         AttemptResult result =
                 race.run(
                         first.get(),
-                        used -> {
+                        (used, lateNanos) -> {
                             Set<String> all = new HashSet<>(excluded);
                             all.addAll(used);
-                            return start(
-                                    pool,
-                                    call,
-                                    grant,
-                                    all,
-                                    DecisionKind.HEDGE,
-                                    round + ".2",
-                                    events);
+                            return mPools.chooseHedge(pool, request, grant, all, lateNanos)
+                                    .flatMap(
+                                            choice ->
+                                                    start(
+                                                            pool,
+                                                            call,
+                                                            grant,
+                                                            choice,
+                                                            round + ".2",
+                                                            events));
                         });
         excluded.addAll(race.usedNodes());
         return result;
     }
 
+    /** Sends an attempt to a chosen target; empty if its connection has just closed. */
     private Optional<AttemptRace.Runner> start(
             TargetPool pool,
             ActiveCall call,
             DispatchGrant grant,
-            Set<String> excluded,
-            DecisionKind kind,
+            TargetPool.Choice choice,
             String attemptSuffix,
             LinkedBlockingQueue<Attempt.Tagged> events) {
         CallerRequest request = call.request();
-        Optional<TargetPool.Choice> choice = mPools.choose(pool, request, grant, excluded, kind);
-        if (choice.isEmpty()) {
-            return Optional.empty();
-        }
-        TargetHandle target = choice.get().target();
+        TargetHandle target = choice.target();
         Optional<PeerConnection> connection = target.connection();
         if (connection.isEmpty()) {
             pool.attemptEnded(
@@ -135,7 +134,7 @@
         long startNanos = mNanoClock.getAsLong();
         call.dispatched(target, startNanos);
         Attempt attempt = Attempt.start(connection.get(), head, request.body(), events);
-        return Optional.of(new AttemptRace.Runner(choice.get(), attempt, startNanos));
+        return Optional.of(new AttemptRace.Runner(choice, attempt, startNanos));
     }
 
     /** Returns the wait before the next round, or fails if there is none. */
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryDaemon.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryDaemon.java
@@ -23,6 +23,7 @@
     private final HttpService mHttp;
     private final EntryPeers mPeers;
     private final EntryCoordination mCoordination;
+    private final ConfigService mConfig;
     private final CallLimiter mLimiter;
     private final ScheduledExecutorService mTimer;
 
@@ -35,6 +36,7 @@
             HttpService http,
             EntryPeers peers,
             EntryCoordination coordination,
+            ConfigService config,
             CallLimiter limiter,
             ScheduledExecutorService timer) {
         mSettings = settings;
@@ -42,6 +44,7 @@
         mHttp = http;
         mPeers = peers;
         mCoordination = coordination;
+        mConfig = config;
         mLimiter = limiter;
         mTimer = timer;
     }
@@ -52,6 +55,7 @@
     public void start() throws Exception {
         mPeers.server().start(mSettings.peer().address(), mSettings.peer().port());
         mCoordination.start();
+        mConfig.start();
         mPeers.hosts().start();
         mHttp.start();
         Logger.info(
@@ -76,6 +80,7 @@
             mCoordination.releaseShards().get(STOP_HOURS, TimeUnit.HOURS);
             mLimiter.awaitIdle();
             mHttp.stop();
+            mConfig.stop();
             mCoordination.stop().get(STOP_HOURS, TimeUnit.HOURS);
         } catch (Exception e) {
             Logger.warn(e, "the stop was not complete");
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryModule.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryModule.java
@@ -81,11 +81,16 @@
 
     @Provides
     @Singleton
-    TargetPools targetPools(LongSupplier nanoClock) {
+    TargetPools targetPools(Provider<ConfigSource> config, LongSupplier nanoClock) {
         // Entry hosts draw differently, so that they do not all choose the same target.
         SplittableRandom seeds = new SplittableRandom(new SecureRandom().nextLong());
         return new TargetPools(
-                () -> new TargetPool(mSettings.zone(), seeds.split(), nanoClock),
+                () ->
+                        new TargetPool(
+                                mSettings.zone(),
+                                () -> config.get().state().drainedTargets(),
+                                seeds.split(),
+                                nanoClock),
                 new DecisionLog());
     }
 
@@ -180,8 +185,9 @@
             Executor executor,
             HostDirectory hosts,
             EntryCoordination coordination,
+            ConfigSource config,
             MetricsRegistry metrics) {
-        HttpServiceConfig config =
+        HttpServiceConfig httpConfig =
                 new HttpServiceConfig(
                         "entry",
                         mSettings.http().address(),
@@ -191,7 +197,7 @@
                         IDLE_TIMEOUT_MILLIS,
                         SHUTDOWN_GRACE_MILLIS);
         return new HttpService(
-                config,
+                httpConfig,
                 environment -> {
                     registerResources(
                             environment,
@@ -203,6 +209,7 @@
                             () ->
                                     hosts.isListed()
                                             && coordination.isReady()
+                                            && config.isCurrent()
                                             && !limiter.isClosed());
                 });
     }
@@ -214,9 +221,10 @@
             HttpService http,
             EntryDaemon.EntryPeers peers,
             EntryCoordination coordination,
+            ConfigService config,
             CallLimiter limiter,
             ScheduledExecutorService timer) {
-        return new EntryDaemon(mSettings, node, http, peers, coordination, limiter, timer);
+        return new EntryDaemon(mSettings, node, http, peers, coordination, config, limiter, timer);
     }
 
     // Helpers
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryPeerModule.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryPeerModule.java
@@ -26,8 +26,9 @@
 
     @Provides
     @Singleton
-    EntryControlHandler controlHandler(Provider<HostDirectory> hosts) {
-        return new EntryControlHandler(hosts);
+    EntryControlHandler controlHandler(
+            Provider<HostDirectory> hosts, Provider<ConfigService> config) {
+        return new EntryControlHandler(hosts, config);
     }
 
     @Provides
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryStateModule.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryStateModule.java
@@ -11,6 +11,9 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.oleandertrack.coordination.config.ConfigLog;
+import org.oleandertrack.coordination.config.ConfigSettings;
+import org.oleandertrack.coordination.config.SnapshotStore;
 import org.oleandertrack.coordination.intent.IntentStore;
 import org.oleandertrack.coordination.membership.HostList;
 import org.oleandertrack.coordination.program.ProgramStore;
@@ -25,6 +28,7 @@
 import org.oleandertrack.platform.http.PlatformHttpContext;
 import org.oleandertrack.protocol.LocalNode;
 import org.oleandertrack.server.settings.EntrySettings;
+import org.tinylog.Logger;
 
 /** The entry host's lasting state: platform, leases, programs and configuration. */
 final class EntryStateModule extends AbstractModule {
@@ -97,17 +101,37 @@
 
     @Provides
     @Singleton
-    LocalConfig config() {
-        return new LocalConfig();
+    ConfigService config(
+            TableStore table,
+            ObjectStore objects,
+            EntryCoordination coordination,
+            Scheduler scheduler,
+            Provider<HostDirectory> hosts,
+            LongSupplier nanoClock) {
+        SecureRandom random = new SecureRandom();
+        FoldedConfig folded = new FoldedConfig();
+        ConfigLog log =
+                new ConfigLog(
+                        table,
+                        new SnapshotStore(table, objects, coordination.commit(), nanoClock, random),
+                        coordination.commit(),
+                        scheduler,
+                        nanoClock,
+                        random,
+                        ConfigSettings.defaults(),
+                        () -> hosts.get().entryHostsInZone(mSettings.zone()),
+                        folded,
+                        change -> Logger.debug("taken configuration {}", change.version()));
+        return new ConfigService(log, folded, nanoClock);
     }
 
     @Provides
-    ConfigSource configSource(LocalConfig config) {
+    ConfigSource configSource(ConfigService config) {
         return config;
     }
 
     @Provides
-    ConfigWriter configWriter(LocalConfig config) {
+    ConfigWriter configWriter(ConfigService config) {
         return config;
     }
 
--- /dev/null
+++ b/server/src/main/java/org/oleandertrack/server/entry/FoldedConfig.java
@@ -0,0 +1,60 @@
+package org.oleandertrack.server.entry;
+
+import java.nio.charset.StandardCharsets;
+import org.oleandertrack.command.CommandParser;
+import org.oleandertrack.command.ConfigReducer;
+import org.oleandertrack.coordination.config.ConfigChange;
+import org.oleandertrack.coordination.config.ConfigSnapshot;
+import org.oleandertrack.core.config.ConfigState;
+import org.oleandertrack.core.result.ResultException;
+import org.tinylog.Logger;
+
+/** Folds the changes of the log into the state of the configuration. Thread safe. */
+final class FoldedConfig implements org.oleandertrack.coordination.config.ConfigState {
+
+    private final CommandParser mParser = new CommandParser();
+    private final ConfigReducer mReducer = new ConfigReducer();
+    private final org.oleandertrack.command.ConfigSnapshot mSnapshots =
+            new org.oleandertrack.command.ConfigSnapshot();
+    private volatile ConfigState mState = ConfigState.initial();
+
+    /** A change that the state does not allow is skipped in the same way on every process. */
+    @Override
+    public void apply(ConfigChange change) {
+        ConfigState before = mState;
+        try {
+            mState =
+                    mReducer.apply(before, mParser.parseConfigCommand(change.command()))
+                            .withVersion(change.version());
+        } catch (ResultException e) {
+            Logger.warn(
+                    "change {} has no effect: {}: {}",
+                    change.version(),
+                    change.command(),
+                    e.getMessage());
+            mState = before.withVersion(change.version());
+        }
+        Logger.info(
+                "configuration version {} in force: {} (operator {})",
+                change.version(),
+                change.command(),
+                change.operator());
+    }
+
+    @Override
+    public byte[] encode() {
+        return mSnapshots.write(mState).getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void restore(ConfigSnapshot snapshot) {
+        mState =
+                mSnapshots
+                        .read(new String(snapshot.data(), StandardCharsets.UTF_8))
+                        .withVersion(snapshot.version());
+    }
+
+    ConfigState state() {
+        return mState;
+    }
+}
--- a/server/src/main/java/org/oleandertrack/server/entry/HostDirectory.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/HostDirectory.java
@@ -87,6 +87,13 @@
         return mEntryConnections.values();
     }
 
+    /** Returns the number of entry hosts in a zone that are listed, this one included. */
+    int entryHostsInZone(String zone) {
+        long others =
+                mEntryHosts.values().stream().filter(host -> host.zone().equals(zone)).count();
+        return (int) others + 1;
+    }
+
     /** Tells whether the host list was read at least once. */
     boolean isListed() {
         return mListed;
--- a/server/src/main/java/org/oleandertrack/server/entry/TargetPool.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/TargetPool.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.oleandertrack.core.health.HealthConfig;
 import org.oleandertrack.core.health.HealthTracker;
@@ -62,6 +63,7 @@
     private static final long MAX_BACKOFF_NANOS = 500_000_000L;
     private static final int MAX_ATTEMPTS = 4;
 
+    private final Supplier<Set<String>> mDrainedTargets;
     private final LongSupplier mNanoClock;
     private final ReentrantLock mLock = new ReentrantLock();
     private final Map<String, TargetHandle> mMembers = new HashMap<>();
@@ -72,7 +74,12 @@
     private final RetryPolicy mRetries;
     private final Placement mPlacement;
 
-    TargetPool(String ownZone, RandomGenerator random, LongSupplier nanoClock) {
+    TargetPool(
+            String ownZone,
+            Supplier<Set<String>> drainedTargets,
+            RandomGenerator random,
+            LongSupplier nanoClock) {
+        mDrainedTargets = drainedTargets;
         mNanoClock = nanoClock;
         mRetries = new RetryPolicy(FIRST_BACKOFF_NANOS, MAX_BACKOFF_NANOS, MAX_ATTEMPTS, random);
         mPlacement =
@@ -194,11 +201,30 @@
         }
     }
 
-    /** Takes a hedge from the allowance, if the call may be hedged. */
-    boolean tryHedge(CallerRequest request) {
+    /**
+     * Chooses a target for a second attempt, if the call may be hedged; {@link #attemptEnded} must
+     * follow.
+     *
+     * @param lateNanos time that the first attempt has taken beyond the predicted one
+     */
+    Optional<Choice> chooseHedge(
+            CallerRequest request, DispatchGrant grant, Set<String> excluded, long lateNanos) {
         mLock.lock();
         try {
-            return mMembers.size() > 1 && hedges(request.streamed()).tryHedge(request.repeatable());
+            long promptTokens = request.body().size() / BYTES_PER_TOKEN;
+            PlacementRequest wanted =
+                    PlacementRequest.of(promptTokens)
+                            .withExcluded(allExcluded(grant, excluded))
+                            .withProbe(false);
+            boolean allowed =
+                    mPlacement.choose(wanted, mNanoClock.getAsLong())
+                                    instanceof PlacementResult.Placed placed
+                            && hedges(request.streamed())
+                                    .tryHedge(
+                                            request.repeatable(),
+                                            lateNanos,
+                                            placed.predicted().totalNanos());
+            return allowed ? choose(request, grant, excluded) : Optional.empty();
         } finally {
             mLock.unlock();
         }
@@ -249,12 +275,16 @@
     }
 
     private Set<String> allExcluded(DispatchGrant grant, Set<String> excluded) {
-        if (grant.allowedTargets().isEmpty()) {
+        Set<String> drained = mDrainedTargets.get();
+        if (grant.allowedTargets().isEmpty() && drained.isEmpty()) {
             return excluded;
         }
         Set<String> all = new HashSet<>(excluded);
         for (TargetHandle target : mMembers.values()) {
-            if (!grant.allowedTargets().contains(target.name())) {
+            boolean allowed =
+                    grant.allowedTargets().isEmpty()
+                            || grant.allowedTargets().contains(target.name());
+            if (!allowed || drained.contains(target.name())) {
                 all.add(target.node());
             }
         }
--- a/server/src/main/java/org/oleandertrack/server/entry/TargetPools.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/TargetPools.java
@@ -45,7 +45,7 @@
         return Optional.ofNullable(mPools.get(destination));
     }
 
-    /** Chooses a target and logs the choice. */
+    /** Chooses a target for the first attempt of a round and logs the choice. */
     Optional<TargetPool.Choice> choose(
             TargetPool pool,
             CallerRequest request,
@@ -53,15 +53,21 @@
             Set<String> excluded,
             DecisionKind kind) {
         Optional<TargetPool.Choice> choice = pool.choose(request, grant, excluded);
-        mDecisions.write(
-                new Decision(
-                        kind,
-                        request.organisation(),
-                        request.program().orElse(""),
-                        request.turn(),
-                        choice.map(chosen -> chosen.target().name()).orElse(""),
-                        choice.map(chosen -> chosen.target().zone()).orElse(""),
-                        choice.map(chosen -> reason(chosen.placed())).orElse("no target")));
+        log(request, kind, choice);
+        return choice;
+    }
+
+    /** Chooses a target for a second attempt, if the call may be hedged, and logs the choice. */
+    Optional<TargetPool.Choice> chooseHedge(
+            TargetPool pool,
+            CallerRequest request,
+            DispatchGrant grant,
+            Set<String> excluded,
+            long lateNanos) {
+        Optional<TargetPool.Choice> choice = pool.chooseHedge(request, grant, excluded, lateNanos);
+        if (choice.isPresent()) {
+            log(request, DecisionKind.HEDGE, choice);
+        }
         return choice;
     }
 
@@ -74,6 +80,18 @@
 
     // Helpers
 
+    private void log(CallerRequest request, DecisionKind kind, Optional<TargetPool.Choice> choice) {
+        mDecisions.write(
+                new Decision(
+                        kind,
+                        request.organisation(),
+                        request.program().orElse(""),
+                        request.turn(),
+                        choice.map(chosen -> chosen.target().name()).orElse(""),
+                        choice.map(chosen -> chosen.target().zone()).orElse(""),
+                        choice.map(chosen -> reason(chosen.placed())).orElse("no target")));
+    }
+
     private static String reason(PlacementResult.Placed placed) {
         return placed.reason().name().toLowerCase(Locale.ROOT)
                 + ", predicted "
--- a/system-tests/src/main/java/org/oleandertrack/system/LocalDeployment.java
+++ b/system-tests/src/main/java/org/oleandertrack/system/LocalDeployment.java
@@ -31,7 +31,6 @@
     /** The exit code that the JVM reports for an orderly end after SIGTERM. */
     private static final int TERMINATED = 143;
 
-
     private final DeploymentFiles mFiles;
     private final HttpCaller mHttp;
     private final ObjectMapper mMapper = new ObjectMapper();
