--- a/protocol/src/test/java/org/oleandertrack/protocol/FrameTest.java
+++ b/protocol/src/test/java/org/oleandertrack/protocol/FrameTest.java
@@ -113,7 +113,8 @@
     void senderOfAnOversizedFrameReadsTheReject() throws Exception {
         PeerServer server = server(SMALL_FRAMES);
         try (RawPeer peer = RawPeer.handshaken(server.port(), RawPeer.clientHello())) {
-            peer.send(RawPeer.callBody(1, 1 << 20, true));
+            // More than the sockets buffer, so that the sender is still writing at the Reject.
+            peer.send(RawPeer.callBody(1, 16 << 20, true));
             assertEquals(ResultCode.FRAME_TOO_LARGE.number(), peer.readReject());
         }
     }
