Keep the levels that a call gained by waiting while it runs

Cause: a suspended long call that had aged past the short ones was suspended again after its least slice, so that under a lasting flood of short calls it got 14.75 s of service in 1,000 s at one slot, as the new property test shows without this change.

--- a/core/src/main/java/org/oleandertrack/core/queue/CallQueue.java
+++ b/core/src/main/java/org/oleandertrack/core/queue/CallQueue.java
@@ -134,6 +134,7 @@
         }
         dequeue(entry);
         mNotStarted.remove(entry);
+        entry.mGainedLevels = agedLevels(entry, nowNanos);
         entry.mStartedNanos = nowNanos;
         entry.mChargedNanos = (long) mMeanAttainedNanos;
         mShares.charge(entry.mCall.organisation(), entry.mChargedNanos);
@@ -315,8 +316,12 @@
         return baseRank(entry.mCall, entry.mLevel) - agedLevels(entry, nowNanos);
     }
 
+    // A running call keeps the levels that it gained by waiting. Otherwise a call that had aged
+    // past
+    // the short ones would be suspended again after its least slice, and under a lasting flood of
+    // short calls it would hardly advance.
     private long runningRank(Entry entry, long nowNanos) {
-        return baseRank(entry.mCall, levelNow(entry, nowNanos));
+        return baseRank(entry.mCall, levelNow(entry, nowNanos)) - entry.mGainedLevels;
     }
 
     private long baseRank(QueuedCall call, int level) {
@@ -350,6 +355,7 @@
         private int mLevel;
         private long mWaitingSinceNanos;
         private long mStartedNanos = NEVER;
+        private long mGainedLevels;
         private long mChargedNanos;
 
         private Entry(QueuedCall call, long sequence) {
--- a/core/src/test/java/org/oleandertrack/core/queue/CallQueuePropertyTest.java
+++ b/core/src/test/java/org/oleandertrack/core/queue/CallQueuePropertyTest.java
@@ -47,6 +47,41 @@
         }
     }
 
+    /**
+     * Guards against a long call that is suspended again and again: under a flood of short calls it
+     * needs 20 s of service and has to get it within a bounded time.
+     */
+    @Property(tries = 20)
+    void suspendedCallEndsDespiteFlood(@ForAll @IntRange(min = 1, max = 8) int slots) {
+        QueueConfig config =
+                new QueueConfig(
+                        500, 500, slots, slots, 2, LEVELS, 10 * SECOND, 5 * SECOND, SECOND / 4);
+        CallQueue queue = new CallQueue(config, OrganisationWeights.EQUAL);
+        queue.offer(new QueuedCall("long", "a", "long", 0, 0, true, Long.MAX_VALUE), 0);
+        Map<String, Long> startedAt = new HashMap<>();
+        long attained = 0;
+        for (int step = 0; attained < 20 * SECOND; step++) {
+            assertTrue(step < 4_000, "only " + attained / 1e9 + " s of service in 1,000 s");
+            long now = step * SECOND / 4;
+            for (int i = queue.waiting(); i < 2 * slots + 2; i++) {
+                queue.offer(call(step + "-" + i, "a", 0, 0), now);
+            }
+            attained += startedAt.containsKey("long") ? SECOND / 4 : 0;
+            queue.suspend(now).ifPresent(victim -> startedAt.remove(victim.id()));
+            for (String id : List.copyOf(startedAt.keySet())) {
+                if (!id.equals("long") && now - startedAt.get(id) >= SECOND / 2) {
+                    startedAt.remove(id);
+                    queue.finished(id, SECOND / 2, now);
+                }
+            }
+            Optional<QueuedCall> next = queue.poll(now);
+            while (next.isPresent()) {
+                startedAt.put(next.get().id(), now);
+                next = queue.poll(now);
+            }
+        }
+    }
+
     /**
      * Guards against long calls that take every slot, and against calls that are lost, started
      * twice or returned both as started and as expired.
