Add the setting target.cacheIdleSeconds

Programs that are abandoned without an end would hold engine memory for ever. The sidecar frees it after this time; the default of 600 s is well above the pauses between turns. SettingsPageTest, which compares the page with the settings classes, covers the new key.

--- a/server/src/main/java/org/oleandertrack/server/settings/SettingsSchema.java
+++ b/server/src/main/java/org/oleandertrack/server/settings/SettingsSchema.java
@@ -25,6 +25,7 @@
     private static final Map<String, String> UNITS =
             Map.of(
                     "Millis", "milliseconds",
+                    "Seconds", "seconds",
                     "Bytes", "bytes",
                     "Tokens", "tokens",
                     "Calls", "calls",
--- a/server/src/main/java/org/oleandertrack/server/settings/TargetSettings.java
+++ b/server/src/main/java/org/oleandertrack/server/settings/TargetSettings.java
@@ -60,6 +60,11 @@
     @JsonProperty("releasesCache")
     private boolean mReleasesCache = true;
 
+    @JsonProperty("cacheIdleSeconds")
+    @Min(1)
+    @Max(86_400)
+    private int mCacheIdleSeconds = 600;
+
     // Accessors
 
     /** Returns the target's name, which is the same after each restart. */
@@ -117,6 +122,11 @@
         return mReleasesCache;
     }
 
+    /** Returns the time without a call after which an owner's cached prefixes are freed. */
+    public int cacheIdleSeconds() {
+        return mCacheIdleSeconds;
+    }
+
     // Checks
 
     @AssertTrue(message = "maxLongCalls: at most maxConcurrentCalls")
