--- a/system-tests/src/main/java/org/oleandertrack/system/PathMeasureMain.java
+++ b/system-tests/src/main/java/org/oleandertrack/system/PathMeasureMain.java
@@ -5,39 +5,55 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.URI;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 /**
- * Measures the cost of the path on loopback: the same calls sent to a target directly and through
- * entry host and sidecar, in one run. Prints a table with ratios.
+ * Measures the cost of the path on loopback: latency and throughput against calls sent to a target
+ * directly in the same run, and the slopes that {@code docs/CAPACITY.md} multiplies: processor
+ * time, memory and writes for each call, turn and program.
  */
 public final class PathMeasureMain {
 
     private static final String SERVICE_PATH = "/services/register/lookup";
+    private static final String MODEL_PATH = "/v1/chat/completions";
     private static final int WARM_UP_CALLS = 20_000;
+    private static final int SINGLE_CALLS = 5_000;
+    private static final int PARALLEL_CALLS = 60_000;
+    private static final int TURNS = 5_000;
+    private static final int IDLE_SECONDS = 10;
 
     private final LocalDeployment mDeployment;
     private final DeploymentFiles mFiles;
+    private final HttpCaller mHttp;
     private final PrintStream mOutput;
     private final ObjectMapper mMapper = new ObjectMapper();
 
-    private PathMeasureMain(LocalDeployment deployment, DeploymentFiles files, PrintStream output) {
+    private PathMeasureMain(
+            LocalDeployment deployment,
+            DeploymentFiles files,
+            HttpCaller http,
+            PrintStream output) {
         mDeployment = deployment;
         mFiles = files;
+        mHttp = http;
         mOutput = output;
     }
 
     /** Takes the repository's root and a folder for settings and logs. */
     public static void main(String[] args) throws IOException {
         DeploymentFiles files = new DeploymentFiles(Path.of(args[0]), Path.of(args[1]));
-        try (LocalDeployment deployment = new LocalDeployment(files, new HttpCaller())) {
-            PathMeasureMain measure = new PathMeasureMain(deployment, files, System.out);
+        HttpCaller http = new HttpCaller();
+        try (LocalDeployment deployment = new LocalDeployment(files, http)) {
+            PathMeasureMain measure = new PathMeasureMain(deployment, files, http, System.out);
             measure.start();
-            measure.run();
+            measure.measureCalls();
+            measure.measureStreams();
+            measure.measurePrograms();
+            measure.measureIdle();
             deployment.stopAll();
         }
     }
@@ -46,7 +62,15 @@
 
     private void start() {
         mDeployment.startPlatform();
-        mDeployment.startEngine("engine-a", "agent-small", "--generated-tokens-per-second", "50");
+        mDeployment.startEngine(
+                "engine-a",
+                "agent-small",
+                "--slots",
+                "64",
+                "--generated-tokens-per-second",
+                "1000",
+                "--prefill-tokens-per-second",
+                "1000000");
         mDeployment.startService("register", "register");
         mDeployment.startSidecar("sidecar-a", "zone-1", "engine-a");
         mDeployment.startSidecar("sidecar-r", "zone-1", "register");
@@ -55,66 +79,129 @@
         mDeployment.awaitReady("entry-1");
     }
 
-    private void run() throws IOException {
+    private void measureCalls() throws IOException {
         URI direct = mDeployment.address("register").resolve("/lookup");
         URI path = mDeployment.address("entry-1").resolve(SERVICE_PATH);
-        load(direct, WARM_UP_CALLS, 16);
-        load(path, WARM_UP_CALLS, 16);
-        mOutput.println("| calls | concurrency | p50 us | p99 us | calls/s | errors |");
+        load(direct, WARM_UP_CALLS, 16).run();
+        load(path, WARM_UP_CALLS, 16).run();
+        mOutput.println(
+                "| calls to a plain service | connections | p50 us | p99 us | calls/s | errors |");
         mOutput.println("| --- | --- | --- | --- | --- | --- |");
-        JsonNode directOne = report("direct", direct, 5_000, 1);
-        JsonNode pathOne = report("through entry host and sidecar", path, 5_000, 1);
-        report("direct", direct, 40_000, 32);
-        report("through entry host and sidecar", path, 40_000, 32);
-        long added = pathOne.path("p99Micros").asLong() - directOne.path("p99Micros").asLong();
-        mOutput.println("added latency p99 at concurrency 1: " + added + " us");
+        JsonNode directOne = report("direct", load(direct, SINGLE_CALLS, 1), 1);
+        JsonNode pathOne = report("through the path", load(path, SINGLE_CALLS, 1), 1);
+        report("direct", load(direct, PARALLEL_CALLS, 32), 32);
+        long entryMicros = cpu("entry-1");
+        long sidecarMicros = cpu("sidecar-r");
+        JsonNode many = report("through the path", load(path, PARALLEL_CALLS, 32), 32);
+        long calls = Math.max(1, many.path("count").asLong());
+        print("added latency p99, 1 connection, us", p99(pathOne) - p99(directOne));
+        print("entry host processor us per call", (cpu("entry-1") - entryMicros) / calls);
+        print("sidecar processor us per call", (cpu("sidecar-r") - sidecarMicros) / calls);
         for (String name : List.of("entry-1", "sidecar-r", "sidecar-a")) {
-            mOutput.println("resident memory of " + name + ": " + residentKilobytes(name) + " kB");
+            print("resident kB of " + name, resident(name));
         }
     }
 
+    private void measureStreams() throws IOException {
+        Path body =
+                mFiles.write(
+                        "stream.json",
+                        "{\"model\":\"agent-small\",\"stream\":true,\"max_tokens\":50,"
+                                + "\"messages\":[{\"role\":\"user\",\"content\":\"plan\"}]}");
+        URI path = mDeployment.address("entry-1").resolve(MODEL_PATH);
+        long entryMicros = cpu("entry-1");
+        long sidecarMicros = cpu("sidecar-a");
+        JsonNode result = load(path, 2_000, 16).withBody(body).streamed().run();
+        long tokens = Math.max(1, result.path("count").asLong() * 50);
+        print("streamed calls", result.path("count").asLong());
+        print("stream errors", result.path("errors").asLong());
+        print("chunk arrivals per call", result.path("chunkArrivals").asLong() / (tokens / 50));
+        print("entry host processor ns per token", 1000 * (cpu("entry-1") - entryMicros) / tokens);
+        print("sidecar processor ns per token", 1000 * (cpu("sidecar-a") - sidecarMicros) / tokens);
+    }
+
+    private void measurePrograms() throws IOException {
+        Path body =
+                mFiles.write(
+                        "turn.json",
+                        "{\"model\":\"agent-small\",\"max_tokens\":5,"
+                                + "\"messages\":[{\"role\":\"user\",\"content\":\"check\"}]}");
+        URI path = mDeployment.address("entry-1").resolve(MODEL_PATH);
+        JsonNode before = platformStats();
+        long memoryBefore = resident("entry-1");
+        long entryMicros = cpu("entry-1");
+        JsonNode result =
+                load(path, TURNS, 64)
+                        .withBody(body)
+                        .withHeader("Oleandertrack-Program", "p{n}")
+                        .withHeader("Oleandertrack-Turn", "1")
+                        .run();
+        JsonNode after = platformStats();
+        double turns = Math.max(1, result.path("count").asLong());
+        print("programs of one turn", (long) turns);
+        print("program errors", result.path("errors").asLong());
+        mOutput.println("platform before: " + before);
+        mOutput.println("platform after: " + after);
+        print("turns per second", result.path("callsPerSecond").asLong());
+        print("turn p99 us", p99(result));
+        print("entry host processor us per turn", (long) ((cpu("entry-1") - entryMicros) / turns));
+        print(
+                "entry host resident bytes per program",
+                (long) (1024 * (resident("entry-1") - memoryBefore) / turns));
+    }
+
+    private void measureIdle() throws IOException {
+        long entryMicros = cpu("entry-1");
+        long sidecarMicros = cpu("sidecar-a");
+        JsonNode before = platformStats();
+        LockSupport.parkNanos(TimeUnit.SECONDS.toNanos(IDLE_SECONDS));
+        mOutput.println("platform before idle time: " + before);
+        mOutput.println("platform after idle time: " + platformStats());
+        print(
+                "entry host idle processor us per second",
+                (cpu("entry-1") - entryMicros) / IDLE_SECONDS);
+        print(
+                "sidecar idle processor us per second",
+                (cpu("sidecar-a") - sidecarMicros) / IDLE_SECONDS);
+    }
+
     // Helpers
 
-    private JsonNode report(String name, URI uri, int calls, int concurrency) throws IOException {
-        JsonNode result = load(uri, calls, concurrency);
+    private LoadRun load(URI uri, int calls, int connections) {
+        return LoadRun.of(mFiles.standinsJar(), uri, calls, connections);
+    }
+
+    private JsonNode report(String name, LoadRun run, int connections) throws IOException {
+        JsonNode result = run.run();
         mOutput.printf(
-                "| %s | %d | %s | %s | %s | %s |%n",
+                "| %s | %d | %d | %d | %d | %d |%n",
                 name,
-                concurrency,
-                result.path("p50Micros"),
-                result.path("p99Micros"),
-                result.path("callsPerSecond"),
-                result.path("errors"));
+                connections,
+                result.path("p50Micros").asLong(),
+                p99(result),
+                result.path("callsPerSecond").asLong(),
+                result.path("errors").asLong());
         return result;
     }
 
-    private JsonNode load(URI uri, int calls, int concurrency) throws IOException {
-        List<String> arguments =
-                new ArrayList<>(
-                        List.of(
-                                "load",
-                                "--url",
-                                uri.toString(),
-                                "--calls",
-                                Integer.toString(calls),
-                                "--concurrency",
-                                Integer.toString(concurrency),
-                                "--header",
-                                "Oleandertrack-Organisation=kaasik-paern"));
-        List<String> command =
-                ManagedProcess.javaCommand(mFiles.standinsJar(), JvmOptions.STANDIN, arguments);
-        Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
-        String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        return mMapper.readTree(output);
+    private JsonNode platformStats() throws IOException {
+        URI uri = mDeployment.address("platform").resolve("/control/stats");
+        return mMapper.readTree(mHttp.send("GET", uri, Map.of(), "").body());
+    }
+
+    private long cpu(String name) throws IOException {
+        return ProcessFigures.cpuMicros(mDeployment.process(name));
+    }
+
+    private long resident(String name) throws IOException {
+        return ProcessFigures.residentKilobytes(mDeployment.process(name));
+    }
+
+    private static long p99(JsonNode result) {
+        return result.path("p99Micros").asLong();
     }
 
-    private long residentKilobytes(String name) throws IOException {
-        Path status = Path.of("/proc", Long.toString(mDeployment.process(name).pid()), "status");
-        return Files.readAllLines(status).stream()
-                .filter(line -> line.startsWith("VmRSS:"))
-                .map(line -> line.replaceAll("\\D", ""))
-                .mapToLong(Long::parseLong)
-                .findFirst()
-                .orElse(0);
+    private void print(String name, long value) {
+        mOutput.println(name + ": " + value);
     }
 }
