Suspend a long call only after another has waited for a slice

Cause: long calls were suspended 10 to 13 times each, often for a short call that would have got a slot by itself within a second, and a suspended call waits behind all earlier ones. A call runs for a slice of 1 s and another waits for a slice before a suspension; the least slice was 250 ms. The test of a suspended call waits for a slice now and also checks that nothing is suspended before.

--- a/core/src/main/java/org/oleandertrack/core/queue/CallQueue.java
+++ b/core/src/main/java/org/oleandertrack/core/queue/CallQueue.java
@@ -290,7 +290,7 @@
     }
 
     private boolean isSuspendable(Entry entry, long nowNanos) {
-        return entry.mCall.resumable() && nowNanos - entry.mStartedNanos >= mConfig.minSliceNanos();
+        return entry.mCall.resumable() && nowNanos - entry.mStartedNanos >= mConfig.sliceNanos();
     }
 
     // Among running calls of the same rank the one with the least service is stopped, so that the
@@ -309,7 +309,9 @@
         int victimLong = levelNow(victim, nowNanos) >= mConfig.longLevel() ? 1 : 0;
         boolean longAllowed = runningLong(nowNanos) - victimLong < mConfig.maxRunningLong();
         Entry entry = select(nowNanos, longAllowed);
-        return entry != null && baseRank(entry.mCall, entry.mLevel) < runningRank(victim, nowNanos);
+        return entry != null
+                && nowNanos - entry.mWaitingSinceNanos >= mConfig.sliceNanos()
+                && baseRank(entry.mCall, entry.mLevel) < runningRank(victim, nowNanos);
     }
 
     private long waitingRank(Entry entry, long nowNanos) {
@@ -318,7 +320,7 @@
 
     // A running call keeps the levels that it gained by waiting. Otherwise a call that had aged
     // past
-    // the short ones would be suspended again after its least slice, and under a lasting flood of
+    // the short ones would be suspended again after a slice, and under a lasting flood of
     // short calls it would hardly advance.
     private long runningRank(Entry entry, long nowNanos) {
         return baseRank(entry.mCall, levelNow(entry, nowNanos)) - entry.mGainedLevels;
--- a/core/src/main/java/org/oleandertrack/core/queue/QueueConfig.java
+++ b/core/src/main/java/org/oleandertrack/core/queue/QueueConfig.java
@@ -13,7 +13,8 @@
  * @param agingNanos waiting time that raises a call by one level, in nanoseconds; positive
  * @param quantumNanos service that an organisation of weight 1 gains in each round of the deficit
  *     accounting, in nanoseconds; positive
- * @param minSliceNanos time that a call runs before it may be suspended, in nanoseconds; positive
+ * @param sliceNanos time that a call runs before it may be suspended, and that another waits before
+ *     a call is suspended for it, in nanoseconds; positive
  */
 public record QueueConfig(
         int maxEntries,
@@ -24,10 +25,9 @@
         ServiceLevels levels,
         long agingNanos,
         long quantumNanos,
-        long minSliceNanos) {
+        long sliceNanos) {
 
-    private static final long MILLISECOND = 1_000_000;
-    private static final long SECOND = 1_000 * MILLISECOND;
+    private static final long SECOND = 1_000_000_000L;
 
     /**
      * Checks the values.
@@ -42,7 +42,7 @@
         requirePositive("longLevel", longLevel);
         requirePositive("agingNanos", agingNanos);
         requirePositive("quantumNanos", quantumNanos);
-        requirePositive("minSliceNanos", minSliceNanos);
+        requirePositive("sliceNanos", sliceNanos);
         if (maxRunningLong > maxRunning) {
             throw new IllegalArgumentException(
                     "maxRunningLong " + maxRunningLong + " exceeds maxRunning " + maxRunning);
@@ -64,7 +64,7 @@
                 new ServiceLevels(SECOND, 3),
                 120 * SECOND,
                 10 * SECOND,
-                250 * MILLISECOND);
+                SECOND);
     }
 
     /** Returns a copy with other bounds of the queue's length. */
@@ -78,7 +78,7 @@
                 levels,
                 agingNanos,
                 quantumNanos,
-                minSliceNanos);
+                sliceNanos);
     }
 
     /** Returns a copy with another bound and level of long calls. */
@@ -92,7 +92,7 @@
                 levels,
                 agingNanos,
                 quantumNanos,
-                minSliceNanos);
+                sliceNanos);
     }
 
     /** Returns a copy with other levels. */
@@ -106,7 +106,7 @@
                 serviceLevels,
                 agingNanos,
                 quantumNanos,
-                minSliceNanos);
+                sliceNanos);
     }
 
     /** Returns a copy with another aging time and round quantum, in nanoseconds. */
@@ -120,7 +120,7 @@
                 levels,
                 aging,
                 quantum,
-                minSliceNanos);
+                sliceNanos);
     }
 
     private static void requirePositive(String name, long value) {
--- a/core/src/test/java/org/oleandertrack/core/queue/CallQueueTest.java
+++ b/core/src/test/java/org/oleandertrack/core/queue/CallQueueTest.java
@@ -83,6 +83,9 @@
         poll(0);
         long later = 2 * SECOND;
         mQueue.offer(call("short", "b", 0, 0, true, Long.MAX_VALUE), later);
+        assertEquals(
+                Optional.empty(), mQueue.suspend(later), "suspended before a slice of waiting");
+        later += SECOND / 4;
         assertEquals(Optional.of("long"), mQueue.suspend(later).map(QueuedCall::id));
         assertEquals(List.of(), mQueue.takeExpired(later));
         assertEquals("short", poll(later));
