--- a/coordination/src/main/java/org/oleandertrack/coordination/config/ConfigLog.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/config/ConfigLog.java
@@ -233,8 +233,10 @@
     }
 
     private void onPolled(Throwable failure) {
-        if (failure != null) {
+        if (failure != null && StoreFailures.isStoreFailure(failure)) {
             Logger.debug("poll of the configuration failed: {}", failure.toString());
+        } else if (failure != null) {
+            Logger.error(failure, "configuration cannot be taken");
         }
         synchronized (mLock) {
             if (mRunning) {
--- a/coordination/src/main/java/org/oleandertrack/coordination/lease/MemberLease.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/lease/MemberLease.java
@@ -207,14 +207,24 @@
                 mTable.get(MemberRow.key(mNode))
                         .whenComplete(
                                 (row, failure) -> {
-                                    if (failure == null) {
-                                        onRead(sentNanos, row);
-                                    } else {
+                                    if (failure != null || !isReadable(row)) {
                                         onReadFailed();
+                                    } else {
+                                        onRead(sentNanos, row);
                                     }
                                 });
     }
 
+    private boolean isReadable(Optional<Row> row) {
+        try {
+            var _ = row.map(found -> RowJson.decode(found, MemberRow.class));
+            return true;
+        } catch (IllegalStateException e) {
+            Logger.error(e, "node {} cannot take its lease", mNode);
+            return false;
+        }
+    }
+
     private void onReadFailed() {
         synchronized (mLock) {
             mPredecessor.interrupted();
--- a/coordination/src/main/java/org/oleandertrack/coordination/lease/ShardOwnership.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/lease/ShardOwnership.java
@@ -16,6 +16,7 @@
 import org.oleandertrack.coordination.store.ConditionalWrite;
 import org.oleandertrack.coordination.store.Row;
 import org.oleandertrack.coordination.store.RowJson;
+import org.oleandertrack.coordination.store.StoreFailures;
 import org.oleandertrack.coordination.store.TableScans;
 import org.oleandertrack.coordination.store.TableStore;
 import org.oleandertrack.coordination.store.WriteIds;
@@ -200,8 +201,10 @@
     }
 
     private void onScanEnded(Throwable failure) {
-        if (failure != null) {
+        if (failure != null && StoreFailures.isStoreFailure(failure)) {
             Logger.debug("scan of members and shards failed: {}", failure.toString());
+        } else if (failure != null) {
+            Logger.error(failure, "members and shards cannot be evaluated");
         }
         synchronized (mLock) {
             if (failure != null) {
--- a/coordination/src/main/java/org/oleandertrack/coordination/store/StoreFailures.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/store/StoreFailures.java
@@ -27,6 +27,13 @@
         return new StoreException(Execution.UNKNOWN, "store request failed: " + cause, cause);
     }
 
+    /**
+     * Returns whether a failure is the store's, and not a malformed row or a fault of this code.
+     */
+    public static boolean isStoreFailure(Throwable failure) {
+        return unwrap(failure) instanceof StoreException;
+    }
+
     /** Returns a read whose failure says that the operation that needed it was not run. */
     public static <T> CompletableFuture<T> asNotRun(CompletableFuture<T> read) {
         return read.exceptionallyCompose(
--- a/coordination/src/test/java/org/oleandertrack/coordination/lease/Cluster.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/lease/Cluster.java
@@ -1,6 +1,7 @@
 package org.oleandertrack.coordination.lease;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -78,6 +79,10 @@
             return drained;
         }
 
+        String claim() {
+            return mLease.node() + "/" + mLease.incarnation();
+        }
+
         /** Stops gracefully, then ends the process. */
         CompletableFuture<Void> leave() {
             return mOwnership
@@ -100,7 +105,8 @@
     final FakeStore mStore;
     final List<Node> mNodes = new ArrayList<>();
     private final long[] mFences = new long[SHARDS];
-    private final String[] mHolders = new String[SHARDS];
+    private final Node[] mHolders = new Node[SHARDS];
+    private final long[] mIncarnations = new long[SHARDS];
 
     Cluster(long seed) {
         mTime = new VirtualTime(seed);
@@ -138,23 +144,32 @@
 
     private void checkOwnership() {
         for (int shard = 0; shard < SHARDS; shard++) {
-            String holder = null;
+            Node holder = null;
             for (Node node : mNodes) {
                 OptionalLong fence = node.mOwnership.heldFence(shard);
                 if (fence.isEmpty()) {
                     continue;
                 }
-                String claim = node.mLease.node() + "/" + node.mLease.incarnation();
-                assertTrue(holder == null, "shard " + shard + ": " + holder + ", " + claim);
-                holder = claim;
-                boolean resumed =
-                        fence.getAsLong() == mFences[shard] && claim.equals(mHolders[shard]);
-                assertTrue(
-                        resumed || fence.getAsLong() > mFences[shard],
-                        "fence of shard " + shard + " did not rise: " + fence);
-                mFences[shard] = fence.getAsLong();
-                mHolders[shard] = claim;
+                if (holder != null) {
+                    fail("shard " + shard + ": " + holder.claim() + ", " + node.claim());
+                }
+                holder = node;
+                long incarnation = node.mLease.incarnation();
+                if (node != mHolders[shard]
+                        || incarnation != mIncarnations[shard]
+                        || fence.getAsLong() != mFences[shard]) {
+                    checkRaised(shard, fence.getAsLong());
+                }
+                mHolders[shard] = node;
+                mIncarnations[shard] = incarnation;
             }
         }
     }
+
+    private void checkRaised(int shard, long fence) {
+        assertTrue(
+                fence > mFences[shard],
+                "fence of shard " + shard + ": " + fence + " after " + mFences[shard]);
+        mFences[shard] = fence;
+    }
 }
--- a/coordination/src/test/java/org/oleandertrack/coordination/lease/OwnershipTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/lease/OwnershipTest.java
@@ -16,6 +16,7 @@
 import org.oleandertrack.coordination.sim.FaultInjector;
 import org.oleandertrack.coordination.sim.SeededRuns;
 import org.oleandertrack.coordination.sim.VirtualTime;
+import org.oleandertrack.coordination.store.RowJson;
 
 final class OwnershipTest {
 
@@ -147,6 +148,20 @@
         cluster.runSeconds(10);
     }
 
+    /** Guards against a lease that is never taken again after its row was malformed for a while. */
+    @Test
+    void malformedMemberRowDelaysTheLease() {
+        Cluster cluster = new Cluster(8);
+        cluster.mStore.overwrite(MemberRow.key("a"), "not JSON");
+        Cluster.Node node = cluster.add("a");
+        cluster.runSeconds(3);
+        assertFalse(node.mLease.isValid());
+        MemberRow closed = new MemberRow(1, 1, 6_000, MemberState.CLOSED, "w");
+        cluster.mStore.overwrite(MemberRow.key("a"), RowJson.encode(closed));
+        cluster.runSeconds(3);
+        assertEquals(List.of(), cluster.unheld());
+    }
+
     private static Map<Integer, ShardHolder> holders(Cluster cluster) {
         Map<Integer, ShardHolder> holders = new TreeMap<>();
         for (int shard = 0; shard < Cluster.SHARDS; shard++) {
--- a/coordination/src/test/java/org/oleandertrack/coordination/sim/VirtualNode.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/sim/VirtualNode.java
@@ -59,7 +59,7 @@
     @Override
     public Timer schedule(long delayNanos, Runnable task) {
         boolean[] cancelled = new boolean[1];
-        var _ =
+        Timer timer =
                 mTime.schedule(
                         delayNanos,
                         () ->
@@ -69,7 +69,10 @@
                                                 task.run();
                                             }
                                         }));
-        return () -> cancelled[0] = true;
+        return () -> {
+            cancelled[0] = true;
+            timer.cancel();
+        };
     }
 
     private void arrive(Runnable task) {
