--- a/system-tests/src/main/java/org/oleandertrack/system/LocalDeployment.java
+++ b/system-tests/src/main/java/org/oleandertrack/system/LocalDeployment.java
@@ -46,6 +46,7 @@
 
     private final Map<String, URI> mAdminAddresses = new ConcurrentHashMap<>();
     private final Map<String, TargetSpec> mTargets = new LinkedHashMap<>();
+    private final Map<String, Runnable> mStarting = new LinkedHashMap<>();
     private final Map<String, Runnable> mLaunches = new LinkedHashMap<>();
     private String mExtraEntrySettings = "";
     private String mExtraSidecarSettings = "";
@@ -79,7 +80,7 @@
         mTargets.put(name, new TargetSpec(name, "", service));
     }
 
-    /** Starts the process beside a target and lists it. */
+    /** Starts the process beside a target; {@link #publishHosts} waits until it serves. */
     public void startSidecar(String node, String zone, String target) {
         TargetSpec spec = mTargets.get(target);
         Path settings =
@@ -90,7 +91,7 @@
         launch(node, () -> launchSidecar(node, zone, spec, settings));
     }
 
-    /** Starts an entry host and lists it. */
+    /** Starts an entry host; {@link #publishHosts} waits until it serves. */
     public void startEntry(String node, String zone) {
         Path settings =
                 mFiles.write(
@@ -133,6 +134,7 @@
 
     @Override
     public void close() {
+        mStarting.clear();
         mProcesses.values().forEach(ManagedProcess::close);
         mProcesses.clear();
     }
@@ -149,8 +151,10 @@
         mExtraSidecarSettings = toml;
     }
 
-    /** Sends the host list to the platform's stand-in. */
+    /** Waits for the processes that start and sends the host list to the platform's stand-in. */
     public void publishHosts() {
+        mStarting.values().forEach(Runnable::run);
+        mStarting.clear();
         ObjectNode body = mMapper.createObjectNode();
         ArrayNode hosts = body.putArray("hosts");
         mHosts.values().forEach(hosts::add);
@@ -210,18 +214,26 @@
     private void launchSidecar(String node, String zone, TargetSpec spec, Path settings) {
         ManagedProcess process =
                 startServer(node, "sidecar", settings, SIDECAR_READY, SIDECAR_HEAP_MEGABYTES);
-        Matcher ready = process.awaitReady();
-        mAdminAddresses.put(node, loopback(ready.group(2)));
-        list(node, "SIDECAR", zone, ready.group(1), spec);
+        mStarting.put(
+                node,
+                () -> {
+                    Matcher ready = process.awaitReady();
+                    mAdminAddresses.put(node, loopback(ready.group(2)));
+                    list(node, "SIDECAR", zone, ready.group(1), spec);
+                });
     }
 
     private void launchEntry(String node, String zone, Path settings) {
         ManagedProcess process =
                 startServer(node, "entry", settings, ENTRY_READY, ENTRY_HEAP_MEGABYTES);
-        Matcher ready = process.awaitReady();
-        mAddresses.put(node, loopback(ready.group(1)));
-        mAdminAddresses.put(node, loopback(ready.group(2)));
-        list(node, "ENTRY", zone, ready.group(3), new TargetSpec("", "", ""));
+        mStarting.put(
+                node,
+                () -> {
+                    Matcher ready = process.awaitReady();
+                    mAddresses.put(node, loopback(ready.group(1)));
+                    mAdminAddresses.put(node, loopback(ready.group(2)));
+                    list(node, "ENTRY", zone, ready.group(3), new TargetSpec("", "", ""));
+                });
     }
 
     private static void checkExit(String name, int exitCode) {
--- a/system-tests/src/test/java/org/oleandertrack/system/scenario/Answer.java
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/Answer.java
@@ -36,6 +36,14 @@
         return value.isEmpty() ? error().path("execution").asText("") : value;
     }
 
+    /** Returns whether the request was not run and may be sent again later. */
+    boolean isRefusedForNow() {
+        if (status == 0) {
+            return failure.orElse("").contains("ConnectException");
+        }
+        return execution().equals("not run") && error().path("retry").asText("").equals("later");
+    }
+
     /** Returns whether the whole answer of a target arrived. */
     boolean isWhole() {
         if (status != 200 || failure.isPresent()) {
--- a/system-tests/src/test/java/org/oleandertrack/system/scenario/Check.java
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/Check.java
@@ -30,6 +30,12 @@
     /** The answer is either an error or whole and right; never part of an answer. */
     record RightOrRefused(String call) implements Check {}
 
+    /**
+     * The answer agrees with the service's count: none if it says that the call was not run, one if
+     * it succeeded, at most one otherwise.
+     */
+    record MatchesExecutions(String call, Count.Executions executions) implements Check {}
+
     /** A count is within a bound. */
     record Counted(Count count, Bound bound) implements Check {}
 }
--- a/system-tests/src/test/java/org/oleandertrack/system/scenario/Checks.java
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/Checks.java
@@ -49,6 +49,7 @@
                             answer(header.call()).header(header.name()).equals(header.value()),
                             check,
                             header.call());
+            case Check.MatchesExecutions matches -> requireExecutions(matches);
             case Check.Counted counted -> requireCount(counted);
         }
     }
@@ -63,6 +64,21 @@
         require(holds, code, code.call());
     }
 
+    private void requireExecutions(Check.MatchesExecutions matches) {
+        Answer answer = answer(matches.call());
+        long count = mCounts.read(matches.executions());
+        boolean holds =
+                switch (answer.execution()) {
+                    case "not run" -> count == 0;
+                    case "run" -> count == 1;
+                    default -> answer.isWhole() ? count == 1 : count <= 1;
+                };
+        if (!holds) {
+            throw new AssertionError(
+                    matches + "; executed " + count + " times, answered " + answer);
+        }
+    }
+
     private void requireSame(Check.Same same) {
         Answer answer = answer(same.call());
         Answer other = answer(same.other());
