--- a/core/src/test/java/org/oleandertrack/core/health/ExtraCallsTest.java
+++ b/core/src/test/java/org/oleandertrack/core/health/ExtraCallsTest.java
@@ -34,7 +34,7 @@
                 attempts++;
                 retried++;
             }
-            hedged += hedges.tryHedge(true) ? 1 : 0;
+            hedged += hedges.tryHedge(true, 2, 1) ? 1 : 0;
         }
         assertTrue(retried <= calls * 4 / 100, retried + " retries of " + calls + " calls");
         assertTrue(hedged <= calls * 5 / 100, hedged + " hedges of " + calls + " calls");
@@ -75,22 +75,24 @@
         assertEquals(new RetryDecision.GiveUp(), retries.afterFailure(1, Execution.RUN, false));
         assertTrue(
                 retries.afterFailure(1, Execution.NOT_RUN, false) instanceof RetryDecision.Retry);
-        assertFalse(hedges.tryHedge(false));
-        assertTrue(hedges.tryHedge(true));
+        assertFalse(hedges.tryHedge(false, 2, 1));
+        assertFalse(hedges.tryHedge(true, 2, 3), "the second attempt takes longer");
+        assertTrue(hedges.tryHedge(true, 2, 1));
     }
 
     @Test
-    void hedgesAfterP95OfRecentCalls() {
+    void hedgesCallsThatAreLaterThanP95AndThanTheCostOfRepeating() {
         HedgePolicy hedges = new HedgePolicy();
         for (int i = 1; i < 40; i++) {
-            hedges.recorded(i);
+            hedges.recorded(0, i);
         }
-        assertTrue(hedges.delayNanos().isEmpty());
+        assertTrue(hedges.delayNanos(0, 0).isEmpty());
         for (int i = 0; i < 10; i++) {
             for (int value = 1; value <= 100; value++) {
-                hedges.recorded(value);
+                hedges.recorded(1_000, 1_000 + value);
             }
         }
-        assertEquals(95L, hedges.delayNanos().orElseThrow());
+        assertEquals(595L, hedges.delayNanos(500, 0).orElseThrow());
+        assertEquals(700L, hedges.delayNanos(500, 200).orElseThrow(), "costs more than it saves");
     }
 }
--- a/system-tests/src/main/java/org/oleandertrack/system/LocalDeployment.java
+++ b/system-tests/src/main/java/org/oleandertrack/system/LocalDeployment.java
@@ -31,10 +31,6 @@
     /** The exit code that the JVM reports for an orderly end after SIGTERM. */
     private static final int TERMINATED = 143;
 
-    private static final int STANDIN_HEAP_MEGABYTES = 128;
-    private static final int SIDECAR_HEAP_MEGABYTES = 32;
-    private static final int ENTRY_HEAP_MEGABYTES = 256;
-
     private final DeploymentFiles mFiles;
     private final HttpCaller mHttp;
     private final ObjectMapper mMapper = new ObjectMapper();
@@ -213,7 +209,7 @@
 
     private void launchSidecar(String node, String zone, TargetSpec spec, Path settings) {
         ManagedProcess process =
-                startServer(node, "sidecar", settings, SIDECAR_READY, SIDECAR_HEAP_MEGABYTES);
+                startServer(node, "sidecar", settings, SIDECAR_READY, JvmOptions.SIDECAR);
         mStarting.put(
                 node,
                 () -> {
@@ -225,7 +221,7 @@
 
     private void launchEntry(String node, String zone, Path settings) {
         ManagedProcess process =
-                startServer(node, "entry", settings, ENTRY_READY, ENTRY_HEAP_MEGABYTES);
+                startServer(node, "entry", settings, ENTRY_READY, JvmOptions.ENTRY);
         mStarting.put(
                 node,
                 () -> {
@@ -247,7 +243,7 @@
                 ManagedProcess.start(
                         name,
                         ManagedProcess.javaCommand(
-                                mFiles.standinsJar(), STANDIN_HEAP_MEGABYTES, arguments),
+                                mFiles.standinsJar(), JvmOptions.STANDIN, arguments),
                         STANDIN_READY,
                         mFiles.log(name));
         mProcesses.put(name, process);
@@ -255,13 +251,13 @@
     }
 
     private ManagedProcess startServer(
-            String node, String role, Path settings, Pattern ready, int heapMegabytes) {
+            String node, String role, Path settings, Pattern ready, List<String> jvmOptions) {
         ManagedProcess process =
                 ManagedProcess.start(
                         node,
                         ManagedProcess.javaCommand(
                                 mFiles.serverJar(),
-                                heapMegabytes,
+                                jvmOptions,
                                 List.of(role, "--settings", settings.toString())),
                         ready,
                         mFiles.log(node));
--- a/system-tests/src/test/java/org/oleandertrack/system/scenario/CheckParser.java
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/CheckParser.java
@@ -26,7 +26,15 @@
         }
         String kind =
                 mReader.oneOf(
-                        Set.of("status", "code", "answer", "same", "cut", "contains", "header", "matches"));
+                        Set.of(
+                                "status",
+                                "code",
+                                "answer",
+                                "same",
+                                "cut",
+                                "contains",
+                                "header",
+                                "matches"));
         return switch (kind) {
             case "status" -> new Check.Status(first, alternatives("a status"));
             case "code" -> new Check.Code(first, alternatives("a result code"), execution());
