--- a/system-tests/src/main/java/org/oleandertrack/system/LocalDeployment.java
+++ b/system-tests/src/main/java/org/oleandertrack/system/LocalDeployment.java
@@ -195,6 +195,12 @@
         return process;
     }
 
+    /** Returns whether a process was started and has not ended. */
+    public boolean isAlive(String name) {
+        ManagedProcess process = mProcesses.get(name);
+        return process != null && process.isAlive();
+    }
+
     /** Returns the log file of a process, which all its starts share. */
     public Path log(String name) {
         return mFiles.log(name);
--- a/system-tests/src/test/java/org/oleandertrack/system/scenario/ScenarioParser.java
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/ScenarioParser.java
@@ -154,6 +154,9 @@
         if (reader.accept("ready")) {
             return new Statement.AwaitReady(reader.word("the name of an entry host"));
         }
+        if (reader.accept("connected")) {
+            return new Statement.AwaitConnected();
+        }
         if (reader.accept("exit")) {
             return new Statement.AwaitExit(reader.word("the name of a process"));
         }
--- a/system-tests/src/test/java/org/oleandertrack/system/scenario/TestDeployment.java
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/TestDeployment.java
@@ -15,6 +15,7 @@
     private final LocalDeployment mDeployment;
     private final Map<String, String> mEngineModels = new LinkedHashMap<>();
     private final List<String> mEntries = new ArrayList<>();
+    private final List<String> mSidecars = new ArrayList<>();
     private boolean mUnlisted;
 
     TestDeployment(LocalDeployment deployment) {
@@ -37,6 +38,7 @@
             mDeployment.startService(target.name(), target.offer(), arguments);
         }
         mDeployment.startSidecar(target.name() + SIDECAR_SUFFIX, target.zone(), target.name());
+        mSidecars.add(target.name() + SIDECAR_SUFFIX);
         mUnlisted = true;
     }
 
@@ -110,6 +112,14 @@
         return address(mEngineModels.keySet().iterator().next());
     }
 
+    List<String> liveEntries() {
+        return mEntries.stream().filter(mDeployment::isAlive).toList();
+    }
+
+    int liveSidecars() {
+        return (int) mSidecars.stream().filter(mDeployment::isAlive).count();
+    }
+
     // Helpers
 
     private void restart(String name) {
