--- a/system-tests/src/test/java/org/oleandertrack/system/scenario/ScenarioRunner.java
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/ScenarioRunner.java
@@ -1,8 +1,11 @@
 package org.oleandertrack.system.scenario;
 
+import java.net.URI;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 
 /** Runs the statements of one scenario in order. Not thread safe. */
 final class ScenarioRunner {
@@ -54,6 +57,9 @@
     }
 
     private void runStatement(Statement statement) {
+        if (!isStart(statement)) {
+            mDeployment.settle();
+        }
         switch (statement) {
             case Statement.Guards guards -> {}
             case Statement.Uses uses -> {}
@@ -69,6 +75,7 @@
             case Statement.StartLoad load -> startLoad(load.plan());
             case Statement.FinishLoad finish -> mLoads.get(finish.load()).finish();
             case Statement.AwaitReady ready -> mDeployment.local().awaitReady(ready.node());
+            case Statement.AwaitConnected connected -> awaitConnected();
             case Statement.AwaitExit exit -> mDeployment.local().awaitExit(exit.name());
             case Statement.AwaitCall call -> finish(call.call());
             case Statement.AwaitBody body -> awaitBody(body.call());
@@ -77,17 +84,45 @@
         }
     }
 
+    private static boolean isStart(Statement statement) {
+        return statement instanceof Statement.StartTarget
+                || statement instanceof Statement.StartEntry
+                || statement instanceof Statement.Settings;
+    }
+
     private void send(Statement.Send send) {
         SentRequest request = request(send.request());
-        PendingCall call = mHttp.send(mDeployment.address(send.request().node()), request);
+        URI address = mDeployment.address(send.request().node());
+        PendingCall call = mHttp.send(address, request);
+        if (send.mode() == Statement.Send.Mode.RETRYING) {
+            call = retry(call, address);
+        }
         String name = send.as().orElse("");
         mCalls.add(name, call);
         mSources.put(name, send.source());
-        if (!send.background()) {
+        if (send.mode() != Statement.Send.Mode.BACKGROUND) {
             finish(name);
         }
     }
 
+    private PendingCall retry(PendingCall first, URI address) {
+        AtomicReference<PendingCall> last = new AtomicReference<>(first);
+        Poller.await(
+                () -> "an answer other than " + last.get().await(),
+                () -> {
+                    Answer answer = last.get().await();
+                    boolean unknownTurn =
+                            first.request().conversation().isPresent()
+                                    && answer.execution().equals("unknown");
+                    if (!answer.isRefusedForNow() && !unknownTurn) {
+                        return true;
+                    }
+                    last.set(mHttp.send(address, first.request()));
+                    return false;
+                });
+        return last.get();
+    }
+
     private SentRequest request(Request request) {
         return switch (request) {
             case Request.Turn turn ->
@@ -126,6 +161,20 @@
                 () -> !call.received().isEmpty() || call.isDone());
     }
 
+    private void awaitConnected() {
+        List<String> entries = mDeployment.liveEntries();
+        for (String entry : entries) {
+            awaitCount(
+                    new Statement.AwaitCount(
+                            new Count.Rows(entry, "show members where role=entry"),
+                            new Bound(Bound.Kind.EXACTLY, entries.size())));
+            awaitCount(
+                    new Statement.AwaitCount(
+                            new Count.Rows(entry, "show targets where state=reachable"),
+                            new Bound(Bound.Kind.EXACTLY, mDeployment.liveSidecars())));
+        }
+    }
+
     private void awaitCount(Statement.AwaitCount await) {
         Poller.await(
                 () -> await.bound() + " of " + mCounts.describe(await.count()),
--- a/system-tests/src/test/java/org/oleandertrack/system/scenario/Statement.java
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/Statement.java
@@ -46,9 +46,24 @@
     /** Replaces the faults of a stand-in. */
     record Fault(String name, String json) implements Statement {}
 
-    /** Sends a request and waits for the answer, unless it is sent in the background. */
-    record Send(Request request, Optional<String> as, boolean background, String source)
-            implements Statement {}
+    /** Sends a request. */
+    record Send(Request request, Optional<String> as, Mode mode, String source)
+            implements Statement {
+
+        enum Mode {
+            /** Waits for the answer. */
+            ONCE,
+
+            /** Goes on with the scenario while the request runs. */
+            BACKGROUND,
+
+            /**
+             * Sends the request again while it is refused as not run and may be sent later. A turn
+             * is also sent again when its outcome is unknown, because its number makes that safe.
+             */
+            RETRYING
+        }
+    }
 
     /** Closes the connection of a request in the background. */
     record Leave(String call) implements Statement {}
@@ -62,6 +77,9 @@
     /** Waits until an entry host is ready. */
     record AwaitReady(String node) implements Statement {}
 
+    /** Waits until each running entry host reaches all other running processes of the system. */
+    record AwaitConnected() implements Statement {}
+
     /** Waits until a process has ended. */
     record AwaitExit(String name) implements Statement {}
 
--- a/system-tests/src/test/java/org/oleandertrack/system/scenario/TestDeployment.java
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/TestDeployment.java
@@ -11,11 +11,12 @@
 final class TestDeployment implements AutoCloseable {
 
     private static final String SIDECAR_SUFFIX = "-sidecar";
-    private static final String PLATFORM = "platform";
 
     private final LocalDeployment mDeployment;
     private final Map<String, String> mEngineModels = new LinkedHashMap<>();
     private final List<String> mEntries = new ArrayList<>();
+    private final List<String> mSidecars = new ArrayList<>();
+    private boolean mUnlisted;
 
     TestDeployment(LocalDeployment deployment) {
         mDeployment = deployment;
@@ -37,13 +38,22 @@
             mDeployment.startService(target.name(), target.offer(), arguments);
         }
         mDeployment.startSidecar(target.name() + SIDECAR_SUFFIX, target.zone(), target.name());
-        mDeployment.publishHosts();
+        mSidecars.add(target.name() + SIDECAR_SUFFIX);
+        mUnlisted = true;
     }
 
     void startEntry(Statement.StartEntry entry) {
         mDeployment.startEntry(entry.node(), entry.zone());
         mEntries.add(entry.node());
-        mDeployment.publishHosts();
+        mUnlisted = true;
+    }
+
+    /** Waits for the processes started so far, which start side by side, and lists them. */
+    void settle() {
+        if (mUnlisted) {
+            mDeployment.publishHosts();
+            mUnlisted = false;
+        }
     }
 
     @Override
@@ -102,12 +112,12 @@
         return address(mEngineModels.keySet().iterator().next());
     }
 
-    List<String> entries() {
-        return List.copyOf(mEntries);
+    List<String> liveEntries() {
+        return mEntries.stream().filter(mDeployment::isAlive).toList();
     }
 
-    boolean hasPlatform() {
-        return mDeployment.address(PLATFORM) != null;
+    int liveSidecars() {
+        return (int) mSidecars.stream().filter(mDeployment::isAlive).count();
     }
 
     // Helpers
