--- a/core/src/main/java/org/oleandertrack/core/health/HealthTracker.java
+++ b/core/src/main/java/org/oleandertrack/core/health/HealthTracker.java
@@ -94,9 +94,9 @@
     // Operations
 
     /**
-     * Notes that a call is sent to a target. A call to a target that is left out is a probe. Each call
-     * ends with {@link #succeeded}, {@link #failed} or {@link #abandoned}; until then the target gets
-     * no other probe.
+     * Notes that a call is sent to a target. A call to a target that is left out is a probe. Each
+     * call ends with {@link #succeeded}, {@link #failed} or {@link #abandoned}; until then the
+     * target gets no other probe.
      */
     public void sent(String targetId) {
         mProbes.counted();
