Bound the time of object store requests

Cause: a put that is never answered kept one of the four batches of a group commit for ever; only table requests had a bound.

Ruled out: a bound inside the group commit, because leases, scans and the configuration need the same one.

Before: four such puts stop all commits. After: they end as unknown and are retried.

--- a/coordination/src/main/java/org/oleandertrack/coordination/commit/GroupCommit.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/commit/GroupCommit.java
@@ -58,7 +58,9 @@
     /**
      * Creates a group commit.
      *
-     * @param objects receives the batch objects
+     * @param table receives the transactions; its requests must end, see {@code
+     *     TimeLimitedTableStore}
+     * @param objects receives the batch objects; its requests must end too
      * @param batchPrefix prefix of the keys of this process's batch objects; no other process, and
      *     no earlier one on the same host, may use it
      */
--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/store/TimeLimit.java
@@ -0,0 +1,42 @@
+package org.oleandertrack.coordination.store;
+
+import java.util.concurrent.CompletableFuture;
+import org.oleandertrack.coordination.schedule.Scheduler;
+import org.oleandertrack.core.result.Execution;
+
+/** Ends store requests that are not answered in time. Thread safe. */
+final class TimeLimit {
+
+    private final Scheduler mScheduler;
+    private final long mTimeoutNanos;
+
+    TimeLimit(Scheduler scheduler, long timeoutNanos) {
+        mScheduler = scheduler;
+        mTimeoutNanos = timeoutNanos;
+    }
+
+    <T> CompletableFuture<T> bound(CompletableFuture<T> reply, String what) {
+        CompletableFuture<T> bounded = new CompletableFuture<>();
+        Scheduler.Timer timer =
+                mScheduler.schedule(
+                        mTimeoutNanos,
+                        () ->
+                                bounded.completeExceptionally(
+                                        new StoreException(
+                                                Execution.UNKNOWN,
+                                                what + " not answered in time",
+                                                null)));
+        var _ =
+                reply.whenComplete(
+                        (value, failure) -> {
+                            timer.cancel();
+                            if (failure != null) {
+                                bounded.completeExceptionally(
+                                        StoreFailures.asStoreException(failure));
+                            } else {
+                                bounded.complete(value);
+                            }
+                        });
+        return bounded;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/store/TimeLimitedObjectStore.java
@@ -0,0 +1,36 @@
+package org.oleandertrack.coordination.store;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.oleandertrack.coordination.schedule.Scheduler;
+
+/**
+ * Bounds the time of every request to an object store. Without a bound, a put that is never
+ * answered would occupy one of the group commit's few batches for ever. Thread safe.
+ */
+public final class TimeLimitedObjectStore implements ObjectStore {
+
+    private final ObjectStore mDelegate;
+    private final TimeLimit mLimit;
+
+    /** Creates a bounded view of a store. */
+    public TimeLimitedObjectStore(ObjectStore delegate, Scheduler scheduler, long timeoutNanos) {
+        mDelegate = delegate;
+        mLimit = new TimeLimit(scheduler, timeoutNanos);
+    }
+
+    @Override
+    public CompletableFuture<Void> put(String key, byte[] data) {
+        return mLimit.bound(mDelegate.put(key, data), "put of " + key);
+    }
+
+    @Override
+    public CompletableFuture<Optional<byte[]>> get(String key) {
+        return mLimit.bound(mDelegate.get(key), "get of " + key);
+    }
+
+    @Override
+    public CompletableFuture<Void> delete(String key) {
+        return mLimit.bound(mDelegate.delete(key), "delete of " + key);
+    }
+}
--- a/coordination/src/test/java/org/oleandertrack/coordination/commit/GroupCommitTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/commit/GroupCommitTest.java
@@ -17,6 +17,8 @@
 import org.oleandertrack.coordination.sim.VirtualTime;
 import org.oleandertrack.coordination.store.ConditionalWrite;
 import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.coordination.store.TimeLimitedObjectStore;
+import org.oleandertrack.coordination.store.TimeLimitedTableStore;
 import org.oleandertrack.coordination.store.WriteOutcome;
 import org.oleandertrack.core.result.Execution;
 
@@ -194,6 +196,34 @@
         assertEquals(2, mStore.transactions());
     }
 
+    /** Guards against requests without an answer that occupy all batches for ever. */
+    @Test
+    void unansweredRequestsDoNotBlockLaterCommits() {
+        mView.setSilent(true);
+        mCommit =
+                new GroupCommit(
+                        new TimeLimitedTableStore(mView, mNode, VirtualTime.SECOND),
+                        new TimeLimitedObjectStore(mView.objects(), mNode, VirtualTime.SECOND),
+                        mNode,
+                        mNode::nanos,
+                        mNode.random(),
+                        GroupCommitLimits.defaults(),
+                        "turns/n-");
+        mCommit.start();
+        for (int i = 0; i < 10; i++) {
+            byte[] data = {1};
+            String key = "k" + i;
+            var _ =
+                    mCommit.submit(
+                            data, at -> List.of(ConditionalWrite.create(key, "")), deadline(2));
+        }
+        mTime.runFor(5 * VirtualTime.SECOND);
+        mView.setSilent(false);
+        CompletableFuture<CommitResult> later = create("later", "1", 5);
+        mTime.runFor(2 * VirtualTime.SECOND);
+        assertTrue(applied(later, 1));
+    }
+
     /** Guards against accepting a write whose lost reply could never be settled. */
     @Test
     void deletionIsRefused() {
--- a/coordination/src/test/java/org/oleandertrack/coordination/sim/FakeStore.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/sim/FakeStore.java
@@ -92,6 +92,7 @@
     public final class View implements TableStore {
         private final VirtualNode mNode;
         private boolean mCutOff;
+        private boolean mSilent;
 
         private View(VirtualNode node) {
             mNode = node;
@@ -101,6 +102,11 @@
             mCutOff = cutOff;
         }
 
+        /** Sets whether replies are dropped, so that requests are never answered. */
+        public void setSilent(boolean silent) {
+            mSilent = silent;
+        }
+
         @Override
         public CompletableFuture<List<Row>> scan(String prefix, String afterKey, int limit) {
             return request(
@@ -193,7 +199,9 @@
     }
 
     private void answer(View view, Runnable reply) {
-        var _ = view.mNode.schedule(latency(), reply);
+        if (!view.mSilent) {
+            var _ = view.mNode.schedule(latency(), reply);
+        }
     }
 
     private static void fail(CompletableFuture<?> reply, Execution execution) {
