Free engine memory of ended programs and answer attempt queries

The sidecar dropped all control frames and never told the engine that a program had ended, so prefixes stayed until the engine evicted them. The new EngineMemoryService feeds the memory ledger from calls, ReleaseMemory orders and the engine's cache events and sends the releases. AttemptQuery is answered from the attempt registry. The metrics registry is now one object per sidecar; each injection had its own, so /metrics would not have shown the held tokens.

--- a/server/src/main/java/org/oleandertrack/server/sidecar/SidecarCallHandler.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarCallHandler.java
@@ -31,6 +31,7 @@
     private final CallGate mGate;
     private final FenceTable mFences;
     private final AttemptRegistry mAttempts;
+    private final EngineMemory mMemory;
     private final ScheduledExecutorService mTimer;
     private final LongSupplier mNanoClock;
     private final AtomicLong mSequence = new AtomicLong();
@@ -40,12 +41,14 @@
             CallGate gate,
             FenceTable fences,
             AttemptRegistry attempts,
+            EngineMemory memory,
             ScheduledExecutorService timer,
             LongSupplier nanoClock) {
         mTarget = target;
         mGate = gate;
         mFences = fences;
         mAttempts = attempts;
+        mMemory = memory;
         mTimer = timer;
         mNanoClock = nanoClock;
     }
@@ -101,6 +104,7 @@
 
     private void dispatch(WaitingCall waiting) {
         long startNanos = mNanoClock.getAsLong();
+        mMemory.callStarted(waiting.head());
         TargetExchange exchange = mTarget.start(waiting.call());
         ScheduledFuture<?> timeout =
                 mTimer.schedule(
@@ -120,6 +124,7 @@
         long runNanos = mNanoClock.getAsLong() - startNanos;
         Call head = waiting.head();
         mAttempts.finish(head.getAttemptId(), outcome.execution());
+        mMemory.callEnded(head, outcome.usage());
         if (!outcome.isSuccess()) {
             Logger.info(
                     "attempt {} of program {} turn {} failed: {}",
@@ -171,7 +176,7 @@
                                 .build());
     }
 
-    private static Execution toMessage(org.oleandertrack.core.result.Execution execution) {
+    static Execution toMessage(org.oleandertrack.core.result.Execution execution) {
         return switch (execution) {
             case NOT_RUN -> Execution.EXECUTION_NOT_RUN;
             case RUN -> Execution.EXECUTION_RUN;
--- a/server/src/main/java/org/oleandertrack/server/sidecar/SidecarDaemon.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarDaemon.java
@@ -20,6 +20,7 @@
     private final PeerServer mPeerServer;
     private final SidecarCallHandler mCalls;
     private final CallGate mGate;
+    private final Optional<EngineMemoryService> mMemory;
     private final HttpService mHttp;
     private final AtomicBoolean mLeaving;
     private final ScheduledExecutorService mTimer;
@@ -30,6 +31,7 @@
             PeerServer peerServer,
             SidecarCallHandler calls,
             CallGate gate,
+            Optional<EngineMemoryService> memory,
             HttpService http,
             AtomicBoolean leaving,
             ScheduledExecutorService timer) {
@@ -38,6 +40,7 @@
         mPeerServer = peerServer;
         mCalls = calls;
         mGate = gate;
+        mMemory = memory;
         mHttp = http;
         mLeaving = leaving;
         mTimer = timer;
@@ -49,6 +52,7 @@
     public void start() throws Exception {
         mHttp.start();
         mCalls.start();
+        mMemory.ifPresent(EngineMemoryService::start);
         mPeerServer.start(mSettings.peer().address(), mSettings.peer().port());
         Logger.info(
                 "listening as sidecar {} in zone {} for target {}: peerPort={} adminPort={}"
@@ -69,6 +73,7 @@
         Logger.info("stopping: waiting for {} calls", mGate.load().getRunning());
         try {
             mGate.awaitIdle();
+            mMemory.ifPresent(EngineMemoryService::stop);
             mPeerServer.stop();
             mHttp.stop();
         } catch (Exception e) {
--- a/server/src/main/java/org/oleandertrack/server/sidecar/SidecarModule.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarModule.java
@@ -14,6 +14,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import org.oleandertrack.core.fencing.FenceTable;
+import org.oleandertrack.core.ledger.LedgerConfig;
+import org.oleandertrack.core.ledger.MemoryLedger;
 import org.oleandertrack.core.queue.OrganisationWeights;
 import org.oleandertrack.core.queue.QueueConfig;
 import org.oleandertrack.protocol.LocalNode;
@@ -28,6 +30,7 @@
 import org.oleandertrack.server.settings.PeerLimits;
 import org.oleandertrack.server.settings.PeerSettings;
 import org.oleandertrack.server.settings.SidecarSettings;
+import org.oleandertrack.server.settings.TargetKind;
 import org.oleandertrack.server.settings.TargetSettings;
 
 /** Puts the parts of the process beside a target together. */
@@ -36,6 +39,9 @@
     /** Programs at this level or above have attained four times the first threshold. */
     private static final int LONG_LEVEL = 2;
 
+    /** Short against the seconds after which a release is repeated. */
+    private static final long CACHE_POLL_MILLIS = 500;
+
     private static final int MAX_HEADER_BYTES = 16 << 10;
     private static final long IDLE_TIMEOUT_MILLIS = 30_000;
     private static final long SHUTDOWN_GRACE_MILLIS = 1_000;
@@ -91,14 +97,17 @@
 
     @Provides
     @Singleton
-    TargetClient targetClient() {
-        HttpClient client =
-                HttpClient.newBuilder()
-                        .version(HttpClient.Version.HTTP_1_1)
-                        .followRedirects(HttpClient.Redirect.NEVER)
-                        .connectTimeout(
-                                Duration.ofMillis(mSettings.target().connectTimeoutMillis()))
-                        .build();
+    HttpClient httpClient() {
+        return HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .followRedirects(HttpClient.Redirect.NEVER)
+                .connectTimeout(Duration.ofMillis(mSettings.target().connectTimeoutMillis()))
+                .build();
+    }
+
+    @Provides
+    @Singleton
+    TargetClient targetClient(HttpClient client) {
         return new TargetClient(client, URI.create(mSettings.target().url()), new ObjectMapper());
     }
 
@@ -107,10 +116,65 @@
     SidecarCallHandler callHandler(
             TargetClient target,
             CallGate gate,
+            FenceTable fences,
+            AttemptRegistry attempts,
+            EngineMemory memory,
             ScheduledExecutorService timer,
             LongSupplier nanoClock) {
-        return new SidecarCallHandler(
-                target, gate, new FenceTable(), new AttemptRegistry(), timer, nanoClock);
+        return new SidecarCallHandler(target, gate, fences, attempts, memory, timer, nanoClock);
+    }
+
+    @Provides
+    @Singleton
+    FenceTable fences() {
+        return new FenceTable();
+    }
+
+    @Provides
+    @Singleton
+    AttemptRegistry attempts() {
+        return new AttemptRegistry();
+    }
+
+    @Provides
+    @Singleton
+    MetricsRegistry metrics() {
+        return new MetricsRegistry();
+    }
+
+    @Provides
+    @Singleton
+    Optional<EngineMemoryService> engineMemoryService(
+            FenceTable fences,
+            ScheduledExecutorService timer,
+            LongSupplier nanoClock,
+            MetricsRegistry metrics,
+            HttpClient client) {
+        TargetSettings target = mSettings.target();
+        if (target.kind() != TargetKind.MODEL || !target.releasesCache()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new EngineMemoryService(
+                        new EngineCacheClient(client, URI.create(target.url()), new ObjectMapper()),
+                        new MemoryLedger(LedgerConfig.withIdleSeconds(target.cacheIdleSeconds())),
+                        fences,
+                        timer,
+                        CACHE_POLL_MILLIS,
+                        nanoClock,
+                        metrics));
+    }
+
+    @Provides
+    @Singleton
+    EngineMemory engineMemory(Optional<EngineMemoryService> service) {
+        return service.isPresent() ? service.get() : EngineMemory.NONE;
+    }
+
+    @Provides
+    @Singleton
+    SidecarControlHandler controlHandler(AttemptRegistry attempts, EngineMemory memory) {
+        return new SidecarControlHandler(attempts, memory);
     }
 
     @Provides
@@ -118,6 +182,7 @@
     PeerServer peerServer(
             LocalNode node,
             SidecarCallHandler calls,
+            SidecarControlHandler control,
             CallGate gate,
             AtomicBoolean leaving,
             LongSupplier nanoClock) {
@@ -126,7 +191,7 @@
                 node,
                 PeerLimits.from(peer),
                 calls,
-                (from, frame, reply) -> {},
+                control,
                 nanoClock,
                 () -> new NodeStatus(gate.load(), 0, 0, leaving.get()));
     }
@@ -157,9 +222,11 @@
             PeerServer peerServer,
             SidecarCallHandler calls,
             CallGate gate,
+            Optional<EngineMemoryService> memory,
             HttpService http,
             AtomicBoolean leaving,
             ScheduledExecutorService timer) {
-        return new SidecarDaemon(mSettings, node, peerServer, calls, gate, http, leaving, timer);
+        return new SidecarDaemon(
+                mSettings, node, peerServer, calls, gate, memory, http, leaving, timer);
     }
 }
--- a/server/src/test/java/org/oleandertrack/server/logging/CapturingWriter.java
+++ b/server/src/test/java/org/oleandertrack/server/logging/CapturingWriter.java
@@ -20,7 +20,8 @@
     /** Creates a writer; tinylog calls this. */
     public CapturingWriter(Map<String, String> properties) {}
 
-    static List<String> linesWith(String text) {
+    /** Returns the lines so far that contain a text. */
+    public static List<String> linesWith(String text) {
         return LINES.toString(StandardCharsets.UTF_8)
                 .lines()
                 .filter(l -> l.contains(text))
