--- a/server/src/main/java/org/oleandertrack/server/entry/EntryControlHandler.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryControlHandler.java
@@ -14,11 +14,16 @@
 
     private final Provider<HostDirectory> mHosts;
     private final Provider<ConfigService> mConfig;
+    private final Provider<EntryCoordination> mCoordination;
 
     /** Creates a handler; what it calls needs the connections and so exists only later. */
-    EntryControlHandler(Provider<HostDirectory> hosts, Provider<ConfigService> config) {
+    EntryControlHandler(
+            Provider<HostDirectory> hosts,
+            Provider<ConfigService> config,
+            Provider<EntryCoordination> coordination) {
         mHosts = hosts;
         mConfig = config;
+        mCoordination = coordination;
     }
 
     @Override
@@ -42,6 +47,10 @@
     }
 
     private void markLeaving(Hello peer) {
+        if (peer.getRole() == Role.ROLE_ENTRY) {
+            mCoordination.get().shards().checkNow();
+            return;
+        }
         if (mHosts.get().markLeaving(peer.getNode(), peer.getIncarnation())) {
             Logger.info("{} says that it is leaving", peer.getNode());
         }
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryModule.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryModule.java
@@ -70,6 +70,13 @@
         return new LocalNode(mSettings.node(), Role.ROLE_ENTRY, incarnation, mSettings.zone(), "");
     }
 
+    /** One for the process: a metric that is registered twice counts in neither place. */
+    @Provides
+    @Singleton
+    MetricsRegistry metrics() {
+        return new MetricsRegistry();
+    }
+
     @Provides
     @Singleton
     CallLimiter callLimiter() {
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryPeerModule.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryPeerModule.java
@@ -27,8 +27,10 @@
     @Provides
     @Singleton
     EntryControlHandler controlHandler(
-            Provider<HostDirectory> hosts, Provider<ConfigService> config) {
-        return new EntryControlHandler(hosts, config);
+            Provider<HostDirectory> hosts,
+            Provider<ConfigService> config,
+            Provider<EntryCoordination> coordination) {
+        return new EntryControlHandler(hosts, config, coordination);
     }
 
     @Provides
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryStateModule.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryStateModule.java
@@ -21,6 +21,7 @@
 import org.oleandertrack.coordination.schedule.Scheduler;
 import org.oleandertrack.coordination.store.ObjectStore;
 import org.oleandertrack.coordination.store.TableStore;
+import org.oleandertrack.coordination.store.TimeLimitedObjectStore;
 import org.oleandertrack.coordination.store.TimeLimitedTableStore;
 import org.oleandertrack.platform.http.HttpHostList;
 import org.oleandertrack.platform.http.HttpObjectStore;
@@ -76,8 +77,11 @@
 
     @Provides
     @Singleton
-    ObjectStore objectStore(PlatformHttpContext platform) {
-        return new HttpObjectStore(platform, URI.create(mSettings.platform().objectUrl()));
+    ObjectStore objectStore(PlatformHttpContext platform, Scheduler scheduler) {
+        return new TimeLimitedObjectStore(
+                new HttpObjectStore(platform, URI.create(mSettings.platform().objectUrl())),
+                scheduler,
+                TimeUnit.MILLISECONDS.toNanos(mSettings.platform().timeoutMillis()));
     }
 
     @Provides
