--- a/system-tests/src/test/java/org/oleandertrack/system/scenario/CheckParser.java
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/CheckParser.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 
 /** Parses what {@code expect} and {@code await} name. */
 final class CheckParser {
@@ -126,7 +127,7 @@
         }
         String execution = mReader.text("an execution");
         if (!EXECUTIONS.contains(execution)) {
-            throw mReader.error("expected one of " + EXECUTIONS);
+            throw mReader.error("expected one of " + new TreeSet<>(EXECUTIONS));
         }
         return Optional.of(execution);
     }
--- a/system-tests/src/test/java/org/oleandertrack/system/scenario/TokenReader.java
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/TokenReader.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.TreeSet;
 
 /** Reads the tokens of one statement from left to right. */
 final class TokenReader {
@@ -83,10 +84,11 @@
 
     /** Reads one of some words. */
     String oneOf(Set<String> words) {
-        Token token = next("one of " + words);
+        Set<String> sorted = new TreeSet<>(words);
+        Token token = next("one of " + sorted);
         if (token.kind() != Token.Kind.WORD || !words.contains(token.text())) {
             throw error(
-                    token.column(), "expected one of " + words + ", found '" + token.text() + "'");
+                    token.column(), "expected one of " + sorted + ", found '" + token.text() + "'");
         }
         return token.text();
     }
