--- a/system-tests/src/test/java/org/oleandertrack/system/scenario/PendingCall.java
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/PendingCall.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ConnectException;
 import java.net.http.HttpHeaders;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
@@ -164,7 +165,8 @@
 
     private static Throwable root(Throwable failure) {
         Throwable cause = failure;
-        while (cause.getCause() != null) {
+        // The JDK's client wraps a refused connection's ClosedChannelException.
+        while (cause.getCause() != null && !(cause instanceof ConnectException)) {
             cause = cause.getCause();
         }
         return cause;
