--- a/system-tests/src/test/java/org/oleandertrack/system/scenario/PendingCall.java
+++ b/system-tests/src/test/java/org/oleandertrack/system/scenario/PendingCall.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ConnectException;
 import java.net.http.HttpHeaders;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
@@ -18,6 +19,7 @@
     private static final long MAX_ANSWER_SECONDS = 45;
 
     private final SentRequest mRequest;
+    private final Runnable mRelease;
     private final CompletableFuture<Answer> mAnswer = new CompletableFuture<>();
     private final ReentrantLock mLock = new ReentrantLock();
     private final StringBuilder mBody = new StringBuilder();
@@ -25,8 +27,10 @@
     private InputStream mInput;
     private boolean mLeft;
 
-    PendingCall(SentRequest request) {
+    /** Takes what frees the connection after the answer's end. */
+    PendingCall(SentRequest request, Runnable release) {
         mRequest = request;
+        mRelease = release;
     }
 
     // Operations
@@ -39,7 +43,15 @@
         } finally {
             mLock.unlock();
         }
-        Thread.ofVirtual().start(() -> read(exchange));
+        Thread.ofVirtual()
+                .start(
+                        () -> {
+                            try {
+                                read(exchange);
+                            } finally {
+                                mRelease.run();
+                            }
+                        });
     }
 
     /** Closes the connection before the answer is whole. */
@@ -153,7 +165,8 @@
 
     private static Throwable root(Throwable failure) {
         Throwable cause = failure;
-        while (cause.getCause() != null) {
+        // The JDK's client wraps a refused connection's ClosedChannelException.
+        while (cause.getCause() != null && !(cause instanceof ConnectException)) {
             cause = cause.getCause();
         }
         return cause;
