--- a/server/src/main/java/org/oleandertrack/server/entry/HeldShard.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/HeldShard.java
@@ -75,11 +75,11 @@
     /** Drops the state of a program that has ended. */
     synchronized void forget(ProgramKey root) {
         mPrograms.remove(root);
-        mAttained.forget(root.program());
+        mAttained.forget(attainedKey(root));
     }
 
-    synchronized void attained(String program, long nanos, long nowNanos) {
-        mAttained.add(program, nanos, nowNanos);
+    synchronized void attained(ProgramKey program, long nanos, long nowNanos) {
+        mAttained.add(attainedKey(program), nanos, nowNanos);
     }
 
     // Accessors
@@ -92,8 +92,8 @@
         return mFence;
     }
 
-    synchronized long attainedNanos(String program) {
-        return mAttained.attainedNanos(program);
+    synchronized long attainedNanos(ProgramKey program) {
+        return mAttained.attainedNanos(attainedKey(program));
     }
 
     synchronized Collection<RootProgram> programs() {
@@ -102,6 +102,11 @@
 
     // Helpers
 
+    /** Program ids are unique only within their organisation. */
+    private static String attainedKey(ProgramKey program) {
+        return program.organisation() + '/' + program.program();
+    }
+
     /** Drops the program unused for longest; its state is read from the store when needed again. */
     private void dropIdleProgram() {
         for (RootProgram program : mPrograms.values()) {
--- a/server/src/main/java/org/oleandertrack/server/entry/ProgramCallService.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/ProgramCallService.java
@@ -74,6 +74,10 @@
         String program() {
             return request().program().orElseThrow();
         }
+
+        ProgramKey key() {
+            return new ProgramKey(request().organisation(), program());
+        }
     }
 
     // Operations
@@ -214,15 +218,12 @@
         Usage usage = dispatch(turn, reservation, answer);
         long used = usage.getPromptTokens() + usage.getGeneratedTokens();
         turn.session().settle(reservation, used > 0 ? used : reservation.tokens());
-        turn.shard().attained(turn.program(), usage.getRunNanos(), mNanoClock.getAsLong());
+        turn.shard().attained(turn.key(), usage.getRunNanos(), mNanoClock.getAsLong());
         commit(turn, answer.answer());
         turn.root().committed(turn.program(), turn.requestDigest());
         answer.release();
         if (turn.request().endProgram()) {
-            mLimits.ended(
-                    turn.shard(),
-                    turn.root(),
-                    new ProgramKey(turn.request().organisation(), turn.program()));
+            mLimits.ended(turn.shard(), turn.root(), turn.key());
         }
     }
 
@@ -259,7 +260,7 @@
                         turn.shard().fence(),
                         turn.deadlineNanos(),
                         mShards::leaseEndNanos,
-                        turn.shard().attainedNanos(turn.program()),
+                        turn.shard().attainedNanos(turn.key()),
                         ClassPriority.of(turn.programClass()),
                         turn.programClass().targets());
         try {
