--- a/server/src/main/java/org/oleandertrack/server/entry/CallLimiter.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/CallLimiter.java
@@ -1,5 +1,6 @@
 package org.oleandertrack.server.entry;
 
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
 
@@ -23,14 +24,18 @@
     final class Permit implements AutoCloseable {
 
         private final long mHeldBytes;
+        private final AtomicBoolean mOpen = new AtomicBoolean(true);
 
         private Permit(long heldBytes) {
             mHeldBytes = heldBytes;
         }
 
+        /** Gives the place back; has no effect when repeated. */
         @Override
         public void close() {
-            release(mHeldBytes);
+            if (mOpen.getAndSet(false)) {
+                release(mHeldBytes);
+            }
         }
     }
 
