--- a/server/src/main/java/org/oleandertrack/server/entry/CallerRequestFactory.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/CallerRequestFactory.java
@@ -167,10 +167,12 @@
         if (node.isMissingNode() || node.isNull()) {
             return mDefaultMaxTokens;
         }
-        if (!node.isIntegralNumber() || node.asLong() < 1 || node.asLong() > MAX_TOKENS) {
+        // A number beyond the range of long would wrap around to an accepted one.
+        boolean isLong = node.isIntegralNumber() && node.canConvertToLong();
+        if (!isLong || node.asLong() < 1 || node.asLong() > MAX_TOKENS) {
             throw new ResultException(
                     ResultCode.INVALID_REQUEST,
-                    "field '" + field + "' must be an integer of at least 1");
+                    "field '" + field + "' must be an integer from 1 to " + MAX_TOKENS);
         }
         return node.asLong();
     }
