--- a/server/src/main/java/org/oleandertrack/server/entry/CallerHeaderReader.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/CallerHeaderReader.java
@@ -1,5 +1,6 @@
 package org.oleandertrack.server.entry;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -45,16 +46,17 @@
     }
 
     private Optional<String> single(String name) {
-        for (Map.Entry<String, List<String>> entry : mHeaders.entrySet()) {
-            if (!entry.getKey().equalsIgnoreCase(name)) {
-                continue;
-            }
-            if (entry.getValue().size() != 1) {
-                throw invalid(name, "must be given once");
-            }
-            return Optional.of(entry.getValue().getFirst().trim());
+        List<String> values = new ArrayList<>();
+        mHeaders.forEach(
+                (key, given) -> {
+                    if (key.equalsIgnoreCase(name)) {
+                        values.addAll(given);
+                    }
+                });
+        if (values.size() > 1) {
+            throw invalid(name, "must be given once");
         }
-        return Optional.empty();
+        return values.stream().findFirst().map(String::trim);
     }
 
     private static long parseNumber(String name, String value, long min, long max) {
