--- a/server/src/main/java/org/oleandertrack/server/entry/ResponsePipe.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/ResponsePipe.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.ArrayDeque;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.locks.Condition;
@@ -79,7 +80,14 @@
         }
     }
 
-    /** Writes the parts as they arrive, each followed by a flush. */
+    /**
+     * Writes the parts as they arrive, each followed by a flush. A failure becomes the last event
+     * of an event stream.
+     *
+     * @throws IOException if the caller cannot be written to, or if an answer of another form
+     *     fails: the server then breaks the connection, so that the caller does not take the part
+     *     for the whole
+     */
     void writeTo(OutputStream output) throws IOException {
         try {
             for (ByteString part = take(); part != null; part = take()) {
@@ -91,10 +99,14 @@
             throw e;
         }
         ResultException failure = failure();
-        if (failure != null) {
-            output.write(ErrorBody.asEvent(failure));
-            output.flush();
+        if (failure == null) {
+            return;
         }
+        if (!isEventStream(mHead.join())) {
+            throw new IOException("the answer broke off: " + failure.getMessage(), failure);
+        }
+        output.write(ErrorBody.asEvent(failure));
+        output.flush();
     }
 
     /** Tells the producer that the caller has left. */
@@ -122,6 +134,16 @@
 
     // Helpers
 
+    private static boolean isEventStream(ResponseHead head) {
+        return head.getHeadersList().stream()
+                .filter(header -> header.getName().equalsIgnoreCase("content-type"))
+                .anyMatch(
+                        header ->
+                                header.getValue()
+                                        .toLowerCase(Locale.ROOT)
+                                        .startsWith("text/event-stream"));
+    }
+
     private void finish(ResultException failure) {
         mLock.lock();
         try {
