--- a/server/src/main/java/org/oleandertrack/server/sidecar/UsageScanner.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/UsageScanner.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.oleandertrack.protocol.message.Usage;
 
 /**
@@ -18,6 +20,7 @@
     private static final int KEPT_BYTES = 8 << 10;
 
     private static final String USAGE_FIELD = "\"usage\"";
+    private static final Pattern OBJECT_START = Pattern.compile("\\s*:\\s*\\{");
 
     private final ObjectMapper mMapper;
     private ByteString mTail = ByteString.EMPTY;
@@ -40,11 +43,12 @@
         if (field < 0) {
             return Optional.empty();
         }
-        int object = text.indexOf('{', field);
-        if (object < 0) {
+        Matcher object =
+                OBJECT_START.matcher(text).region(field + USAGE_FIELD.length(), text.length());
+        if (!object.lookingAt()) {
             return Optional.empty();
         }
-        try (var parser = mMapper.createParser(text.substring(object))) {
+        try (var parser = mMapper.createParser(text.substring(object.end() - 1))) {
             JsonNode node = mMapper.readTree(parser);
             return Optional.of(toUsage(node));
         } catch (IOException e) {
