--- a/server/src/main/java/org/oleandertrack/server/entry/TurnAnswer.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/TurnAnswer.java
@@ -23,7 +23,8 @@
     private final int mMaxBytes;
     private ResponseHead mHead = ResponseHead.getDefaultInstance();
     private ByteString mBody = ByteString.EMPTY;
-    private int mPassedOn;
+    private ByteString mHeldBack = ByteString.EMPTY;
+    private boolean mAtLineStart = true;
 
     TurnAnswer(ResponseSink caller, boolean streamed, int maxBytes) {
         mCaller = caller;
@@ -37,6 +38,8 @@
     public void head(ResponseHead head) {
         mHead = head;
         mBody = ByteString.EMPTY;
+        mHeldBack = ByteString.EMPTY;
+        mAtLineStart = true;
         if (mStreamed) {
             mCaller.head(head);
         }
@@ -52,8 +55,9 @@
                     0);
         }
         mBody = mBody.concat(data);
+        mHeldBack = mHeldBack.concat(data);
         if (mStreamed) {
-            passOnUpTo(safeEnd());
+            passOn(endMarkStart());
         }
     }
 
@@ -65,7 +69,7 @@
         if (!mStreamed) {
             mCaller.head(mHead);
         }
-        passOnUpTo(mBody.size());
+        passOn(mHeldBack.size());
         mCaller.end();
     }
 
@@ -87,24 +91,31 @@
 
     // Helpers
 
-    private void passOnUpTo(int end) {
-        if (end > mPassedOn) {
-            mCaller.body(mBody.substring(mPassedOn, end));
-            mPassedOn = end;
+    private void passOn(int length) {
+        if (length == 0) {
+            return;
         }
+        mCaller.body(mHeldBack.substring(0, length));
+        mAtLineStart = mHeldBack.byteAt(length - 1) == '\n';
+        mHeldBack = mHeldBack.substring(length);
     }
 
-    /** Returns the start of the end mark, also of one that has arrived only in part. */
-    private int safeEnd() {
-        for (int start = Math.max(mPassedOn, 0); start < mBody.size(); start++) {
-            int length = Math.min(END_MARK.size(), mBody.size() - start);
-            boolean lineStart = start == 0 || mBody.byteAt(start - 1) == '\n';
-            if (lineStart
-                    && mBody.substring(start, start + length)
-                            .equals(END_MARK.substring(0, length))) {
+    /**
+     * Returns where the end mark starts in the part that was held back, also if only its beginning
+     * has arrived; the size of that part if there is none.
+     */
+    private int endMarkStart() {
+        boolean lineStart = mAtLineStart;
+        for (int start = 0; start < mHeldBack.size(); start++) {
+            if (lineStart && mayBeEndMark(mHeldBack.substring(start))) {
                 return start;
             }
+            lineStart = mHeldBack.byteAt(start) == '\n';
         }
-        return mBody.size();
+        return mHeldBack.size();
+    }
+
+    private static boolean mayBeEndMark(ByteString text) {
+        return text.startsWith(END_MARK) || END_MARK.startsWith(text);
     }
 }
