Cancel every attempt when the caller leaves; count cancelled attempts

The departure was tied to the first attempt and was ignored once that one had ended, so the second ran on. A cancelled attempt may have run, so a call with one is no longer reported as not run. Any failure of the receiver now cancels the attempts.

--- a/server/src/main/java/org/oleandertrack/server/entry/AttemptRace.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/AttemptRace.java
@@ -13,7 +13,6 @@
 import java.util.function.LongSupplier;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
-import org.oleandertrack.core.result.ResultException;
 import org.oleandertrack.protocol.message.CallKind;
 import org.oleandertrack.protocol.message.Load;
 import org.oleandertrack.protocol.message.ResponseHead;
@@ -91,7 +90,7 @@
                                                         new AttemptEvent.CallerGone())));
         try {
             return follow(hedges);
-        } catch (ResultException e) {
+        } catch (RuntimeException e) {
             cancelAll();
             throw e;
         } finally {
@@ -125,7 +124,8 @@
 
     private Optional<AttemptResult> accept(Attempt.Tagged tagged) {
         Runner runner = mRunners.get(tagged.attempt());
-        if (runner == null) {
+        // The caller may leave after the attempt that the event is tagged with has ended.
+        if (runner == null && !(tagged.event() instanceof AttemptEvent.CallerGone)) {
             return Optional.empty();
         }
         return switch (tagged.event()) {
@@ -273,9 +273,11 @@
         }
     }
 
+    /** A cancelled attempt reports nothing more, so whether it was run stays unknown. */
     private void cancel(Runner runner) {
         mRunners.remove(runner.attempt());
         runner.attempt().cancel();
+        mExecution = Executions.combine(mExecution, Execution.UNKNOWN);
         ended(
                 runner,
                 TargetPool.AttemptEnd.ABANDONED,
