--- a/server/src/main/java/org/oleandertrack/server/entry/Dispatcher.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/Dispatcher.java
@@ -149,10 +149,12 @@
         boolean mustEnd =
                 failed.code() == ResultCode.CANCELLED
                         || failed.code() == ResultCode.STALE_FENCE
+                        || failed.code() == ResultCode.INVALID_REQUEST
                         || !sink.isUncommitted()
                         || mNanoClock.getAsLong() >= grant.deadlineNanos();
         // The lease that bounded the wait in the queue has been renewed since.
-        if (!mustEnd && failed.code() == ResultCode.DEADLINE_EXCEEDED) {
+        boolean mayRunAgain = failed.execution() == Execution.NOT_RUN || request.repeatable();
+        if (!mustEnd && mayRunAgain && failed.code() == ResultCode.DEADLINE_EXCEEDED) {
             return 0;
         }
         RetryDecision decision =
