Refuse calls that cannot be sent to the target as not run

A path, method or header that the HTTP client refuses left the call without an end and its place taken. Refusals in a row no longer nest, which overflowed the stack, and a call cancelled before its arrival in the queue no longer starts.

--- a/server/src/main/java/org/oleandertrack/server/sidecar/CallGate.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/CallGate.java
@@ -26,8 +26,13 @@
     /** Takes the calls that leave the queue. */
     interface Listener {
 
-        /** The call may run now; {@link #finished} must follow. */
-        void onStart(WaitingCall call);
+        /**
+         * The call may run now; {@link #finished} must follow.
+         *
+         * @return false if the call was refused instead; its place is then free again, and {@link
+         *     #finished} must not follow
+         */
+        boolean onStart(WaitingCall call);
 
         /** The call was not taken or can no longer start; it was not run. */
         void onRefused(WaitingCall call, ResultCode code, long retryAfterMillis);
@@ -79,13 +84,7 @@
 
     /** Ends a call that was started and starts the next ones. */
     void finished(WaitingCall call, long attainedNanos, Listener listener) {
-        mLock.lock();
-        try {
-            mQueue.finished(call.id(), attainedNanos, mNanoClock.getAsLong());
-            forget(call);
-        } finally {
-            mLock.unlock();
-        }
+        leave(call, attainedNanos);
         startNext(listener);
     }
 
@@ -156,9 +155,22 @@
         return Optional.empty();
     }
 
+    /** Refused calls are followed in a loop; nested calls would overflow the stack. */
     private void startNext(Listener listener) {
         for (Optional<WaitingCall> next = poll(); next.isPresent(); next = poll()) {
-            listener.onStart(next.get());
+            if (!listener.onStart(next.get())) {
+                leave(next.get(), 0);
+            }
+        }
+    }
+
+    private void leave(WaitingCall call, long attainedNanos) {
+        mLock.lock();
+        try {
+            mQueue.finished(call.id(), attainedNanos, mNanoClock.getAsLong());
+            forget(call);
+        } finally {
+            mLock.unlock();
         }
     }
 
--- a/server/src/main/java/org/oleandertrack/server/sidecar/SidecarCallHandler.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarCallHandler.java
@@ -67,29 +67,35 @@
     public void onCall(InboundCall call) {
         WaitingCall waiting =
                 WaitingCall.of(call, mSequence.incrementAndGet(), mNanoClock.getAsLong());
-        call.cancelled().thenRun(() -> mGate.remove(waiting));
         mGate.offer(waiting, this);
+        // Follows the offer, so that a call that is cancelled already is taken out as well.
+        call.cancelled().thenRun(() -> mGate.remove(waiting));
     }
 
     /** Checks the call at the moment of dispatch, because it may have waited for long. */
     @Override
-    public void onStart(WaitingCall waiting) {
+    public boolean onStart(WaitingCall waiting) {
         Call head = waiting.head();
+        if (waiting.call().cancelled().isDone()) {
+            return refuseStarted(waiting, ResultCode.CANCELLED, "cancelled before its start");
+        }
         if (mNanoClock.getAsLong() > head.getStartDeadlineReceiverNanos()) {
-            refuseStarted(waiting, ResultCode.DEADLINE_EXCEEDED, "the latest start has passed");
-        } else if (isFenced(head)) {
-            refuseStarted(
+            return refuseStarted(
+                    waiting, ResultCode.DEADLINE_EXCEEDED, "the latest start has passed");
+        }
+        if (isFenced(head)) {
+            return refuseStarted(
                     waiting,
                     ResultCode.STALE_FENCE,
                     String.format(
                             "fencing number %d of shard %d is older than %d",
                             head.getFence(), head.getShard(), mFences.highest(head.getShard())));
-        } else if (!mAttempts.start(head.getAttemptId())) {
-            refuseStarted(
+        }
+        if (!mAttempts.start(head.getAttemptId())) {
+            return refuseStarted(
                     waiting, ResultCode.STALE_FENCE, "the attempt was already seen or refused");
-        } else {
-            dispatch(waiting);
         }
+        return dispatch(waiting);
     }
 
     @Override
@@ -104,9 +110,20 @@
         return head.getFence() > 0 && !mFences.admit(head.getShard(), head.getFence());
     }
 
-    private void dispatch(WaitingCall waiting) {
+    private boolean dispatch(WaitingCall waiting) {
         long startNanos = mNanoClock.getAsLong();
-        TargetExchange exchange = mTarget.start(waiting.call());
+        TargetExchange exchange;
+        try {
+            exchange = mTarget.start(waiting.call());
+        } catch (IllegalArgumentException e) {
+            // The HTTP client refuses the method, path or a header before it sends anything.
+            mAttempts.finish(
+                    waiting.head().getAttemptId(), org.oleandertrack.core.result.Execution.NOT_RUN);
+            return refuseStarted(
+                    waiting,
+                    ResultCode.INVALID_REQUEST,
+                    "the call cannot be sent to the target: " + e.getMessage());
+        }
         ScheduledFuture<?> timeout =
                 mTimer.schedule(
                         () -> exchange.abort(ResultCode.TARGET_TIMEOUT, "the call timed out"),
@@ -118,6 +135,7 @@
                             timeout.cancel(false);
                             finish(waiting, outcome, startNanos);
                         });
+        return true;
     }
 
     /** The end is sent before the place is freed, so that an idle gate has answered all calls. */
@@ -150,9 +168,9 @@
         mGate.finished(waiting, runNanos, this);
     }
 
-    private void refuseStarted(WaitingCall waiting, ResultCode code, String reason) {
+    private boolean refuseStarted(WaitingCall waiting, ResultCode code, String reason) {
         refuse(waiting, code, reason, RETRY_AFTER_MILLIS);
-        mGate.finished(waiting, 0, this);
+        return false;
     }
 
     private void refuse(
