--- a/server/src/main/java/org/oleandertrack/server/entry/AttemptRace.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/AttemptRace.java
@@ -246,10 +246,7 @@
     // Hedging
 
     private boolean hedgeIsDue() {
-        return mWinner == null
-                && !mHedgeTried
-                && mNanoClock.getAsLong() < mDeadlineNanos
-                && hedgeDelayNanos().isPresent();
+        return mNanoClock.getAsLong() < mDeadlineNanos && hedgeDelayNanos().isPresent();
     }
 
     private void tryHedge(HedgeStarter hedges) {
@@ -303,18 +300,20 @@
             return TimeUnit.MILLISECONDS.toNanos(mStallMillis);
         }
         long untilDeadline = Math.max(0, mDeadlineNanos - mNanoClock.getAsLong());
-        OptionalLong hedgeDelay = hedgeDelayNanos();
-        if (mHedgeTried || !mRequest.repeatable() || hedgeDelay.isEmpty()) {
-            return untilDeadline;
-        }
-        return Math.min(untilDeadline, Math.max(0, hedgeDelay.getAsLong()));
+        long untilHedge = Math.max(0, hedgeDelayNanos().orElse(untilDeadline));
+        return Math.min(untilDeadline, untilHedge);
     }
 
-    /** Returns the delay for the first attempt; a call is hedged at most once. */
+    /**
+     * Returns the delay after which the first attempt is hedged; empty if it is not. A call is
+     * hedged at most once, before its first answer, and only if it may be repeated.
+     */
     private OptionalLong hedgeDelayNanos() {
-        return mRunners.isEmpty()
-                ? OptionalLong.empty()
-                : mPool.hedgeDelayNanos(
-                        mRequest.streamed(), mRunners.values().iterator().next().choice());
+        boolean mayBeHedged = mWinner == null && !mHedgeTried && mRequest.repeatable();
+        if (!mayBeHedged || mRunners.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        Runner first = mRunners.values().iterator().next();
+        return mPool.hedgeDelayNanos(mRequest.streamed(), first.choice());
     }
 }
--- a/server/src/test/java/org/oleandertrack/server/entry/AttemptRaceTest.java
+++ b/server/src/test/java/org/oleandertrack/server/entry/AttemptRaceTest.java
@@ -207,6 +207,16 @@
         assertTrue(mFirst.calls().getFirst().isCancelled());
     }
 
+    /** Guards against a second attempt of a call that may not be repeated. */
+    @Test
+    void callThatMayNotBeRepeatedIsNotHedged() {
+        trainHedges();
+        AttemptRace.Runner first = runner("t1", mFirst);
+        AttemptResult.Failed failed =
+                failure(race(Requests.modelCall(false, 1), LONG_MILLIS).run(first, this::noHedge));
+        assertEquals(ResultCode.TARGET_TIMEOUT, failed.code());
+    }
+
     /** Guards against an answer that stops half-way and keeps its caller waiting. */
     @Test
     void stalledAnswerHasRun() {
@@ -234,9 +244,7 @@
     /** Runs a call whose first attempt is late; events follow the start of the second one. */
     private AttemptResult runHedged(
             BiConsumer<FakeConnection.Received, FakeConnection.Received> events) {
-        for (int i = 0; i < HEDGE_SAMPLES; i++) {
-            mPool.firstAnswer(false, 0, 0);
-        }
+        trainHedges();
         return race(true)
                 .run(
                         runner("t1", mFirst),
@@ -248,6 +256,13 @@
                         });
     }
 
+    /** Lets every attempt without an answer count as late. */
+    private void trainHedges() {
+        for (int i = 0; i < HEDGE_SAMPLES; i++) {
+            mPool.firstAnswer(false, 0, 0);
+        }
+    }
+
     private Optional<AttemptRace.Runner> noHedge(Set<String> used, long lateNanos) {
         throw new AssertionError("not to be hedged");
     }
