--- a/server/src/main/java/org/oleandertrack/server/entry/Forwarder.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/Forwarder.java
@@ -38,7 +38,7 @@
                                                         attempt, new AttemptEvent.CallerGone())));
         try {
             relay(attempt, events, timeoutMillis + GRACE_MILLIS, sink);
-        } catch (ResultException e) {
+        } catch (RuntimeException e) {
             attempt.cancel();
             throw e;
         } finally {
