--- a/server/src/main/java/org/oleandertrack/server/entry/CallResponder.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/CallResponder.java
@@ -3,6 +3,7 @@
 import jakarta.ws.rs.core.Response;
 import jakarta.ws.rs.core.StreamingOutput;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
@@ -27,7 +28,7 @@
     Response respond(CallerRequest request) {
         ResponsePipe pipe = new ResponsePipe();
         CallLimiter.Permit permit = mLimiter.acquire(request.body().size());
-        mExecutor.execute(() -> runInto(pipe, request, permit));
+        start(pipe, request, permit);
         ResponseHead head = pipe.awaitHead();
         Response.ResponseBuilder builder = Response.status(head.getStatus());
         for (Header header : head.getHeadersList()) {
@@ -36,6 +37,16 @@
         return builder.entity((StreamingOutput) pipe::writeTo).build();
     }
 
+    private void start(ResponsePipe pipe, CallerRequest request, CallLimiter.Permit permit) {
+        try {
+            mExecutor.execute(() -> runInto(pipe, request, permit));
+        } catch (RejectedExecutionException e) {
+            permit.close();
+            throw new ResultException(
+                    ResultCode.SHUTTING_DOWN, "the call could not be started: " + e.getMessage());
+        }
+    }
+
     private void runInto(ResponsePipe pipe, CallerRequest request, CallLimiter.Permit permit) {
         try (permit) {
             mCalls.run(request, pipe);
