--- a/server/src/main/java/org/oleandertrack/server/sidecar/SidecarCallHandler.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarCallHandler.java
@@ -31,6 +31,7 @@
     private final CallGate mGate;
     private final FenceTable mFences;
     private final AttemptRegistry mAttempts;
+    private final EngineMemory mMemory;
     private final ScheduledExecutorService mTimer;
     private final LongSupplier mNanoClock;
     private final AtomicLong mSequence = new AtomicLong();
@@ -40,12 +41,14 @@
             CallGate gate,
             FenceTable fences,
             AttemptRegistry attempts,
+            EngineMemory memory,
             ScheduledExecutorService timer,
             LongSupplier nanoClock) {
         mTarget = target;
         mGate = gate;
         mFences = fences;
         mAttempts = attempts;
+        mMemory = memory;
         mTimer = timer;
         mNanoClock = nanoClock;
     }
@@ -112,17 +115,12 @@
 
     private boolean dispatch(WaitingCall waiting) {
         long startNanos = mNanoClock.getAsLong();
+        mMemory.callStarted(waiting.head());
         TargetExchange exchange;
         try {
             exchange = mTarget.start(waiting.call());
         } catch (IllegalArgumentException e) {
-            // The HTTP client refuses the method, path or a header before it sends anything.
-            mAttempts.finish(
-                    waiting.head().getAttemptId(), org.oleandertrack.core.result.Execution.NOT_RUN);
-            return refuseStarted(
-                    waiting,
-                    ResultCode.INVALID_REQUEST,
-                    "the call cannot be sent to the target: " + e.getMessage());
+            return refuseUnsendable(waiting, e);
         }
         ScheduledFuture<?> timeout =
                 mTimer.schedule(
@@ -143,6 +141,7 @@
         long runNanos = mNanoClock.getAsLong() - startNanos;
         Call head = waiting.head();
         mAttempts.finish(head.getAttemptId(), outcome.execution());
+        mMemory.callEnded(head, outcome.usage());
         if (!outcome.isSuccess()) {
             Logger.info(
                     "attempt {} of program {} turn {} failed: {}",
@@ -168,6 +167,17 @@
         mGate.finished(waiting, runNanos, this);
     }
 
+    /** The HTTP client refuses a method, path or header before it sends anything. */
+    private boolean refuseUnsendable(WaitingCall waiting, IllegalArgumentException failure) {
+        mAttempts.finish(
+                waiting.head().getAttemptId(), org.oleandertrack.core.result.Execution.NOT_RUN);
+        mMemory.callEnded(waiting.head(), Usage.getDefaultInstance());
+        return refuseStarted(
+                waiting,
+                ResultCode.INVALID_REQUEST,
+                "the call cannot be sent to the target: " + failure.getMessage());
+    }
+
     private boolean refuseStarted(WaitingCall waiting, ResultCode code, String reason) {
         refuse(waiting, code, reason, RETRY_AFTER_MILLIS);
         return false;
@@ -194,7 +204,7 @@
                                 .build());
     }
 
-    private static Execution toMessage(org.oleandertrack.core.result.Execution execution) {
+    static Execution toMessage(org.oleandertrack.core.result.Execution execution) {
         return switch (execution) {
             case NOT_RUN -> Execution.EXECUTION_NOT_RUN;
             case RUN -> Execution.EXECUTION_RUN;
--- a/server/src/test/java/org/oleandertrack/server/sidecar/SidecarCallHandlerTest.java
+++ b/server/src/test/java/org/oleandertrack/server/sidecar/SidecarCallHandlerTest.java
@@ -20,6 +20,8 @@
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.protocol.message.Call;
 import org.oleandertrack.protocol.message.Execution;
+import org.oleandertrack.protocol.message.ReleaseMemory;
+import org.oleandertrack.protocol.message.Usage;
 
 /** The checks before a call reaches the target. A call that fails one is proved not to have run. */
 final class SidecarCallHandlerTest {
@@ -33,6 +35,7 @@
     private final AttemptRegistry mAttempts = new AttemptRegistry();
     private long mNowNanos;
     private int mCount;
+    private int mCallsInMemory;
     private final CallGate mGate =
             new CallGate(
                     QueueConfig.forSlots(1).withMaxEntries(MAX_WAITING, MAX_WAITING),
@@ -44,6 +47,7 @@
                     mGate,
                     new FenceTable(),
                     mAttempts,
+                    new CountingMemory(),
                     mTimer,
                     () -> mNowNanos);
 
@@ -155,6 +159,7 @@
         assertRefused(ResultCode.INVALID_REQUEST, badPath);
         FakeInboundCall badMethod = offer(head().setMethod("A B"));
         assertRefused(ResultCode.INVALID_REQUEST, badMethod);
+        assertEquals(0, mCallsInMemory);
         offer(head());
         assertEquals(1, mTarget.requests().size());
     }
@@ -211,4 +216,21 @@
         assertFalse(call.end().getMessage().isEmpty());
         assertTrue(mTarget.requests().isEmpty());
     }
+
+    /** Counts the calls that keep their program's engine memory in use. */
+    private final class CountingMemory implements EngineMemory {
+
+        @Override
+        public void callStarted(Call head) {
+            mCallsInMemory++;
+        }
+
+        @Override
+        public void callEnded(Call head, Usage usage) {
+            mCallsInMemory--;
+        }
+
+        @Override
+        public void release(ReleaseMemory order) {}
+    }
 }
