--- a/server/src/main/java/org/oleandertrack/server/entry/AttemptRace.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/AttemptRace.java
@@ -13,7 +13,6 @@
 import java.util.function.LongSupplier;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
-import org.oleandertrack.core.result.ResultException;
 import org.oleandertrack.protocol.message.CallKind;
 import org.oleandertrack.protocol.message.Load;
 import org.oleandertrack.protocol.message.ResponseHead;
@@ -91,7 +90,7 @@
                                                         new AttemptEvent.CallerGone())));
         try {
             return follow(hedges);
-        } catch (ResultException e) {
+        } catch (RuntimeException e) {
             cancelAll();
             throw e;
         } finally {
@@ -125,7 +124,8 @@
 
     private Optional<AttemptResult> accept(Attempt.Tagged tagged) {
         Runner runner = mRunners.get(tagged.attempt());
-        if (runner == null) {
+        // The caller may leave after the attempt that the event is tagged with has ended.
+        if (runner == null && !(tagged.event() instanceof AttemptEvent.CallerGone)) {
             return Optional.empty();
         }
         return switch (tagged.event()) {
@@ -246,10 +246,7 @@
     // Hedging
 
     private boolean hedgeIsDue() {
-        return mWinner == null
-                && !mHedgeTried
-                && mNanoClock.getAsLong() < mDeadlineNanos
-                && hedgeDelayNanos().isPresent();
+        return mNanoClock.getAsLong() < mDeadlineNanos && hedgeDelayNanos().isPresent();
     }
 
     private void tryHedge(HedgeStarter hedges) {
@@ -273,9 +270,11 @@
         }
     }
 
+    /** A cancelled attempt reports nothing more, so whether it was run stays unknown. */
     private void cancel(Runner runner) {
         mRunners.remove(runner.attempt());
         runner.attempt().cancel();
+        mExecution = Executions.combine(mExecution, Execution.UNKNOWN);
         ended(
                 runner,
                 TargetPool.AttemptEnd.ABANDONED,
@@ -301,18 +300,20 @@
             return TimeUnit.MILLISECONDS.toNanos(mStallMillis);
         }
         long untilDeadline = Math.max(0, mDeadlineNanos - mNanoClock.getAsLong());
-        OptionalLong hedgeDelay = hedgeDelayNanos();
-        if (mHedgeTried || !mRequest.repeatable() || hedgeDelay.isEmpty()) {
-            return untilDeadline;
-        }
-        return Math.min(untilDeadline, Math.max(0, hedgeDelay.getAsLong()));
+        long untilHedge = Math.max(0, hedgeDelayNanos().orElse(untilDeadline));
+        return Math.min(untilDeadline, untilHedge);
     }
 
-    /** Returns the delay for the first attempt; a call is hedged at most once. */
+    /**
+     * Returns the delay after which the first attempt is hedged; empty if it is not. A call is
+     * hedged at most once, before its first answer, and only if it may be repeated.
+     */
     private OptionalLong hedgeDelayNanos() {
-        return mRunners.isEmpty()
-                ? OptionalLong.empty()
-                : mPool.hedgeDelayNanos(
-                        mRequest.streamed(), mRunners.values().iterator().next().choice());
+        boolean mayBeHedged = mWinner == null && !mHedgeTried && mRequest.repeatable();
+        if (!mayBeHedged || mRunners.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        Runner first = mRunners.values().iterator().next();
+        return mPool.hedgeDelayNanos(mRequest.streamed(), first.choice());
     }
 }
