Refuse unknown classes outside programs, answer at once in a store outage, let answers end at a stop

Scenarios with real processes found: a class was not checked outside programs; a call that may not be repeated waited for the store up to its own deadline; a refusal that can never succeed carried a retry time; show organisations missed organisations without calls; Jetty closed connections under answers that were still being written.

--- a/core/src/main/java/org/oleandertrack/core/result/ResultException.java
+++ b/core/src/main/java/org/oleandertrack/core/result/ResultException.java
@@ -39,9 +39,12 @@
         return mExecution;
     }
 
-    /** Returns the time after which a retry may succeed, if the refusal names one. */
+    /** Returns the time after which a retry may succeed; empty if no retry can. */
     public Optional<Long> retryAfterMillis() {
-        return mRetryAfterMillis > 0 ? Optional.of(mRetryAfterMillis) : Optional.empty();
+        boolean mayRetry = mCode.retryAdvice() != RetryAdvice.NEVER;
+        return mayRetry && mRetryAfterMillis > 0
+                ? Optional.of(mRetryAfterMillis)
+                : Optional.empty();
     }
 
     /** Returns the same failure with another execution, for example after proof that it ran. */
--- a/server/src/main/java/org/oleandertrack/server/entry/DirectCallService.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/DirectCallService.java
@@ -1,7 +1,7 @@
 package org.oleandertrack.server.entry;
 
-import java.util.Set;
 import java.util.UUID;
+import org.oleandertrack.core.config.ProgramClass;
 
 /** Runs calls that belong to no program and may be repeated: they need no lasting state. */
 final class DirectCallService implements LocalCallService.ActiveCallService {
@@ -10,14 +10,17 @@
     private static final long NO_FENCE = 0;
 
     private final Dispatcher mDispatcher;
+    private final CallPreconditions mPreconditions;
 
-    DirectCallService(Dispatcher dispatcher) {
+    DirectCallService(Dispatcher dispatcher, CallPreconditions preconditions) {
         mDispatcher = dispatcher;
+        mPreconditions = preconditions;
     }
 
     @Override
     public void run(ActiveCall call, ResponseSink sink) {
         CallerRequest request = call.request();
+        ProgramClass programClass = mPreconditions.programClass(request);
         long deadlineNanos = Dispatcher.deadlineNanos(call.startNanos(), request.timeoutMillis());
         DispatchGrant grant =
                 new DispatchGrant(
@@ -27,8 +30,8 @@
                         deadlineNanos,
                         () -> Long.MAX_VALUE,
                         0,
-                        0,
-                        Set.of());
+                        ClassPriority.of(programClass),
+                        programClass.targets());
         mDispatcher.run(call, grant, sink);
         sink.end();
     }
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryModule.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryModule.java
@@ -120,12 +120,13 @@
             ProgramCallService programs,
             IntentCallService intents,
             Dispatcher dispatcher,
+            CallPreconditions preconditions,
             MetricsRegistry metrics,
             LongSupplier nanoClock) {
         return new LocalCallService(
                 active,
                 new LocalCallService.CallHandlers(
-                        programs, intents, new DirectCallService(dispatcher)),
+                        programs, intents, new DirectCallService(dispatcher, preconditions)),
                 metrics,
                 nanoClock);
     }
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryStateModule.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryStateModule.java
@@ -139,6 +139,12 @@
         return config;
     }
 
+    @Provides
+    @Singleton
+    CallPreconditions preconditions(ConfigSource config, EntryCoordination coordination) {
+        return new CallPreconditions(config, coordination.commit());
+    }
+
     // Programs
 
     @Provides
@@ -168,7 +174,7 @@
             ProgramStore programs,
             ProgramOpener opener,
             ProgramLimits limits,
-            ConfigSource config,
+            CallPreconditions preconditions,
             Dispatcher dispatcher,
             LongSupplier nanoClock) {
         return new ProgramCallService(
@@ -176,7 +182,7 @@
                 programs,
                 opener,
                 limits,
-                config,
+                preconditions,
                 dispatcher,
                 nanoClock,
                 new ProgramCallService.ProgramCallConfig(
@@ -189,13 +195,13 @@
             TableStore table,
             ObjectStore objects,
             EntryCoordination coordination,
-            ConfigSource config,
+            CallPreconditions preconditions,
             Dispatcher dispatcher,
             LongSupplier nanoClock) {
         return new IntentCallService(
                 coordination.registry(),
                 new IntentStore(table, objects, coordination.commit(), new SecureRandom()),
-                config,
+                preconditions,
                 dispatcher,
                 nanoClock,
                 callConfig());
--- a/server/src/main/java/org/oleandertrack/server/entry/IntentCallService.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/IntentCallService.java
@@ -31,7 +31,7 @@
 
     private final ShardRegistry mShards;
     private final IntentStore mIntents;
-    private final ConfigSource mConfig;
+    private final CallPreconditions mPreconditions;
     private final Dispatcher mDispatcher;
     private final LongSupplier mNanoClock;
     private final ProgramCallService.ProgramCallConfig mSettings;
@@ -42,13 +42,13 @@
     IntentCallService(
             ShardRegistry shards,
             IntentStore intents,
-            ConfigSource config,
+            CallPreconditions preconditions,
             Dispatcher dispatcher,
             LongSupplier nanoClock,
             ProgramCallService.ProgramCallConfig settings) {
         mShards = shards;
         mIntents = intents;
-        mConfig = config;
+        mPreconditions = preconditions;
         mDispatcher = dispatcher;
         mNanoClock = nanoClock;
         mSettings = settings;
@@ -59,7 +59,9 @@
     @Override
     public void run(ActiveCall call, ResponseSink sink) {
         CallerRequest request = call.request();
-        ProgramClass programClass = classOf(request);
+        mPreconditions.requireCurrentConfig();
+        ProgramClass programClass = mPreconditions.programClass(request);
+        mPreconditions.requireStore();
         HeldShard shard = mShards.enter(mShards.shardOf(request));
         try {
             runInShard(call, programClass, shard, sink);
@@ -70,22 +72,6 @@
 
     // Helpers: intent
 
-    private ProgramClass classOf(CallerRequest request) {
-        if (!mConfig.isCurrent()) {
-            throw new ResultException(
-                            ResultCode.CONFIGURATION_NOT_CURRENT,
-                            ResultCode.CONFIGURATION_NOT_CURRENT.summary())
-                    .withRetryAfterMillis(RETRY_AFTER_MILLIS);
-        }
-        return mConfig.state()
-                .classNamed(request.programClass())
-                .orElseThrow(
-                        () ->
-                                new ResultException(
-                                        ResultCode.UNKNOWN_CLASS,
-                                        "no program class '" + request.programClass() + "'"));
-    }
-
     private void runInShard(
             ActiveCall call, ProgramClass programClass, HeldShard shard, ResponseSink sink) {
         CallerRequest request = call.request();
@@ -126,7 +112,7 @@
                         RequestDigest.of(request),
                         attemptId,
                         fence,
-                        deadlineNanos));
+                        StoreCalls.deadlineNanos(mNanoClock.getAsLong(), deadlineNanos)));
     }
 
     private void awaitUnderWay(CallerRequest request, long deadlineNanos) {
--- a/server/src/main/java/org/oleandertrack/server/entry/ProgramCallService.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/ProgramCallService.java
@@ -33,7 +33,7 @@
     private final ProgramStore mPrograms;
     private final ProgramOpener mOpener;
     private final ProgramLimits mLimits;
-    private final ConfigSource mConfig;
+    private final CallPreconditions mPreconditions;
     private final Dispatcher mDispatcher;
     private final LongSupplier mNanoClock;
     private final ProgramCallConfig mSettings;
@@ -43,7 +43,7 @@
             ProgramStore programs,
             ProgramOpener opener,
             ProgramLimits limits,
-            ConfigSource config,
+            CallPreconditions preconditions,
             Dispatcher dispatcher,
             LongSupplier nanoClock,
             ProgramCallConfig settings) {
@@ -51,7 +51,7 @@
         mPrograms = programs;
         mOpener = opener;
         mLimits = limits;
-        mConfig = config;
+        mPreconditions = preconditions;
         mDispatcher = dispatcher;
         mNanoClock = nanoClock;
         mSettings = settings;
@@ -85,7 +85,11 @@
     @Override
     public void run(ActiveCall call, ResponseSink sink) {
         CallerRequest request = call.request();
-        ProgramClass programClass = classOf(request);
+        if (request.turn() == FIRST_TURN) {
+            mPreconditions.requireCurrentConfig();
+        }
+        ProgramClass programClass = mPreconditions.programClass(request);
+        mPreconditions.requireStore();
         HeldShard shard = mShards.enter(mShards.shardOf(request));
         try {
             runInShard(call, programClass, shard, sink);
@@ -96,37 +100,6 @@
 
     // Helpers: order of turns
 
-    private ProgramClass classOf(CallerRequest request) {
-        if (request.turn() == FIRST_TURN && !mConfig.isCurrent()) {
-            throw new ResultException(
-                            ResultCode.CONFIGURATION_NOT_CURRENT,
-                            "the configuration was last confirmed "
-                                    + mConfig.confirmedAgeMillis()
-                                    + " ms ago")
-                    .withRetryAfterMillis(mSettings.retryAfterMillis());
-        }
-        ProgramClass programClass =
-                mConfig.state()
-                        .classNamed(request.programClass())
-                        .orElseThrow(
-                                () ->
-                                        new ResultException(
-                                                ResultCode.UNKNOWN_CLASS,
-                                                "no program class '"
-                                                        + request.programClass()
-                                                        + "'"));
-        if (!programClass.allowsModel(request.destination())) {
-            throw new ResultException(
-                    ResultCode.UNKNOWN_MODEL,
-                    "class '"
-                            + programClass.name()
-                            + "' may not use model '"
-                            + request.destination()
-                            + "'");
-        }
-        return programClass;
-    }
-
     private void runInShard(
             ActiveCall call, ProgramClass programClass, HeldShard shard, ResponseSink sink) {
         CallerRequest request = call.request();
@@ -138,7 +111,13 @@
             long deadlineNanos =
                     Dispatcher.deadlineNanos(mNanoClock.getAsLong(), request.timeoutMillis());
             ProgramSession session =
-                    mOpener.open(root, key, request, programClass, shard.fence(), deadlineNanos);
+                    mOpener.open(
+                            root,
+                            key,
+                            request,
+                            programClass,
+                            shard.fence(),
+                            StoreCalls.deadlineNanos(mNanoClock.getAsLong(), deadlineNanos));
             Turn turn =
                     new Turn(
                             call,
--- a/server/src/main/java/org/oleandertrack/server/entry/QueryService.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/QueryService.java
@@ -169,6 +169,9 @@
             organisationRow(rows, call.request().organisation())
                     .merge(column, "1", (sum, one) -> Long.toString(Long.parseLong(sum) + 1));
         }
+        for (HeldShard shard : mRegistry.held().values()) {
+            shard.programs().forEach(root -> organisationRow(rows, root.key().organisation()));
+        }
         mConfig.state().organisations().keySet().forEach(name -> organisationRow(rows, name));
         return rows.values().stream();
     }
--- a/server/src/main/java/org/oleandertrack/server/entry/StoreCalls.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/StoreCalls.java
@@ -12,8 +12,16 @@
 
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
+    /** A caller that waits is told of an outage after this time at the latest. */
+    private static final long MAX_WAIT_NANOS = 3_000_000_000L;
+
     private StoreCalls() {}
 
+    /** Returns the end of the wait for the store before a dispatch. */
+    static long deadlineNanos(long nowNanos, long callDeadlineNanos) {
+        return Math.min(callDeadlineNanos, nowNanos + MAX_WAIT_NANOS);
+    }
+
     /** Waits for an answer of the store; its failure refuses the call as not run. */
     static <T> T await(CompletableFuture<T> future) {
         try {
--- a/server/src/main/java/org/oleandertrack/server/http/HttpService.java
+++ b/server/src/main/java/org/oleandertrack/server/http/HttpService.java
@@ -17,6 +17,7 @@
 import java.util.function.Consumer;
 import org.eclipse.jetty.server.NetworkConnector;
 import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.handler.GracefulHandler;
 
 /** A Dropwizard HTTP server with a part for calls and a part for administration. */
 public final class HttpService {
@@ -48,6 +49,8 @@
         mSetup.accept(environment);
         mServer = configuration.getServerFactory().build(environment);
         mServer.setErrorHandler(new NumberedErrorHandler());
+        // Lets answers that are being written end before a stop closes their connections.
+        mServer.insertHandler(new GracefulHandler());
         mServer.setStopAtShutdown(false);
         mServer.start();
     }
--- a/server/src/main/java/org/oleandertrack/server/http/NumberedErrorHandler.java
+++ b/server/src/main/java/org/oleandertrack/server/http/NumberedErrorHandler.java
@@ -37,6 +37,7 @@
         return switch (status) {
             case HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE_431 -> ResultCode.HEADER_TOO_LARGE;
             case HttpStatus.PAYLOAD_TOO_LARGE_413 -> ResultCode.BODY_TOO_LARGE;
+            case HttpStatus.SERVICE_UNAVAILABLE_503 -> ResultCode.SHUTTING_DOWN;
             case HttpStatus.NOT_FOUND_404, HttpStatus.METHOD_NOT_ALLOWED_405 ->
                     ResultCode.UNKNOWN_PATH;
             default ->
