--- a/server/src/main/java/org/oleandertrack/server/entry/CallerRequestFactory.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/CallerRequestFactory.java
@@ -53,6 +53,7 @@
         CallerHeaderReader reader = new CallerHeaderReader(headers);
         boolean repeatable = reader.flag(CallerHeaders.REPEATABLE).orElse(true);
         Optional<String> program = program(reader);
+        requireRepeatableTurn(program, repeatable);
         prepareForEngine(json, reader, program, streamed, maxTokens);
         return new CallerRequest(
                 CallKind.CALL_KIND_MODEL,
@@ -137,6 +138,15 @@
         return node.asText();
     }
 
+    /** A turn that was not committed is run again, so it must be repeatable. */
+    private static void requireRepeatableTurn(Optional<String> program, boolean repeatable) {
+        if (program.isPresent() && !repeatable) {
+            throw new ResultException(
+                    ResultCode.INVALID_HEADER,
+                    "header " + CallerHeaders.REPEATABLE + " must be true for a program's turn");
+        }
+    }
+
     private static void requireMessages(ObjectNode json) {
         JsonNode messages = json.path("messages");
         if (!messages.isArray() || messages.isEmpty()) {
--- a/server/src/main/java/org/oleandertrack/server/entry/LocalCallService.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/LocalCallService.java
@@ -1,6 +1,7 @@
 package org.oleandertrack.server.entry;
 
 import java.util.function.LongSupplier;
+import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
 import org.oleandertrack.protocol.message.CallKind;
 import org.oleandertrack.server.metrics.Metric;
@@ -51,6 +52,9 @@
             result = e.code().name();
             mActive.refused(request, e);
             throw e;
+        } catch (RuntimeException e) {
+            result = ResultCode.INTERNAL_ERROR.name();
+            throw e;
         } finally {
             mActive.end(call);
             measure(call, result);
