End a connection at a stop without a frame of length zero

Cause: the empty buffer that ends the writes of a stopping server passed the length encoder and reached the peer as an empty frame, which it reported as MALFORMED_FRAME. Ruled out: a frame of a later version, and a partial read at the close. Before: a warning in each demo run, and the new test fails with PAYLOAD_NOT_SET. After: the test passes.

--- a/protocol/src/main/java/org/oleandertrack/protocol/Connection.java
+++ b/protocol/src/main/java/org/oleandertrack/protocol/Connection.java
@@ -387,7 +387,11 @@
                 () -> {
                     if (!mClosing) {
                         lose(new ResultException(ResultCode.ATTEMPT_LOST, "stopped here"));
-                        closeAfter(mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER));
+                        // Before the encoders, which would make it a frame of length zero.
+                        closeAfter(
+                                mChannel.pipeline()
+                                        .firstContext()
+                                        .writeAndFlush(Unpooled.EMPTY_BUFFER));
                     }
                 });
     }
--- a/protocol/src/test/java/org/oleandertrack/protocol/StopTest.java
+++ b/protocol/src/test/java/org/oleandertrack/protocol/StopTest.java
@@ -2,12 +2,14 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -33,6 +35,19 @@
         mPeers.close();
     }
 
+    /** Guards against a planned stop that ends with a frame that the peer takes for a fault. */
+    @Test
+    void stopSendsNoEmptyFrame() throws Exception {
+        PeerServer server = mPeers.server(ProtocolLimits.defaults(), call -> {});
+        try (RawPeer peer = RawPeer.handshaken(server.port(), RawPeer.clientHello())) {
+            server.stop();
+
+            for (Optional<Frame> frame = peer.read(); frame.isPresent(); frame = peer.read()) {
+                assertNotEquals(Frame.PayloadCase.PAYLOAD_NOT_SET, frame.get().getPayloadCase());
+            }
+        }
+    }
+
     /** Guards against a planned stop that cuts off answers which were just completed (I9). */
     @Test
     void stopAfterTheLastCallLosesNoAnswer() throws Exception {
