Wait for a holder while a shard moves; let a stopping sidecar refuse late calls

Cause: a turn right after a restart was refused with 5002 because the holder was not connected yet, and a call that reached a sidecar while it closed its connections ended as unknown. Ruled out: readiness only after all peers are connected, which would keep a host out of service when one peer is down.

--- a/server/src/main/java/org/oleandertrack/server/entry/AttemptRace.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/AttemptRace.java
@@ -68,7 +68,7 @@
         mNanoClock = nanoClock;
         mStallMillis = stallMillis;
         mEvents = events;
-        mDeadlineNanos = Dispatcher.deadlineNanos(nanoClock.getAsLong(), request.timeoutMillis());
+        mDeadlineNanos = Deadlines.after(nanoClock.getAsLong(), request.timeoutMillis());
     }
 
     // Operations
--- a/server/src/main/java/org/oleandertrack/server/entry/CallRouter.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/CallRouter.java
@@ -1,6 +1,7 @@
 package org.oleandertrack.server.entry;
 
 import java.util.Optional;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
@@ -15,6 +16,13 @@
 
     private static final long RETRY_AFTER_MILLIS = 500;
 
+    /**
+     * Covers a graceful hand-over and the opening of a connection, but not a lease that runs out.
+     */
+    private static final long MAX_WAIT_NANOS = 2_000_000_000L;
+
+    private static final long POLL_NANOS = 50_000_000L;
+
     private final ShardDirectory mShards;
     private final HostDirectory mHosts;
     private final CallService mLocalCalls;
@@ -39,6 +47,34 @@
     @Override
     public void run(CallerRequest request, ResponseSink sink) {
         int shard = mShards.shardOf(request);
+        long deadlineNanos = mNanoClock.getAsLong() + MAX_WAIT_NANOS;
+        while (true) {
+            try {
+                route(request, shard, sink);
+                return;
+            } catch (ResultException e) {
+                if (!isBetweenHolders(e, sink) || mNanoClock.getAsLong() >= deadlineNanos) {
+                    throw e;
+                }
+            }
+            LockSupport.parkNanos(POLL_NANOS);
+        }
+    }
+
+    // Helpers
+
+    /** While a shard moves or a connection is opened, a call waits a little instead of failing. */
+    private static boolean isBetweenHolders(ResultException failure, ResponseSink sink) {
+        boolean noHolder =
+                failure.code() == ResultCode.NOT_SHARD_HOLDER
+                        || failure.code() == ResultCode.HOLDER_UNREACHABLE;
+        return noHolder
+                && failure.execution() == Execution.NOT_RUN
+                && sink.isUncommitted()
+                && !sink.cancelled().isDone();
+    }
+
+    private void route(CallerRequest request, int shard, ResponseSink sink) {
         if (!mShards.needsHolder(request) || mShards.isHeldHere(shard)) {
             mLocalCalls.run(request, sink);
             return;
@@ -56,12 +92,9 @@
         forward(request, shard, connection.get(), sink);
     }
 
-    // Helpers
-
     private void forward(
             CallerRequest request, int shard, PeerConnection connection, ResponseSink sink) {
-        long deadlineNanos =
-                Dispatcher.deadlineNanos(mNanoClock.getAsLong(), request.timeoutMillis());
+        long deadlineNanos = Deadlines.after(mNanoClock.getAsLong(), request.timeoutMillis());
         var head =
                 CallHeads.toBuilder(request)
                         .setForwarded(true)
--- a/server/src/main/java/org/oleandertrack/server/entry/ConfigService.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/ConfigService.java
@@ -91,7 +91,7 @@
                                     mFormat.format(command),
                                     operator,
                                     UUID.randomUUID().toString(),
-                                    Dispatcher.deadlineNanos(mNanoClock.getAsLong(), APPEND_MILLIS))
+                                    Deadlines.after(mNanoClock.getAsLong(), APPEND_MILLIS))
                             .join();
         } catch (CompletionException e) {
             throw new ResultException(
--- a/server/src/main/java/org/oleandertrack/server/entry/DirectCallService.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/DirectCallService.java
@@ -21,7 +21,7 @@
     public void run(ActiveCall call, ResponseSink sink) {
         CallerRequest request = call.request();
         ProgramClass programClass = mPreconditions.programClass(request);
-        long deadlineNanos = Dispatcher.deadlineNanos(call.startNanos(), request.timeoutMillis());
+        long deadlineNanos = Deadlines.after(call.startNanos(), request.timeoutMillis());
         DispatchGrant grant =
                 new DispatchGrant(
                         UUID.randomUUID().toString(),
--- a/server/src/main/java/org/oleandertrack/server/entry/Dispatcher.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/Dispatcher.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 import org.oleandertrack.core.health.RetryDecision;
@@ -63,10 +62,6 @@
         }
     }
 
-    static long deadlineNanos(long nowNanos, long timeoutMillis) {
-        return nowNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-    }
-
     // Helpers
 
     private AttemptResult runRound(
--- a/server/src/main/java/org/oleandertrack/server/entry/HeldProgramEnder.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/HeldProgramEnder.java
@@ -52,7 +52,7 @@
     }
 
     private void end(HeldShard shard, RootProgram root, ProgramKey key) {
-        long deadlineNanos = Dispatcher.deadlineNanos(mNanoClock.getAsLong(), TIMEOUT_MILLIS);
+        long deadlineNanos = Deadlines.after(mNanoClock.getAsLong(), TIMEOUT_MILLIS);
         var session = mOpener.openExisting(root, shard.fence(), deadlineNanos);
         if (session.row(key.program()).isEmpty()) {
             throw new ResultException(
--- a/server/src/main/java/org/oleandertrack/server/entry/IntentCallService.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/IntentCallService.java
@@ -75,7 +75,7 @@
     private void runInShard(
             ActiveCall call, ProgramClass programClass, HeldShard shard, ResponseSink sink) {
         CallerRequest request = call.request();
-        long deadlineNanos = Dispatcher.deadlineNanos(call.startNanos(), request.timeoutMillis());
+        long deadlineNanos = Deadlines.after(call.startNanos(), request.timeoutMillis());
         String attemptId = UUID.randomUUID().toString();
         IntentOutcome outcome = begin(request, attemptId, shard.fence(), deadlineNanos);
         if (outcome instanceof IntentOutcome.InProgress) {
@@ -214,8 +214,7 @@
     }
 
     private long commitDeadline(long deadlineNanos) {
-        long patience =
-                Dispatcher.deadlineNanos(mNanoClock.getAsLong(), mSettings.commitDeadlineMillis());
+        long patience = Deadlines.after(mNanoClock.getAsLong(), mSettings.commitDeadlineMillis());
         return Math.max(deadlineNanos, patience);
     }
 
--- a/server/src/main/java/org/oleandertrack/server/entry/PeerStatements.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/PeerStatements.java
@@ -25,7 +25,7 @@
 
     /** Runs a statement at a peer, in that process only. Blocks. */
     StatementAnswer run(PeerConnection peer, String text, String operator) {
-        long deadlineNanos = Dispatcher.deadlineNanos(mNanoClock.getAsLong(), TIMEOUT_MILLIS);
+        long deadlineNanos = Deadlines.after(mNanoClock.getAsLong(), TIMEOUT_MILLIS);
         Call head =
                 Call.newBuilder()
                         .setForwarded(true)
--- a/server/src/main/java/org/oleandertrack/server/entry/ProgramCallService.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/ProgramCallService.java
@@ -108,8 +108,7 @@
         RootProgram root = shard.program(key.root());
         root.begin(program);
         try {
-            long deadlineNanos =
-                    Dispatcher.deadlineNanos(mNanoClock.getAsLong(), request.timeoutMillis());
+            long deadlineNanos = Deadlines.after(mNanoClock.getAsLong(), request.timeoutMillis());
             ProgramSession session =
                     mOpener.open(
                             root,
@@ -148,13 +147,14 @@
             case TurnDecision.Refuse refuse ->
                     throw new ResultException(
                             refuse.code(),
-                            "program "
+                            refuse.code().summary()
+                                    + " Program "
                                     + turn.program()
                                     + " is at turn "
                                     + row.headTurn()
                                     + ", turn "
                                     + turn.request().turn()
-                                    + " was sent");
+                                    + " was sent.");
         }
     }
 
--- a/server/src/main/java/org/oleandertrack/server/http/HttpService.java
+++ b/server/src/main/java/org/oleandertrack/server/http/HttpService.java
@@ -46,6 +46,7 @@
         configuration.setLoggingFactory(new ExternalLoggingFactory());
         configuration.setServerFactory(serverFactory());
         Environment environment = environment(configuration);
+        environment.healthChecks().register("process", new ProcessHealthCheck());
         mSetup.accept(environment);
         mServer = configuration.getServerFactory().build(environment);
         mServer.setErrorHandler(new NumberedErrorHandler());
--- a/server/src/main/java/org/oleandertrack/server/sidecar/SidecarDaemon.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarDaemon.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
 import org.oleandertrack.protocol.LocalNode;
 import org.oleandertrack.protocol.PeerServer;
 import org.oleandertrack.protocol.message.Frame;
@@ -15,6 +16,9 @@
 /** The process beside a target. Thread safe. */
 public final class SidecarDaemon implements Daemon {
 
+    /** Far longer than a notice takes to reach an entry host. */
+    private static final long NOTICE_NANOS = 500_000_000L;
+
     private final SidecarSettings mSettings;
     private final LocalNode mNode;
     private final PeerServer mPeerServer;
@@ -73,6 +77,8 @@
         Logger.info("stopping: waiting for {} calls", mGate.load().getRunning());
         try {
             mGate.awaitIdle();
+            // Calls that entry hosts sent before they took in the notice are refused, not lost.
+            LockSupport.parkNanos(NOTICE_NANOS);
             mMemory.ifPresent(EngineMemoryService::stop);
             mPeerServer.stop();
             mHttp.stop();
