Serve the users' platform: HTTP data path, discovery, spending and an adapter

Adds the modules http (HTTP/1.1 on Netty for both sides), telemetry (logs and metrics, moved from server), gateway (routes, placement, attempts, resumed streams) and platform (names of the users' platform, decoded once), and deploy/system.toml.

Cause: the product spoke only its own interface and stand-ins.

--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingResult.java
@@ -0,0 +1,18 @@
+package org.oleandertrack.coordination.spending;
+
+/** Outcome of a reservation. */
+public sealed interface SpendingResult {
+
+    /** The tokens are reserved durably. */
+    record Reserved(long tokens) implements SpendingResult {}
+
+    /**
+     * The rest of the budget does not cover the reservation.
+     *
+     * @param grantedTokens tokens granted to all hosts so far
+     */
+    record Exhausted(long grantedTokens) implements SpendingResult {}
+
+    /** The store did not answer, so nothing is reserved. */
+    record Unavailable(String reason) implements SpendingResult {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/spending/package-info.java
@@ -0,0 +1,2 @@
+/** Durable accounts of the tokens that programs may still generate. */
+package org.oleandertrack.coordination.spending;
--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/store/RowReads.java
@@ -0,0 +1,46 @@
+package org.oleandertrack.coordination.store;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** Reads whole parts of tables. */
+public final class RowReads {
+
+    private static final int PAGE_ROWS = 500;
+    // The smallest key after another one: the same with a zero byte behind it.
+    private static final char NEXT_KEY = '\0';
+
+    private RowReads() {}
+
+    /**
+     * Reads all rows of a part. The pages are not one snapshot: the version returned is that of the
+     * first page, so that changes made between the pages are seen again from the feed.
+     */
+    public static CompletableFuture<RowPage> all(RowStore store, String table, String part) {
+        return store.read(table, part, Optional.empty(), PAGE_ROWS)
+                .thenCompose(first -> next(store, table, part, first, new ArrayList<>()));
+    }
+
+    private static CompletableFuture<RowPage> next(
+            RowStore store, String table, String part, RowPage page, List<StoredRow> rows) {
+        rows.addAll(page.rows());
+        if (!page.hasMore()) {
+            return CompletableFuture.completedFuture(new RowPage(rows, false, page.storeVersion()));
+        }
+        String from = page.rows().getLast().id().key() + NEXT_KEY;
+        return store.read(table, part, Optional.of(from), PAGE_ROWS)
+                .thenCompose(
+                        following ->
+                                next(
+                                        store,
+                                        table,
+                                        part,
+                                        new RowPage(
+                                                following.rows(),
+                                                following.hasMore(),
+                                                page.storeVersion()),
+                                        rows));
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/oleandertrack/coordination/spending/FakeRowStore.java
@@ -0,0 +1,146 @@
+package org.oleandertrack.coordination.spending;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.oleandertrack.coordination.store.RowChanges;
+import org.oleandertrack.coordination.store.RowId;
+import org.oleandertrack.coordination.store.RowPage;
+import org.oleandertrack.coordination.store.RowStore;
+import org.oleandertrack.coordination.store.RowTransaction;
+import org.oleandertrack.coordination.store.StoreException;
+import org.oleandertrack.coordination.store.StoredRow;
+import org.oleandertrack.coordination.store.TransactionResult;
+import org.oleandertrack.core.result.Execution;
+
+/** A store in memory whose answers can be lost, refused or held back. */
+public final class FakeRowStore implements RowStore {
+
+    /** What happens to a transaction. */
+    public enum Fate {
+        /** It is applied and answered. */
+        ANSWERED,
+        /** It is refused. */
+        REFUSED,
+        /** It is applied, and the answer is lost. */
+        ANSWER_LOST,
+        /** The answer is lost, and it is applied only by {@link #applyLate}. */
+        LATE
+    }
+
+    private final Map<String, StoredRow> mRows = new TreeMap<>();
+    private final ArrayDeque<Fate> mFates = new ArrayDeque<>();
+    private final List<RowTransaction> mLate = new ArrayList<>();
+    private boolean mDown;
+    private long mVersion;
+    private int mTransactions;
+
+    /** Sets what happens to the next transactions, in order; later ones are answered. */
+    public void next(Fate... fates) {
+        mFates.addAll(List.of(fates));
+    }
+
+    /** Lets every call fail, or work again. */
+    public void setDown(boolean down) {
+        mDown = down;
+    }
+
+    /** Applies the transactions that were late, if their conditions still hold. */
+    public void applyLate() {
+        mLate.forEach(this::execute);
+        mLate.clear();
+    }
+
+    /** Returns the number of transactions asked for. */
+    public int transactions() {
+        return mTransactions;
+    }
+
+    /** Returns the value of a row. */
+    public Optional<String> value(String key) {
+        return mRows.values().stream()
+                .filter(row -> row.id().key().equals(key))
+                .map(StoredRow::value)
+                .findFirst();
+    }
+
+    @Override
+    public CompletableFuture<RowPage> read(
+            String table, String part, Optional<String> fromKey, int limit) {
+        if (mDown) {
+            return failed(Execution.UNKNOWN);
+        }
+        List<StoredRow> rows =
+                mRows.values().stream()
+                        .filter(row -> row.id().table().equals(table))
+                        .filter(row -> row.id().part().equals(part))
+                        .filter(row -> row.id().key().compareTo(fromKey.orElse("")) >= 0)
+                        .limit(limit)
+                        .toList();
+        return CompletableFuture.completedFuture(new RowPage(rows, false, mVersion));
+    }
+
+    @Override
+    public CompletableFuture<TransactionResult> apply(RowTransaction transaction) {
+        mTransactions++;
+        if (mDown) {
+            return failed(Execution.NOT_RUN);
+        }
+        Fate fate = mFates.isEmpty() ? Fate.ANSWERED : mFates.poll();
+        return switch (fate) {
+            case ANSWERED -> CompletableFuture.completedFuture(execute(transaction));
+            case REFUSED -> failed(Execution.NOT_RUN);
+            case ANSWER_LOST -> {
+                execute(transaction);
+                yield failed(Execution.UNKNOWN);
+            }
+            case LATE -> {
+                mLate.add(transaction);
+                yield failed(Execution.UNKNOWN);
+            }
+        };
+    }
+
+    @Override
+    public CompletableFuture<RowChanges> awaitChanges(
+            String table, long afterVersion, long waitMillis) {
+        return failed(Execution.UNKNOWN);
+    }
+
+    private TransactionResult execute(RowTransaction transaction) {
+        boolean holds =
+                transaction.conditions().stream()
+                        .allMatch(condition -> versionOf(condition.id()) == condition.version());
+        if (!holds) {
+            return new TransactionResult.Rejected(
+                    transaction.conditions().stream()
+                            .map(condition -> mRows.get(condition.id().toString()))
+                            .filter(row -> row != null)
+                            .toList());
+        }
+        mVersion++;
+        transaction
+                .writes()
+                .forEach(
+                        write ->
+                                mRows.put(
+                                        write.id().toString(),
+                                        new StoredRow(write.id(), write.value(), mVersion)));
+        transaction.removals().forEach(id -> mRows.remove(id.toString()));
+        return new TransactionResult.Committed(mVersion);
+    }
+
+    private long versionOf(RowId id) {
+        StoredRow row = mRows.get(id.toString());
+        return row == null ? 0 : row.version();
+    }
+
+    private static <T> CompletableFuture<T> failed(Execution execution) {
+        return CompletableFuture.failedFuture(
+                new StoreException(execution, "the store is set to fail", null));
+    }
+}
--- a/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
+++ b/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
@@ -64,6 +64,18 @@
             RetryAdvice.NEVER,
             Execution.NOT_RUN,
             "A call that may not be repeated needs an Idempotency-Key header."),
+    MALFORMED_REQUEST(
+            1011,
+            400,
+            RetryAdvice.NEVER,
+            Execution.NOT_RUN,
+            "The request is not valid HTTP, or its length is ambiguous."),
+    REQUEST_TOO_SLOW(
+            1012,
+            408,
+            RetryAdvice.LATER,
+            Execution.NOT_RUN,
+            "The request did not arrive within the time that the configuration allows."),
     // Programs.
     UNKNOWN_PROGRAM(
             2001,
--- /dev/null
+++ b/core/src/main/java/org/oleandertrack/core/traffic/TrafficConfig.java
@@ -0,0 +1,15 @@
+package org.oleandertrack.core.traffic;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One version of the traffic configuration. Immutable.
+ *
+ * @param version rises with each change
+ * @param routes all routes
+ * @param services all services by name
+ * @param limits bounds for callers
+ */
+public record TrafficConfig(
+        long version, List<Route> routes, Map<String, ServiceSpec> services, CallerLimits limits) {}
--- /dev/null
+++ b/core/src/main/java/org/oleandertrack/core/turn/TurnPlacement.java
@@ -0,0 +1,96 @@
+package org.oleandertrack.core.turn;
+
+import java.util.Collection;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Chooses the engine of a turn: the one with the least predicted time to the turn's end, plus the
+ * delay that the turn causes to the others in the engine's batch. Answers a load in which short
+ * turns share batches, hosts slow down for moments, and prompts repeat earlier ones. Immutable.
+ */
+public final class TurnPlacement {
+
+    // Round trip to another availability zone; the users state 0.9 to 1.4 ms one way.
+    private static final double OTHER_ZONE_MILLIS = 2.5;
+    // More than any wait: a target that failed is used only when no other is left.
+    private static final double AVOIDED_MILLIS = 1e6;
+    // Delay of others counts like the turn's own: the mean over all programs is what matters.
+    private static final double OTHERS_WEIGHT = 1;
+
+    private final EngineTimes mTimes;
+    private final String mZone;
+
+    /**
+     * Creates a placement.
+     *
+     * @param zone availability zone of this host
+     */
+    public TurnPlacement(EngineTimes times, String zone) {
+        mTimes = times;
+        mZone = zone;
+    }
+
+    /** Chooses an engine that is not excluded; empty if there is none. */
+    public Optional<PlacementChoice> choose(
+            Collection<TargetState> engines,
+            TurnRequest turn,
+            Set<String> excluded,
+            long nowNanos) {
+        TargetState best = null;
+        double bestMillis = Double.MAX_VALUE;
+        for (TargetState engine : engines) {
+            if (excluded.contains(engine.id())) {
+                continue;
+            }
+            double costMillis = costMillis(engine, turn, nowNanos);
+            if (costMillis < bestMillis) {
+                best = engine;
+                bestMillis = costMillis;
+            }
+        }
+        if (best == null) {
+            return Optional.empty();
+        }
+        return Optional.of(describe(best, turn, nowNanos));
+    }
+
+    /** Returns the predicted time to the end of a turn at an engine. */
+    public double predictedMillis(TargetState engine, TurnRequest turn, long nowNanos) {
+        double requests = engine.load().requests(nowNanos);
+        double stepMillis = mTimes.stepMillis(Math.min(requests + 1, engine.slots()));
+        double turnMillis =
+                mTimes.firstMillis()
+                        + mTimes.promptMillis(engine.prefixes().missingTokens(turn))
+                        + turn.expectedTokens() * stepMillis;
+        double queued = Math.max(0, requests + 1 - engine.slots());
+        double waitMillis = turnMillis * queued / engine.slots();
+        return engine.load().slowness(nowNanos) * (turnMillis + waitMillis);
+    }
+
+    private double costMillis(TargetState engine, TurnRequest turn, long nowNanos) {
+        double batch = Math.min(engine.load().requests(nowNanos), engine.slots());
+        double promptMillis = mTimes.promptMillis(engine.prefixes().missingTokens(turn));
+        double delayOfOthers =
+                batch
+                        * engine.load().slowness(nowNanos)
+                        * (promptMillis + turn.expectedTokens() * mTimes.stepMillisPerRequest());
+        double zoneMillis = engine.zone().equals(mZone) ? 0 : OTHER_ZONE_MILLIS;
+        double avoidMillis = engine.isAvoided(nowNanos) ? AVOIDED_MILLIS : 0;
+        return predictedMillis(engine, turn, nowNanos)
+                + OTHERS_WEIGHT * delayOfOthers
+                + zoneMillis
+                + avoidMillis;
+    }
+
+    private PlacementChoice describe(TargetState engine, TurnRequest turn, long nowNanos) {
+        return new PlacementChoice(
+                engine.id(),
+                predictedMillis(engine, turn, nowNanos),
+                engine.load().requests(nowNanos),
+                engine.load().slowness(nowNanos),
+                engine.prefixes().missingTokens(turn),
+                TimeUnit.NANOSECONDS.toMillis(engine.load().slownessAgeNanos(nowNanos)));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleandertrack/core/turn/TurnRequest.java
@@ -0,0 +1,12 @@
+package org.oleandertrack.core.turn;
+
+import java.util.List;
+
+/**
+ * What placement needs to know of a turn.
+ *
+ * @param promptTokens length of the whole prompt
+ * @param parts parts of the prompt in order; may be empty
+ * @param expectedTokens tokens that the turn is likely to generate
+ */
+public record TurnRequest(int promptTokens, List<PromptPart> parts, int expectedTokens) {}
--- /dev/null
+++ b/core/src/test/java/org/oleandertrack/core/discovery/TargetDirectoryTest.java
@@ -0,0 +1,102 @@
+package org.oleandertrack.core.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+
+/** Guards against work for targets that have left, and against losing targets that live. */
+final class TargetDirectoryTest {
+
+    private static final long GRACE = 2_000;
+
+    private final List<String> mEvents = new ArrayList<>();
+    private final TargetDirectory mDirectory =
+            new TargetDirectory(
+                    GRACE,
+                    new TargetListener() {
+                        @Override
+                        public void added(TargetRecord target) {
+                            mEvents.add("added " + target.id());
+                        }
+
+                        @Override
+                        public void changed(TargetRecord target) {
+                            mEvents.add("changed " + target.id());
+                        }
+
+                        @Override
+                        public void removed(TargetRecord target, String reason) {
+                            mEvents.add("removed " + target.id() + " " + reason);
+                        }
+                    },
+                    0);
+
+    private static TargetRecord record(String id, boolean draining, long startedAt) {
+        return new TargetRecord(
+                id, "s", "10.0.0.1", 80, "z", draining, 4, OptionalLong.of(startedAt));
+    }
+
+    @Test
+    void aDrainingTargetGetsNoNewWork() {
+        mDirectory.put(record("a", false, 1));
+        mDirectory.put(record("a", true, 1));
+        assertEquals(List.of("added a", "removed a draining"), mEvents);
+        assertTrue(mDirectory.usable("a").isEmpty());
+    }
+
+    @Test
+    void aTargetThatIsFirstSeenDrainingIsNeverUsed() {
+        mDirectory.put(record("a", true, 1));
+        assertEquals(List.of(), mEvents);
+    }
+
+    @Test
+    void aRestartUnderTheSameIdIsANewIncarnation() {
+        mDirectory.put(record("a", false, 1));
+        mDirectory.put(record("a", false, 2));
+        assertEquals(List.of("added a", "removed a restarted", "added a"), mEvents);
+    }
+
+    @Test
+    void anEntryThatIsRemovedWhileTheStoreIsStableIsGoneAtOnce() {
+        mDirectory.put(record("a", false, 1));
+        mDirectory.remove("a", 10_000);
+        assertEquals(List.of("added a", "removed a removed"), mEvents);
+    }
+
+    @Test
+    void anEntryThatExpiresDuringAnOutageStaysInUseUntilItHadTimeToComeBack() {
+        mDirectory.put(record("a", false, 1));
+        mDirectory.put(record("b", false, 1));
+        mDirectory.storeLost();
+        mDirectory.storeRegained(10_000);
+        mDirectory.replaceAll(List.of(), 10_000);
+        assertTrue(mDirectory.usable("a").isPresent());
+        mDirectory.put(record("a", false, 1));
+        mDirectory.dropExpired(10_000 + GRACE - 1);
+        assertTrue(mDirectory.usable("b").isPresent());
+        mDirectory.dropExpired(10_000 + GRACE);
+        assertEquals(List.of("added a", "added b", "removed b expired"), mEvents);
+        assertTrue(mDirectory.usable("a").isPresent());
+    }
+
+    @Test
+    void entriesAreKeptWhileTheStoreIsAway() {
+        mDirectory.put(record("a", false, 1));
+        mDirectory.storeLost();
+        mDirectory.remove("a", 100_000);
+        mDirectory.dropExpired(200_000);
+        assertTrue(mDirectory.usable("a").isPresent());
+    }
+
+    @Test
+    void aFullReadRemovesWhatIsMissing() {
+        mDirectory.put(record("a", false, 1));
+        mDirectory.replaceAll(List.of(record("b", false, 1)), 10_000);
+        assertEquals(List.of("added a", "added b", "removed a removed"), mEvents);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/oleandertrack/core/turn/TurnPlacementTest.java
@@ -0,0 +1,96 @@
+package org.oleandertrack.core.turn;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against turns that wait behind slow hosts, full batches or prompts that are read again.
+ */
+final class TurnPlacementTest {
+
+    private static final long NOW = TimeUnit.SECONDS.toNanos(100);
+    private static final TurnRequest TURN =
+            new TurnRequest(
+                    3_000,
+                    List.of(new PromptPart("shared", 2_500), new PromptPart("own", 500)),
+                    35);
+
+    private final TargetState mNear = new TargetState("near", "z1", 12, 100_000);
+    private final TargetState mFar = new TargetState("far", "z2", 12, 100_000);
+    private final TurnPlacement mPlacement = new TurnPlacement(EngineTimes.DEFAULT, "z1");
+
+    private String choose() {
+        return mPlacement
+                .choose(List.of(mNear, mFar), TURN, Set.of(), NOW)
+                .orElseThrow()
+                .targetId();
+    }
+
+    @Test
+    void equalTargetsOfTheOwnZoneComeFirst() {
+        assertEquals("near", choose());
+    }
+
+    @Test
+    void aPromptThatWasReadDrawsItsNextTurn() {
+        mFar.prefixes().use(TURN.parts());
+        assertEquals("far", choose());
+    }
+
+    @Test
+    void aSlowHostIsAvoidedEvenIfItHasReadThePrompt() {
+        mFar.prefixes().use(TURN.parts());
+        mFar.load().slownessSeen(2.5, NOW);
+        assertEquals("near", choose());
+    }
+
+    @Test
+    void anOldObservationOfSlownessFades() {
+        mNear.load().slownessSeen(2.5, NOW - TimeUnit.SECONDS.toNanos(5));
+        mFar.load().slownessSeen(1.2, NOW);
+        assertEquals("near", choose());
+    }
+
+    @Test
+    void aFullBatchCostsAWait() {
+        for (int i = 0; i < 12; i++) {
+            mNear.load().sent();
+        }
+        assertEquals("far", choose());
+    }
+
+    @Test
+    void aTargetThatFailedIsUsedOnlyIfNoOtherIsLeft() {
+        mNear.avoid(NOW + 1);
+        assertEquals("far", choose());
+        assertEquals(
+                "near",
+                mPlacement
+                        .choose(List.of(mNear, mFar), TURN, Set.of("far"), NOW)
+                        .orElseThrow()
+                        .targetId());
+        assertTrue(
+                mPlacement
+                        .choose(List.of(mNear, mFar), TURN, Set.of("far", "near"), NOW)
+                        .isEmpty());
+    }
+
+    @Test
+    void requestsOfOtherHostsAreKnownFromTheLastResponse() {
+        mNear.load().reported(new LoadFigures(12, 4, 12, 1), NOW);
+        assertEquals("far", choose());
+    }
+
+    @Test
+    void thePartsReadLeastRecentlyYieldAndSharedPartsYieldLast() {
+        PrefixMemory memory = new PrefixMemory(3_600);
+        memory.use(TURN.parts());
+        memory.use(List.of(new PromptPart("shared", 2_500), new PromptPart("other", 1_000)));
+        assertEquals(500, memory.missingTokens(TURN));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallMetrics.java
@@ -0,0 +1,44 @@
+package org.oleandertrack.gateway.call;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import org.oleandertrack.core.traffic.RequestKind;
+import org.oleandertrack.telemetry.metrics.Metric;
+import org.oleandertrack.telemetry.metrics.MetricsRegistry;
+
+/** Counts calls and measures how long they take. Thread-safe. */
+public final class CallMetrics {
+
+    private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private final Counter mCalls;
+    private final Gauge mUnderWay;
+    private final Histogram mDuration;
+    private final Counter mDecisions;
+
+    /** Creates the metrics in a registry. */
+    public CallMetrics(MetricsRegistry registry) {
+        mCalls = registry.counter(Metric.CALLS);
+        mUnderWay = registry.gauge(Metric.CALLS_UNDER_WAY);
+        mDuration = registry.histogram(Metric.CALL_DURATION);
+        mDecisions = registry.counter(Metric.DECISIONS);
+    }
+
+    void started() {
+        mUnderWay.inc();
+    }
+
+    void ended(RequestKind kind, String result, long durationNanos) {
+        String label = kind.name().toLowerCase(Locale.ROOT);
+        mUnderWay.dec();
+        mCalls.labelValues(label, result).inc();
+        mDuration.labelValues(label).observe(durationNanos / NANOS_PER_SECOND);
+    }
+
+    void decided(String decision, String reason) {
+        mDecisions.labelValues(decision, reason).inc();
+    }
+}
--- a/server/src/main/java/org/oleandertrack/server/http/ErrorBody.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/ErrorBody.java
@@ -1,4 +1,4 @@
-package org.oleandertrack.server.http;
+package org.oleandertrack.gateway.call;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
--- /dev/null
+++ b/gateway/src/main/java/org/oleandertrack/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Passes requests of callers on to targets over HTTP. */
+package org.oleandertrack.gateway;
--- /dev/null
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
@@ -0,0 +1,121 @@
+package org.oleandertrack.gateway.targets;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.oleandertrack.core.discovery.TargetListener;
+import org.oleandertrack.core.discovery.TargetRecord;
+import org.oleandertrack.core.traffic.EngineSpec;
+import org.oleandertrack.core.traffic.ServiceSpec;
+import org.oleandertrack.core.traffic.TrafficConfig;
+import org.oleandertrack.core.turn.CallPlacement;
+import org.oleandertrack.core.turn.LoadFigures;
+import org.oleandertrack.core.turn.TurnPlacement;
+import org.oleandertrack.core.turn.TurnRequest;
+import org.oleandertrack.telemetry.logging.EventLog;
+
+/** All targets by service. Thread-safe: each service has its own lock. */
+public final class TargetRegistry implements TargetListener {
+
+    // Assumed until the configuration says how much an engine's memory holds.
+    private static final long DEFAULT_MEMORY_TOKENS = 100_000;
+
+    private final TurnPlacement mTurnPlacement;
+    private final CallPlacement mCallPlacement;
+    private final EventLog mLog;
+    private final Map<String, ServiceTargets> mServices = new ConcurrentHashMap<>();
+    private volatile Map<String, ServiceSpec> mSpecs = Map.of();
+
+    /** Creates a registry without targets. */
+    public TargetRegistry(TurnPlacement turnPlacement, CallPlacement callPlacement, EventLog log) {
+        mTurnPlacement = turnPlacement;
+        mCallPlacement = callPlacement;
+        mLog = log;
+    }
+
+    // Accessors
+
+    /** Returns the number of targets of a service that may get work. */
+    public int size(String service) {
+        return targetsOf(service).size();
+    }
+
+    // Operations
+
+    /** Takes what a new configuration says about services. */
+    public void configure(TrafficConfig config) {
+        mSpecs = config.services();
+    }
+
+    @Override
+    public void added(TargetRecord target) {
+        targetsOf(target.service()).add(target, memoryTokens(target.service()));
+        log("target added", target, "");
+    }
+
+    @Override
+    public void changed(TargetRecord target) {
+        log("target changed", target, "");
+    }
+
+    @Override
+    public void removed(TargetRecord target, String reason) {
+        targetsOf(target.service()).remove(target.id());
+        log("target removed", target, reason);
+    }
+
+    /** Chooses the engine of a turn and counts the turn there. */
+    public Optional<PlacedTarget> placeTurn(
+            String service, TurnRequest turn, Set<String> excluded, long nowNanos) {
+        return targetsOf(service).placeTurn(mTurnPlacement, turn, excluded, nowNanos);
+    }
+
+    /** Chooses the target of a call to a plain service and counts the call there. */
+    public Optional<PlacedTarget> placeCall(String service, Set<String> excluded, long nowNanos) {
+        return targetsOf(service).placeCall(mCallPlacement, excluded, nowNanos);
+    }
+
+    /** Counts a request that is sent to the same target once more. */
+    public void sentAgain(TargetHandle handle) {
+        targetsOf(handle.record().service()).sentAgain(handle);
+    }
+
+    /** Notes that a request at a target has ended. */
+    public void ended(TargetHandle handle) {
+        targetsOf(handle.record().service()).ended(handle);
+    }
+
+    /** Takes the load that a target states. */
+    public void reported(TargetHandle handle, LoadFigures figures, long nowNanos) {
+        targetsOf(handle.record().service()).reported(handle, figures, nowNanos);
+    }
+
+    /** Prefers other targets until a time. */
+    public void avoid(TargetHandle handle, long untilNanos) {
+        targetsOf(handle.record().service()).avoid(handle, untilNanos);
+    }
+
+    // Helpers
+
+    private ServiceTargets targetsOf(String service) {
+        return mServices.computeIfAbsent(service, name -> new ServiceTargets());
+    }
+
+    private long memoryTokens(String service) {
+        return Optional.ofNullable(mSpecs.get(service))
+                .flatMap(ServiceSpec::engine)
+                .map(EngineSpec::memoryTokens)
+                .orElse(DEFAULT_MEMORY_TOKENS);
+    }
+
+    private void log(String event, TargetRecord target, String reason) {
+        mLog.notice(event)
+                .text("target", target.id())
+                .text("service", target.service())
+                .text("address", target.host() + ":" + target.port())
+                .text("zone", target.zone())
+                .text("reason", reason)
+                .write();
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/oleandertrack/http/HttpCallException.java
@@ -0,0 +1,23 @@
+package org.oleandertrack.http;
+
+/** A call ended without a response. */
+public final class HttpCallException extends RuntimeException {
+
+    private static final long serialVersionUID = 1L;
+
+    private final boolean mMayHaveRun;
+
+    /**
+     * Creates a failure.
+     *
+     * @param mayHaveRun whether the server may have received the request
+     */
+    public HttpCallException(String message, boolean mayHaveRun) {
+        super(message);
+        mMayHaveRun = mayHaveRun;
+    }
+
+    public boolean mayHaveRun() {
+        return mMayHaveRun;
+    }
+}
--- a/server/src/main/java/org/oleandertrack/server/cli/CheckCommand.java
+++ b/server/src/main/java/org/oleandertrack/server/cli/CheckCommand.java
@@ -4,8 +4,8 @@
 import java.util.function.Consumer;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
-import org.oleandertrack.server.logging.LoggingSetup;
 import org.oleandertrack.server.settings.SettingsLoader;
+import org.oleandertrack.telemetry.logging.LoggingSetup;
 
 /** Checks a settings file without starting anything. */
 final class CheckCommand implements SubCommand {
--- a/server/src/main/java/org/oleandertrack/server/cli/OleandertrackMain.java
+++ b/server/src/main/java/org/oleandertrack/server/cli/OleandertrackMain.java
@@ -19,8 +19,8 @@
 import org.apache.commons.cli.ParseException;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
-import org.oleandertrack.server.logging.LoggingSetup;
 import org.oleandertrack.server.settings.SettingsLoader;
+import org.oleandertrack.telemetry.logging.LoggingSetup;
 
 /**
  * The command line. Every failure prints one line on standard error and ends the process with a
--- a/server/src/main/java/org/oleandertrack/server/entry/Dispatcher.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/Dispatcher.java
@@ -14,7 +14,7 @@
 import org.oleandertrack.protocol.message.Call;
 import org.oleandertrack.protocol.message.CallKind;
 import org.oleandertrack.protocol.message.Usage;
-import org.oleandertrack.server.logging.DecisionKind;
+import org.oleandertrack.telemetry.logging.DecisionKind;
 
 /**
  * Sends a call to a target and repeats failed attempts where that is allowed: always when the
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryModule.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryModule.java
@@ -19,10 +19,10 @@
 import org.oleandertrack.server.http.AdminServlets;
 import org.oleandertrack.server.http.HttpService;
 import org.oleandertrack.server.http.HttpServiceConfig;
-import org.oleandertrack.server.logging.DecisionLog;
-import org.oleandertrack.server.metrics.MetricsRegistry;
-import org.oleandertrack.server.metrics.MetricsServlet;
+import org.oleandertrack.server.http.MetricsServlet;
 import org.oleandertrack.server.settings.EntrySettings;
+import org.oleandertrack.telemetry.logging.DecisionLog;
+import org.oleandertrack.telemetry.metrics.MetricsRegistry;
 
 /** Puts the parts of the entry host together. */
 public final class EntryModule extends AbstractModule {
--- a/server/src/main/java/org/oleandertrack/server/entry/LocalCallService.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/LocalCallService.java
@@ -4,8 +4,8 @@
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
 import org.oleandertrack.protocol.message.CallKind;
-import org.oleandertrack.server.metrics.Metric;
-import org.oleandertrack.server.metrics.MetricsRegistry;
+import org.oleandertrack.telemetry.metrics.Metric;
+import org.oleandertrack.telemetry.metrics.MetricsRegistry;
 
 /**
  * Runs calls in this process, by their kind: turns of programs, calls that may not be repeated and
--- a/server/src/main/java/org/oleandertrack/server/entry/ResponsePipe.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/ResponsePipe.java
@@ -12,8 +12,8 @@
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
+import org.oleandertrack.gateway.call.ErrorBody;
 import org.oleandertrack.protocol.message.ResponseHead;
-import org.oleandertrack.server.http.ErrorBody;
 
 /**
  * Carries an answer from the thread that runs the call to the thread that writes to the caller.
--- a/server/src/main/java/org/oleandertrack/server/entry/ResultExceptionMapper.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/ResultExceptionMapper.java
@@ -5,7 +5,7 @@
 import jakarta.ws.rs.ext.ExceptionMapper;
 import java.util.concurrent.TimeUnit;
 import org.oleandertrack.core.result.ResultException;
-import org.oleandertrack.server.http.ErrorBody;
+import org.oleandertrack.gateway.call.ErrorBody;
 
 /** Turns a refusal into its HTTP answer. Thread safe. */
 public final class ResultExceptionMapper implements ExceptionMapper<ResultException> {
--- a/server/src/main/java/org/oleandertrack/server/entry/TargetPools.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/TargetPools.java
@@ -8,9 +8,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.oleandertrack.core.placement.PlacementResult;
-import org.oleandertrack.server.logging.Decision;
-import org.oleandertrack.server.logging.DecisionKind;
-import org.oleandertrack.server.logging.DecisionLog;
+import org.oleandertrack.telemetry.logging.Decision;
+import org.oleandertrack.telemetry.logging.DecisionKind;
+import org.oleandertrack.telemetry.logging.DecisionLog;
 
 /** The pools of targets by model or service. Thread safe. */
 final class TargetPools implements HostDirectory.TargetListener {
--- a/server/src/main/java/org/oleandertrack/server/metrics/MetricsServlet.java
+++ b/server/src/main/java/org/oleandertrack/server/http/MetricsServlet.java
@@ -1,9 +1,10 @@
-package org.oleandertrack.server.metrics;
+package org.oleandertrack.server.http;
 
 import jakarta.servlet.http.HttpServlet;
 import jakarta.servlet.http.HttpServletRequest;
 import jakarta.servlet.http.HttpServletResponse;
 import java.io.IOException;
+import org.oleandertrack.telemetry.metrics.MetricsRegistry;
 
 /** Answers {@code GET /metrics} on the admin port with the Prometheus text format. Thread-safe. */
 public final class MetricsServlet extends HttpServlet {
--- a/server/src/main/java/org/oleandertrack/server/http/NumberedErrorHandler.java
+++ b/server/src/main/java/org/oleandertrack/server/http/NumberedErrorHandler.java
@@ -10,6 +10,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
+import org.oleandertrack.gateway.call.ErrorBody;
 
 /**
  * Answers requests that fail before they reach a resource, such as those with oversized headers,
--- a/server/src/main/java/org/oleandertrack/server/metrics/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Metrics in the Prometheus format. */
-package org.oleandertrack.server.metrics;
--- a/server/src/main/java/org/oleandertrack/server/sidecar/EngineMemoryService.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/EngineMemoryService.java
@@ -19,8 +19,8 @@
 import org.oleandertrack.protocol.message.Call;
 import org.oleandertrack.protocol.message.ReleaseMemory;
 import org.oleandertrack.protocol.message.Usage;
-import org.oleandertrack.server.metrics.Metric;
-import org.oleandertrack.server.metrics.MetricsRegistry;
+import org.oleandertrack.telemetry.metrics.Metric;
+import org.oleandertrack.telemetry.metrics.MetricsRegistry;
 import org.tinylog.Logger;
 
 /**
--- a/server/src/main/java/org/oleandertrack/server/sidecar/SidecarModule.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarModule.java
@@ -25,13 +25,13 @@
 import org.oleandertrack.server.http.AdminServlets;
 import org.oleandertrack.server.http.HttpService;
 import org.oleandertrack.server.http.HttpServiceConfig;
-import org.oleandertrack.server.metrics.MetricsRegistry;
-import org.oleandertrack.server.metrics.MetricsServlet;
+import org.oleandertrack.server.http.MetricsServlet;
 import org.oleandertrack.server.settings.PeerLimits;
 import org.oleandertrack.server.settings.PeerSettings;
 import org.oleandertrack.server.settings.SidecarSettings;
 import org.oleandertrack.server.settings.TargetKind;
 import org.oleandertrack.server.settings.TargetSettings;
+import org.oleandertrack.telemetry.metrics.MetricsRegistry;
 
 /** Puts the parts of the process beside a target together. */
 public final class SidecarModule extends AbstractModule {
--- a/server/src/test/java/org/oleandertrack/server/cli/RecordingDaemonMain.java
+++ b/server/src/test/java/org/oleandertrack/server/cli/RecordingDaemonMain.java
@@ -1,8 +1,8 @@
 package org.oleandertrack.server.cli;
 
-import org.oleandertrack.server.logging.LoggingSetup;
 import org.oleandertrack.server.settings.EntrySettings;
 import org.oleandertrack.server.settings.SidecarSettings;
+import org.oleandertrack.telemetry.logging.LoggingSetup;
 import org.tinylog.Logger;
 
 /** The command line with daemons that only log what is asked of them. */
--- a/server/src/test/java/org/oleandertrack/server/entry/DispatcherTest.java
+++ b/server/src/test/java/org/oleandertrack/server/entry/DispatcherTest.java
@@ -15,7 +15,7 @@
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
 import org.oleandertrack.protocol.message.Call;
-import org.oleandertrack.server.logging.DecisionLog;
+import org.oleandertrack.telemetry.logging.DecisionLog;
 
 /** Which failed calls are tried again, and what their attempts prove together. */
 final class DispatcherTest {
--- a/server/src/test/java/org/oleandertrack/server/logging/CapturingWriter.java
+++ b/server/src/test/java/org/oleandertrack/server/logging/CapturingWriter.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import org.oleandertrack.telemetry.logging.JsonLinesWriter;
 import org.tinylog.core.LogEntry;
 import org.tinylog.core.LogEntryValue;
 import org.tinylog.writers.Writer;
@@ -15,7 +16,7 @@
 
     private static final ByteArrayOutputStream LINES = new ByteArrayOutputStream();
 
-    private final JsonLinesWriter mWriter = new JsonLinesWriter(LINES);
+    private final JsonLinesWriter mWriter = new JsonLinesWriter(LINES::writeBytes, () -> {});
 
     /** Creates a writer; tinylog calls this. */
     public CapturingWriter(Map<String, String> properties) {}
--- a/server/src/test/java/org/oleandertrack/server/metrics/MetricsRegistryTest.java
+++ b/server/src/test/java/org/oleandertrack/server/metrics/MetricsRegistryTest.java
@@ -23,6 +23,10 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.junit.jupiter.api.Test;
+import org.oleandertrack.server.http.MetricsServlet;
+import org.oleandertrack.telemetry.metrics.Metric;
+import org.oleandertrack.telemetry.metrics.MetricKind;
+import org.oleandertrack.telemetry.metrics.MetricsRegistry;
 
 /** Guards against metrics that are undocumented, named against the convention, or not exposed. */
 final class MetricsRegistryTest {
--- a/server/src/test/java/org/oleandertrack/server/sidecar/EngineMemoryServiceTest.java
+++ b/server/src/test/java/org/oleandertrack/server/sidecar/EngineMemoryServiceTest.java
@@ -26,8 +26,8 @@
 import org.oleandertrack.protocol.message.ReleaseMemory;
 import org.oleandertrack.protocol.message.Usage;
 import org.oleandertrack.server.logging.CapturingWriter;
-import org.oleandertrack.server.metrics.Metric;
-import org.oleandertrack.server.metrics.MetricsRegistry;
+import org.oleandertrack.telemetry.metrics.Metric;
+import org.oleandertrack.telemetry.metrics.MetricsRegistry;
 
 /** Guards against engine memory that stays held although the ledger wants it freed. */
 final class EngineMemoryServiceTest {
--- a/server/src/main/java/org/oleandertrack/server/logging/Decision.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/logging/Decision.java
@@ -1,4 +1,4 @@
-package org.oleandertrack.server.logging;
+package org.oleandertrack.telemetry.logging;
 
 /**
  * A routing or placement decision. Immutable.
--- a/server/src/main/java/org/oleandertrack/server/logging/DecisionKind.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/logging/DecisionKind.java
@@ -1,4 +1,4 @@
-package org.oleandertrack.server.logging;
+package org.oleandertrack.telemetry.logging;
 
 /** What a decision was about. */
 public enum DecisionKind {
--- a/server/src/main/java/org/oleandertrack/server/logging/DecisionLog.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/logging/DecisionLog.java
@@ -1,4 +1,4 @@
-package org.oleandertrack.server.logging;
+package org.oleandertrack.telemetry.logging;
 
 import org.tinylog.Logger;
 import org.tinylog.ThreadContext;
--- a/server/src/main/java/org/oleandertrack/server/logging/JsonLinesWriter.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/logging/JsonLinesWriter.java
@@ -1,12 +1,9 @@
-package org.oleandertrack.server.logging;
+package org.oleandertrack.telemetry.logging;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.ByteArrayOutputStream;
-import java.io.FileDescriptor;
-import java.io.FileOutputStream;
 import java.io.IOException;
-import java.io.OutputStream;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.util.Collection;
@@ -14,6 +11,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.tinylog.core.LogEntry;
 import org.tinylog.core.LogEntryValue;
 import org.tinylog.writers.Writer;
@@ -30,7 +28,8 @@
             Set.of("time", "level", "logger", "thread", "message", "exception");
     private static final Set<String> NUMERIC_FIELDS = Set.of(DecisionLog.TURN_FIELD);
 
-    private final OutputStream mOutput;
+    private final Consumer<byte[]> mLines;
+    private final Runnable mFlush;
 
     // Life-cycle
 
@@ -40,12 +39,18 @@
      * @param properties the writer's tinylog properties; none are used
      */
     public JsonLinesWriter(Map<String, String> properties) {
-        this(new FileOutputStream(FileDescriptor.out));
+        this(LineOutput.standardOutput()::offer, LineOutput.standardOutput()::flush);
     }
 
-    /** Creates a writer to the given stream. */
-    public JsonLinesWriter(OutputStream output) {
-        mOutput = output;
+    /**
+     * Creates a writer to the given output.
+     *
+     * @param lines receives whole lines
+     * @param flush writes out what was received
+     */
+    public JsonLinesWriter(Consumer<byte[]> lines, Runnable flush) {
+        mLines = lines;
+        mFlush = flush;
     }
 
     // Accessors
@@ -66,22 +71,16 @@
 
     @Override
     public void write(LogEntry entry) throws IOException {
-        byte[] line = format(entry);
-        synchronized (mOutput) {
-            mOutput.write(line);
-            mOutput.flush();
-        }
+        mLines.accept(format(entry));
     }
 
     @Override
-    public void flush() throws IOException {
-        synchronized (mOutput) {
-            mOutput.flush();
-        }
+    public void flush() {
+        mFlush.run();
     }
 
     @Override
-    public void close() throws IOException {
+    public void close() {
         flush();
     }
 
--- a/server/src/main/java/org/oleandertrack/server/logging/LoggingSetup.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/logging/LoggingSetup.java
@@ -1,4 +1,4 @@
-package org.oleandertrack.server.logging;
+package org.oleandertrack.telemetry.logging;
 
 import java.util.Map;
 import org.slf4j.bridge.SLF4JBridgeHandler;
--- a/server/src/main/java/org/oleandertrack/server/logging/package-info.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/logging/package-info.java
@@ -1,2 +1,2 @@
 /** Log lines as JSON objects on standard output. */
-package org.oleandertrack.server.logging;
+package org.oleandertrack.telemetry.logging;
--- a/server/src/main/java/org/oleandertrack/server/metrics/Metric.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
@@ -1,4 +1,4 @@
-package org.oleandertrack.server.metrics;
+package org.oleandertrack.telemetry.metrics;
 
 import java.util.List;
 
--- a/server/src/main/java/org/oleandertrack/server/metrics/MetricKind.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/MetricKind.java
@@ -1,4 +1,4 @@
-package org.oleandertrack.server.metrics;
+package org.oleandertrack.telemetry.metrics;
 
 /** How a metric's value behaves. */
 public enum MetricKind {
--- /dev/null
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics in the Prometheus format. */
+package org.oleandertrack.telemetry.metrics;
