--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/relay/RelayingRowStore.java
@@ -0,0 +1,138 @@
+package org.oleandertrack.coordination.relay;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.oleandertrack.coordination.store.RowChanges;
+import org.oleandertrack.coordination.store.RowPage;
+import org.oleandertrack.coordination.store.RowStore;
+import org.oleandertrack.coordination.store.RowTransaction;
+import org.oleandertrack.coordination.store.StoreException;
+import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.coordination.store.TransactionResult;
+import org.oleandertrack.core.result.Execution;
+
+/**
+ * Calls the store directly, or through a peer while direct calls fail: a store may turn some hosts
+ * away, or be cut off from them, and serve the others. A transaction is passed to a peer only if it
+ * certainly has not been applied. While direct calls fail, only {@link #probe} tries them.
+ * Thread-safe.
+ */
+public final class RelayingRowStore implements RowStore {
+
+    // Two peers are tried, so that one that is lost itself does not decide.
+    private static final int MAX_PEERS = 2;
+    private static final String PROBE_TABLE = "probe";
+
+    private final RowStore mDirect;
+    private final Supplier<List<RowStore>> mPeers;
+    private final Random mRandom;
+    private final AtomicBoolean mDirectFails = new AtomicBoolean();
+    private final AtomicBoolean mProbing = new AtomicBoolean();
+
+    /**
+     * Creates a store.
+     *
+     * @param peers stores that pass calls on to peers, asked for at each use
+     */
+    public RelayingRowStore(RowStore direct, Supplier<List<RowStore>> peers, Random random) {
+        mDirect = direct;
+        mPeers = peers;
+        mRandom = random;
+    }
+
+    // Accessors
+
+    /** Returns whether the last direct call failed. */
+    public boolean isDirectFailing() {
+        return mDirectFails.get();
+    }
+
+    // Operations
+
+    @Override
+    public CompletableFuture<RowPage> read(
+            String table, String part, Optional<String> fromKey, int limit) {
+        return call(store -> store.read(table, part, fromKey, limit), true);
+    }
+
+    @Override
+    public CompletableFuture<TransactionResult> apply(RowTransaction transaction) {
+        return call(store -> store.apply(transaction), false);
+    }
+
+    @Override
+    public CompletableFuture<RowChanges> awaitChanges(
+            String table, long afterVersion, long waitMillis) {
+        return call(store -> store.awaitChanges(table, afterVersion, waitMillis), true);
+    }
+
+    /** Tries the store directly if direct calls fail. Call regularly. */
+    public void probe() {
+        if (!mDirectFails.get() || !mProbing.compareAndSet(false, true)) {
+            return;
+        }
+        var _ =
+                direct(store -> store.read(PROBE_TABLE, "", Optional.empty(), 1))
+                        .whenComplete((page, failure) -> mProbing.set(false));
+    }
+
+    // Helpers
+
+    private <T> CompletableFuture<T> call(
+            Function<RowStore, CompletableFuture<T>> call, boolean repeatable) {
+        if (mDirectFails.get()) {
+            return throughPeers(call, repeatable);
+        }
+        return direct(call)
+                .exceptionallyCompose(
+                        failure ->
+                                mayGoOn(failure, repeatable)
+                                        ? throughPeers(call, repeatable)
+                                        : CompletableFuture.failedFuture(failure));
+    }
+
+    private <T> CompletableFuture<T> direct(Function<RowStore, CompletableFuture<T>> call) {
+        return call.apply(mDirect)
+                .whenComplete((value, failure) -> mDirectFails.set(failure != null));
+    }
+
+    private <T> CompletableFuture<T> throughPeers(
+            Function<RowStore, CompletableFuture<T>> call, boolean repeatable) {
+        List<RowStore> peers = new ArrayList<>(mPeers.get());
+        Collections.shuffle(peers, mRandom);
+        return next(peers, 0, call, repeatable);
+    }
+
+    private static <T> CompletableFuture<T> next(
+            List<RowStore> peers,
+            int index,
+            Function<RowStore, CompletableFuture<T>> call,
+            boolean repeatable) {
+        if (index >= Math.min(MAX_PEERS, peers.size())) {
+            return CompletableFuture.failedFuture(
+                    new StoreException(
+                            Execution.NOT_RUN,
+                            "the store cannot be reached, directly or through peers",
+                            null));
+        }
+        return call.apply(peers.get(index))
+                .exceptionallyCompose(
+                        failure ->
+                                mayGoOn(failure, repeatable)
+                                        ? next(peers, index + 1, call, repeatable)
+                                        : CompletableFuture.failedFuture(
+                                                new CompletionException(failure)));
+    }
+
+    private static boolean mayGoOn(Throwable failure, boolean repeatable) {
+        return repeatable || StoreFailures.executionOf(failure) == Execution.NOT_RUN;
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/oleandertrack/coordination/relay/RelayingRowStoreTest.java
@@ -0,0 +1,74 @@
+package org.oleandertrack.coordination.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletionException;
+import org.junit.jupiter.api.Test;
+import org.oleandertrack.coordination.spending.FakeRowStore;
+import org.oleandertrack.coordination.spending.FakeRowStore.Fate;
+import org.oleandertrack.coordination.store.RowId;
+import org.oleandertrack.coordination.store.RowStore;
+import org.oleandertrack.coordination.store.RowTransaction;
+import org.oleandertrack.coordination.store.TransactionResult;
+
+/** Guards against hosts that stop working because the store turns only them away. */
+final class RelayingRowStoreTest {
+
+    private static final RowTransaction WRITE =
+            RowTransaction.replace(new RowId("t", "p", "k"), 0, "v");
+
+    private final FakeRowStore mDirect = new FakeRowStore();
+    private final FakeRowStore mPeer = new FakeRowStore();
+    private final FakeRowStore mOtherPeer = new FakeRowStore();
+    private final RelayingRowStore mStore =
+            new RelayingRowStore(
+                    mDirect, () -> List.<RowStore>of(mPeer, mOtherPeer), new Random(1));
+
+    private int peerTransactions() {
+        return mPeer.transactions() + mOtherPeer.transactions();
+    }
+
+    @Test
+    void aStoreThatAnswersIsAskedDirectly() {
+        assertInstanceOf(TransactionResult.Committed.class, mStore.apply(WRITE).join());
+        assertEquals(0, peerTransactions());
+    }
+
+    @Test
+    void aHostThatIsTurnedAwayAsksThroughAPeer() {
+        mDirect.setDown(true);
+        assertInstanceOf(TransactionResult.Committed.class, mStore.apply(WRITE).join());
+        assertEquals(1, peerTransactions());
+        assertTrue(mStore.isDirectFailing());
+    }
+
+    @Test
+    void aTransactionOfUnknownOutcomeIsNotPassedOn() {
+        mDirect.next(Fate.ANSWER_LOST);
+        assertThrows(CompletionException.class, () -> mStore.apply(WRITE).join());
+        assertEquals(0, peerTransactions());
+    }
+
+    @Test
+    void aPeerThatCannotReachTheStoreEitherIsSkipped() {
+        mDirect.setDown(true);
+        mPeer.setDown(true);
+        assertInstanceOf(TransactionResult.Committed.class, mStore.apply(WRITE).join());
+    }
+
+    @Test
+    void theStoreIsAskedDirectlyAgainOnceAProbeWasAnswered() {
+        mDirect.setDown(true);
+        var _ = mStore.apply(WRITE).join();
+        mDirect.setDown(false);
+        assertTrue(mStore.isDirectFailing());
+        mStore.probe();
+        assertFalse(mStore.isDirectFailing());
+    }
+}
--- a/core/src/main/java/org/oleandertrack/core/turn/TurnPlacement.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/TurnPlacement.java
@@ -38,59 +38,85 @@
             TurnRequest turn,
             Set<String> excluded,
             long nowNanos) {
+        Optional<String> home = assumedHome(engines, turn);
         TargetState best = null;
+        int bestMissingTokens = 0;
         double bestMillis = Double.MAX_VALUE;
         for (TargetState engine : engines) {
             if (excluded.contains(engine.id())) {
                 continue;
             }
-            double costMillis = costMillis(engine, turn, nowNanos);
+            int missingTokens = missingTokens(engine, turn, home);
+            double costMillis = costMillis(engine, turn, missingTokens, nowNanos);
             if (costMillis < bestMillis) {
                 best = engine;
+                bestMissingTokens = missingTokens;
                 bestMillis = costMillis;
             }
         }
         if (best == null) {
             return Optional.empty();
         }
-        return Optional.of(describe(best, turn, nowNanos));
+        return Optional.of(describe(best, turn, bestMissingTokens, nowNanos));
     }
 
-    /** Returns the predicted time to the end of a turn at an engine. */
-    public double predictedMillis(TargetState engine, TurnRequest turn, long nowNanos) {
+    // Helpers
+
+    // The program's home is assumed to have read the earlier turns unless this host knows of an
+    // engine that has.
+    private static Optional<String> assumedHome(Collection<TargetState> engines, TurnRequest turn) {
+        int newTokens = turn.newTokens();
+        boolean known =
+                engines.stream()
+                        .anyMatch(engine -> engine.prefixes().missingTokens(turn) <= newTokens);
+        return known || turn.programId().isEmpty()
+                ? Optional.empty()
+                : HomeTarget.of(turn.programId(), engines);
+    }
+
+    private static int missingTokens(TargetState engine, TurnRequest turn, Optional<String> home) {
+        int missing = engine.prefixes().missingTokens(turn);
+        boolean isHome = home.isPresent() && home.get().equals(engine.id());
+        return isHome ? Math.min(missing, turn.newTokens()) : missing;
+    }
+
+    private double predictedMillis(
+            TargetState engine, TurnRequest turn, int missingTokens, long nowNanos) {
         double requests = engine.load().requests(nowNanos);
         double stepMillis = mTimes.stepMillis(Math.min(requests + 1, engine.slots()));
         double turnMillis =
                 mTimes.firstMillis()
-                        + mTimes.promptMillis(engine.prefixes().missingTokens(turn))
+                        + mTimes.promptMillis(missingTokens)
                         + turn.expectedTokens() * stepMillis;
         double queued = Math.max(0, requests + 1 - engine.slots());
         double waitMillis = turnMillis * queued / engine.slots();
         return engine.load().slowness(nowNanos) * (turnMillis + waitMillis);
     }
 
-    private double costMillis(TargetState engine, TurnRequest turn, long nowNanos) {
+    private double costMillis(
+            TargetState engine, TurnRequest turn, int missingTokens, long nowNanos) {
         double batch = Math.min(engine.load().requests(nowNanos), engine.slots());
-        double promptMillis = mTimes.promptMillis(engine.prefixes().missingTokens(turn));
         double delayOfOthers =
                 batch
                         * engine.load().slowness(nowNanos)
-                        * (promptMillis + turn.expectedTokens() * mTimes.stepMillisPerRequest());
+                        * (mTimes.promptMillis(missingTokens)
+                                + turn.expectedTokens() * mTimes.stepMillisPerRequest());
         double zoneMillis = engine.zone().equals(mZone) ? 0 : OTHER_ZONE_MILLIS;
         double avoidMillis = engine.isAvoided(nowNanos) ? AVOIDED_MILLIS : 0;
-        return predictedMillis(engine, turn, nowNanos)
+        return predictedMillis(engine, turn, missingTokens, nowNanos)
                 + OTHERS_WEIGHT * delayOfOthers
                 + zoneMillis
                 + avoidMillis;
     }
 
-    private PlacementChoice describe(TargetState engine, TurnRequest turn, long nowNanos) {
+    private PlacementChoice describe(
+            TargetState engine, TurnRequest turn, int missingTokens, long nowNanos) {
         return new PlacementChoice(
                 engine.id(),
-                predictedMillis(engine, turn, nowNanos),
+                predictedMillis(engine, turn, missingTokens, nowNanos),
                 engine.load().requests(nowNanos),
                 engine.load().slowness(nowNanos),
-                engine.prefixes().missingTokens(turn),
+                missingTokens,
                 TimeUnit.NANOSECONDS.toMillis(engine.load().slownessAgeNanos(nowNanos)));
     }
 }
--- a/core/src/main/java/org/oleandertrack/core/turn/TurnRequest.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/TurnRequest.java
@@ -8,5 +8,17 @@
  * @param promptTokens length of the whole prompt
  * @param parts parts of the prompt in order; may be empty
  * @param expectedTokens tokens that the turn is likely to generate
+ * @param programId the program to which the turn belongs; empty if there is none
  */
-public record TurnRequest(int promptTokens, List<PromptPart> parts, int expectedTokens) {}
+public record TurnRequest(
+        int promptTokens, List<PromptPart> parts, int expectedTokens, String programId) {
+
+    /** Returns the tokens that no earlier turn of the program can have read. */
+    int newTokens() {
+        int earlier = 0;
+        for (int i = 0; i < parts.size() - 1; i++) {
+            earlier += parts.get(i).tokens();
+        }
+        return Math.max(0, promptTokens - earlier);
+    }
+}
--- a/core/src/test/java/org/oleandertrack/core/turn/TurnPlacementTest.java
+++ b/core/src/test/java/org/oleandertrack/core/turn/TurnPlacementTest.java
@@ -18,7 +18,8 @@
             new TurnRequest(
                     3_000,
                     List.of(new PromptPart("shared", 2_500), new PromptPart("own", 500)),
-                    35);
+                    35,
+                    "");
 
     private final TargetState mNear = new TargetState("near", "z1", 12, 100_000);
     private final TargetState mFar = new TargetState("far", "z2", 12, 100_000);
@@ -42,6 +43,43 @@
         assertEquals("far", choose());
     }
 
+    @Test
+    void hostsThatKnowNothingSendAProgramsTurnsToOneEngine() {
+        for (int program = 0; program < 20; program++) {
+            TurnRequest later = new TurnRequest(3_000, TURN.parts(), 35, "program-" + program);
+            String first = chooseFor(later, "z1");
+            assertEquals(first, chooseFor(later, "z2"));
+        }
+    }
+
+    private static String chooseFor(TurnRequest turn, String zone) {
+        return new TurnPlacement(EngineTimes.DEFAULT, zone)
+                .choose(
+                        List.of(
+                                new TargetState("near", "z1", 12, 100_000),
+                                new TargetState("far", "z2", 12, 100_000)),
+                        turn,
+                        Set.of(),
+                        NOW)
+                .orElseThrow()
+                .targetId();
+    }
+
+    @Test
+    void whatAHostKnowsGoesBeforeTheAssumedHome() {
+        for (int program = 0; program < 20; program++) {
+            TurnRequest later = new TurnRequest(3_000, TURN.parts(), 35, "program-" + program);
+            TargetState read = new TargetState("read", "z2", 12, 100_000);
+            read.prefixes().use(later.parts());
+            assertEquals(
+                    "read",
+                    mPlacement
+                            .choose(List.of(mNear, read), later, Set.of(), NOW)
+                            .orElseThrow()
+                            .targetId());
+        }
+    }
+
     @Test
     void aSlowHostIsAvoidedEvenIfItHasReadThePrompt() {
         mFar.prefixes().use(TURN.parts());
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -86,7 +86,7 @@
         mService = route.serviceFor(routingKey(facts));
         Optional<EngineSpec> engine =
                 Optional.ofNullable(config.services().get(mService)).flatMap(ServiceSpec::engine);
-        mTurn = engine.flatMap(spec -> facts.turn()).map(Call::toTurnRequest);
+        mTurn = engine.flatMap(spec -> facts.turn()).map(turn -> toTurnRequest(turn, facts));
         mTokensPerEvent = engine.map(EngineSpec::tokensPerEvent).orElse(1);
     }
 
@@ -419,12 +419,13 @@
         return facts.program().map(ProgramFacts::programId).orElse(facts.requestId());
     }
 
-    private static TurnRequest toTurnRequest(TurnFacts turn) {
+    private static TurnRequest toTurnRequest(TurnFacts turn, CallFacts facts) {
         long expected = turn.expectedTokens().orElse(DEFAULT_EXPECTED_TOKENS);
         return new TurnRequest(
                 turn.promptTokens(),
                 turn.parts(),
-                Math.clamp(expected, 1, Math.max(1, turn.maxTokens())));
+                Math.clamp(expected, 1, Math.max(1, turn.maxTokens())),
+                facts.program().map(ProgramFacts::programId).orElse(""));
     }
 
     private void logPlaced(TargetHandle handle, PlacementChoice choice, boolean again) {
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallService.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallService.java
@@ -18,10 +18,13 @@
 
     // A process without a configuration usually gets one within a second of its start.
     private static final long NO_CONFIG_RETRY_MILLIS = 500;
+    // The caller's next connection goes to another host.
+    private static final long STOPPING_RETRY_MILLIS = 20;
 
     private final CallContext mContext;
     private final AtomicReference<Optional<Routing>> mRouting =
             new AtomicReference<>(Optional.empty());
+    private volatile boolean mRefusing;
 
     /** Creates a service without a configuration. */
     public CallService(CallContext context) {
@@ -47,6 +50,11 @@
         return mRouting.get().map(Routing::config);
     }
 
+    /** From now on every call is refused, because the process is about to end. */
+    public void refuseNew() {
+        mRefusing = true;
+    }
+
     @Override
     public void handle(InboundRequest request, ResponseWriter writer) {
         CallFacts facts;
@@ -56,6 +64,18 @@
             refuse(request, writer, e, "");
             return;
         }
+        if (mRefusing) {
+            refuse(
+                    request,
+                    writer,
+                    new ResultException(
+                            ResultCode.SHUTTING_DOWN,
+                            Execution.NOT_RUN,
+                            "this host is stopping",
+                            STOPPING_RETRY_MILLIS),
+                    facts.requestId());
+            return;
+        }
         Optional<Routing> routing = mRouting.get();
         if (routing.isEmpty()) {
             refuse(
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -10,12 +10,16 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.oleandertrack.coordination.feed.TableFollower;
+import org.oleandertrack.coordination.relay.RelayingRowStore;
 import org.oleandertrack.coordination.schedule.Scheduler;
 import org.oleandertrack.coordination.spending.SpendingService;
 import org.oleandertrack.coordination.store.RowStore;
+import org.oleandertrack.coordination.store.RowTransaction;
 import org.oleandertrack.coordination.store.WriteIds;
 import org.oleandertrack.core.discovery.TargetDirectory;
 import org.oleandertrack.core.result.ResultCode;
@@ -30,6 +34,8 @@
 import org.oleandertrack.gateway.call.CallMetrics;
 import org.oleandertrack.gateway.call.CallService;
 import org.oleandertrack.gateway.call.OwnAnswers;
+import org.oleandertrack.gateway.peer.PeerDirectory;
+import org.oleandertrack.gateway.peer.PeerStoreHandler;
 import org.oleandertrack.gateway.targets.TargetRegistry;
 import org.oleandertrack.http.HttpResponses;
 import org.oleandertrack.http.HttpServer;
@@ -43,9 +49,14 @@
 public final class GatewayHost {
 
     private static final long UPKEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+    private static final long ANNOUNCE_RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final InboundLimits INTERNAL_LIMITS =
             new InboundLimits(8_192, 8_192, 2_000, 60_000);
 
+    // A transaction between peers holds a few rows.
+    private static final InboundLimits PEER_LIMITS =
+            new InboundLimits(8_192, 1024 * 1024, 2_000, 60_000);
+
     private final GatewaySettings mSettings;
     private final EventLog mLog;
     private final MetricsRegistry mMetrics;
@@ -56,6 +67,10 @@
     private final TargetFeed mTargetFeed;
     private final TableFollower mConfigFollower;
     private final TableFollower mTargetFollower;
+    private final RelayingRowStore mStore;
+    private final PeerDirectory mPeers;
+    private final TableFollower mPeerFollower;
+    private final HttpServer mPeerServer;
     private final HttpServer mCallerServer;
     private final HttpServer mReadinessServer;
     private final HttpServer mMetricsServer;
@@ -77,6 +92,8 @@
         mMetrics = metrics;
         mScheduler = new LoopScheduler(loops.next());
         Random random = new Random();
+        mPeers = new PeerDirectory(loops.next(), settings.peers(), settings.seeds(), log);
+        mStore = new RelayingRowStore(store, mPeers::stores, random);
         TargetRegistry targets =
                 new TargetRegistry(
                         new TurnPlacement(EngineTimes.DEFAULT, settings.zone()),
@@ -87,7 +104,7 @@
                         TimeUnit.MILLISECONDS.toNanos(settings.entryRenewalMillis()),
                         targets,
                         System.nanoTime());
-        mSpending = new SpendingService(store, new WriteIds(random), System::nanoTime);
+        mSpending = new SpendingService(mStore, new WriteIds(random), System::nanoTime);
         OwnAnswers answers = new OwnAnswers(dialect);
         mCalls =
                 new CallService(
@@ -101,7 +118,7 @@
         mTargetFeed = new TargetFeed(tables, mDirectory, System::nanoTime, log);
         mConfigFollower =
                 new TableFollower(
-                        store,
+                        mStore,
                         tables.configTable(),
                         mScheduler,
                         System::nanoTime,
@@ -109,12 +126,21 @@
                         new ConfigFeed(tables, mCalls, targets, log));
         mTargetFollower =
                 new TableFollower(
-                        store,
+                        mStore,
                         tables.targetTable(),
                         mScheduler,
                         System::nanoTime,
                         random,
                         mTargetFeed);
+        mPeerFollower =
+                new TableFollower(
+                        mStore, PeerDirectory.TABLE, mScheduler, System::nanoTime, random, mPeers);
+        mPeerServer =
+                new HttpServer(
+                        loops,
+                        () -> PEER_LIMITS,
+                        new PeerStoreHandler(store, mStore::isDirectFailing),
+                        HttpResponses::empty);
         mCallerServer =
                 new HttpServer(
                         loops, this::callerLimits, mCalls, status -> rejection(answers, status));
@@ -126,19 +152,27 @@
                         loops, () -> INTERNAL_LIMITS, this::answerMetrics, HttpResponses::empty);
     }
 
-    /** Starts to follow the store and to serve callers. */
-    public void start() {
+    /**
+     * Starts to follow the store and to serve callers.
+     *
+     * @return the address on which callers are served, which tells the port if 0 was asked for
+     */
+    public InetSocketAddress start() {
         mConfigFollower.start();
         mTargetFollower.start();
+        mPeerFollower.start();
+        mPeerServer.start(mSettings.peers());
+        announce();
         mReadinessServer.start(mSettings.readiness());
         mMetricsServer.start(mSettings.metrics());
-        mCallerServer.start(mSettings.callers());
+        InetSocketAddress callers = mCallerServer.start(mSettings.callers());
         mScheduler.schedule(UPKEEP_NANOS, this::upkeep);
         mLog.notice("started")
                 .text("node", mSettings.node())
                 .text("zone", mSettings.zone())
-                .text("callers", mSettings.callers().toString())
+                .text("callers", callers.toString())
                 .write();
+        return callers;
     }
 
     /**
@@ -153,10 +187,13 @@
                 .number("busy", mCallerServer.busyConnections())
                 .write();
         mCallerServer.drain();
-        new GracefulStop(mSettings.graceMillis(), mCallerServer::busyConnections).await();
+        new GracefulStop(mSettings.graceMillis(), mCallerServer::busyConnections, this::refuseNew)
+                .await();
         int cutOff = mCallerServer.busyConnections();
         mConfigFollower.stop();
         mTargetFollower.stop();
+        mPeerFollower.stop();
+        mPeerServer.stop();
         mCallerServer.stop();
         mReadinessServer.stop();
         mMetricsServer.stop();
@@ -172,7 +209,33 @@
 
     // Helpers
 
+    private void refuseNew() {
+        mCalls.refuseNew();
+        mCallerServer.closeIdle();
+    }
+
+    // Whoever takes the node's name last is right, so the row is replaced without a condition.
+    private void announce() {
+        RowTransaction transaction =
+                new RowTransaction(
+                        List.of(),
+                        List.of(
+                                new RowTransaction.Write(
+                                        PeerDirectory.rowOf(mSettings.node()),
+                                        mPeers.announcement())),
+                        List.of());
+        var _ =
+                mStore.apply(transaction)
+                        .whenComplete(
+                                (result, failure) -> {
+                                    if (failure != null) {
+                                        mScheduler.schedule(ANNOUNCE_RETRY_NANOS, this::announce);
+                                    }
+                                });
+    }
+
     private void upkeep() {
+        mStore.probe();
         mDirectory.dropExpired(System.nanoTime());
         mSpending.upkeep();
         mScheduler.schedule(UPKEEP_NANOS, this::upkeep);
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
@@ -1,6 +1,7 @@
 package org.oleandertrack.gateway.host;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 
 /**
  * Settings of a gateway process. Immutable.
@@ -9,6 +10,8 @@
  * @param zone availability zone of this host
  * @param callers address on which callers are served
  * @param readiness address on which the load balancer asks for readiness
+ * @param peers address on which other gateways are served
+ * @param seeds addresses of some other gateways, which may be stale
  * @param metrics address on which metrics are served
  * @param graceMillis time between a request to stop and the forced end
  * @param entryRenewalMillis time within which living targets renew their entries after an outage of
@@ -20,6 +23,8 @@
         String zone,
         InetSocketAddress callers,
         InetSocketAddress readiness,
+        InetSocketAddress peers,
+        List<InetSocketAddress> seeds,
         InetSocketAddress metrics,
         long graceMillis,
         long entryRenewalMillis,
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GracefulStop.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GracefulStop.java
@@ -14,23 +14,32 @@
 
     private final long mGraceMillis;
     private final IntSupplier mBusy;
+    private final Runnable mRefuseNew;
 
     /**
      * Creates a wait.
      *
      * @param busy number of connections with a call under way
+     * @param refuseNew called once when the load balancer has moved on; from then on a new call
+     *     might not end within the grace period
      */
-    GracefulStop(long graceMillis, IntSupplier busy) {
+    GracefulStop(long graceMillis, IntSupplier busy, Runnable refuseNew) {
         mGraceMillis = graceMillis;
         mBusy = busy;
+        mRefuseNew = refuseNew;
     }
 
     void await() {
         long startNanos = System.nanoTime();
+        boolean refusing = false;
         try {
             while (true) {
                 long passedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
-                boolean served = passedMillis >= NOTICED_MILLIS && mBusy.getAsInt() == 0;
+                if (!refusing && passedMillis >= Math.min(NOTICED_MILLIS, mGraceMillis / 2)) {
+                    refusing = true;
+                    mRefuseNew.run();
+                }
+                boolean served = refusing && mBusy.getAsInt() == 0;
                 if (served || passedMillis >= mGraceMillis - EXIT_MILLIS) {
                     return;
                 }
--- /dev/null
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayStreamTest.java
@@ -0,0 +1,124 @@
+package org.oleandertrack.gateway.host;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+
+/** Guards against streams with missing, repeated or mixed events, and against overspent budgets. */
+final class GatewayStreamTest {
+
+    private static final String TURN = "Program: p\r\nBudget: 50\r\n";
+
+    private static String event(int id) {
+        return "id: " + id + "\ndata: e" + id + "\n\n";
+    }
+
+    private static String stream(TestGateway gateway, String headers) throws IOException {
+        try (TestClient client = gateway.client()) {
+            client.send("POST", "/turn/x", "r1", headers, "prompt");
+            return client.readAnswer();
+        }
+    }
+
+    @Test
+    void eventsArriveInOrderAndTheStreamEnds() throws IOException {
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    exchange.startStream(event(1), event(2) + event(3));
+                                    exchange.endStream();
+                                });
+                TestGateway gateway = TestGateway.with("engine", target)) {
+            String answer = stream(gateway, "");
+            assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+            assertTrue(
+                    answer.indexOf("e1") < answer.indexOf("e2")
+                            && answer.indexOf("e2") < answer.indexOf("e3"),
+                    answer);
+            assertFalse(answer.contains("<closed>"), answer);
+        }
+    }
+
+    @Test
+    void aStreamThatBreaksOffInAnEventGoesOnAfterTheLastWholeOne() throws IOException {
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    if (number == 0) {
+                                        exchange.startStream(event(1), "id: 2\ndata: br");
+                                        exchange.reset();
+                                        return;
+                                    }
+                                    exchange.startStream(event(2), event(3));
+                                    exchange.endStream();
+                                });
+                TestGateway gateway = TestGateway.with("engine", target)) {
+            String answer = stream(gateway, "");
+            assertFalse(answer.contains("br"), answer);
+            assertEquals(2, answer.split("e1\n", -1).length, answer);
+            assertEquals(2, answer.split("e2\n", -1).length, answer);
+            assertFalse(answer.contains("<closed>"), answer);
+            assertEquals("1", ScriptedTarget.header(target.requests().get(1), "Resume-After"));
+        }
+    }
+
+    @Test
+    void aStreamThatCannotBeFinishedNeverLooksComplete() throws IOException {
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    exchange.startStream(event(1));
+                                    exchange.awaitPeerClose();
+                                });
+                TestGateway gateway = TestGateway.with("engine", target)) {
+            String answer = stream(gateway, "");
+            assertTrue(answer.contains("e1"), answer);
+            assertTrue(answer.endsWith("<closed>"), answer);
+        }
+    }
+
+    @Test
+    void aSpentBudgetIsRefusedAsNotRun() throws IOException {
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    exchange.startStream(event(1), event(2), event(3), event(4));
+                                    exchange.endStream();
+                                });
+                TestGateway gateway = TestGateway.with("engine", target)) {
+            int whole = 0;
+            String answer = stream(gateway, TURN);
+            while (answer.startsWith("HTTP/1.1 200")) {
+                whole++;
+                answer = stream(gateway, TURN);
+            }
+            assertTrue(answer.startsWith("HTTP/1.1 402"), answer);
+            assertTrue(answer.contains("\"execution\":\"not run\""), answer);
+            assertEquals(2, whole);
+            assertEquals(2, target.requests().size());
+        }
+    }
+
+    @Test
+    void withoutTheStoreANewProgramIsRefusedAsNotRun() throws IOException {
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    exchange.startStream(event(1));
+                                    exchange.endStream();
+                                });
+                TestGateway gateway = TestGateway.with("engine", target)) {
+            gateway.store().setAway(true);
+            try (TestClient client = gateway.client()) {
+                client.send("POST", "/turn/x", "r1", TURN, "prompt");
+                String answer = client.readAnswer();
+                assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+                assertTrue(answer.contains("\"execution\":\"not run\""), answer);
+            }
+            assertEquals(0, target.requests().size());
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/MemoryRowStore.java
@@ -0,0 +1,130 @@
+package org.oleandertrack.gateway.host;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.oleandertrack.coordination.store.RowChange;
+import org.oleandertrack.coordination.store.RowChanges;
+import org.oleandertrack.coordination.store.RowId;
+import org.oleandertrack.coordination.store.RowPage;
+import org.oleandertrack.coordination.store.RowStore;
+import org.oleandertrack.coordination.store.RowTransaction;
+import org.oleandertrack.coordination.store.StoreException;
+import org.oleandertrack.coordination.store.StoredRow;
+import org.oleandertrack.coordination.store.TransactionResult;
+import org.oleandertrack.core.result.Execution;
+
+/** A store in memory that announces changes and can be away. */
+final class MemoryRowStore implements RowStore {
+
+    private final ScheduledExecutorService mExecutor;
+    private final Map<RowId, StoredRow> mRows =
+            new TreeMap<>(java.util.Comparator.comparing(RowId::toString));
+    private final List<Runnable> mWaiting = new ArrayList<>();
+    private boolean mAway;
+    private long mVersion;
+
+    MemoryRowStore(ScheduledExecutorService executor) {
+        mExecutor = executor;
+    }
+
+    void put(String table, String key, String value) {
+        List<Runnable> waiting;
+        synchronized (this) {
+            RowId id = new RowId(table, "", key);
+            mRows.put(id, new StoredRow(id, value, ++mVersion));
+            waiting = List.copyOf(mWaiting);
+            mWaiting.clear();
+        }
+        waiting.forEach(Runnable::run);
+    }
+
+    synchronized void setAway(boolean away) {
+        mAway = away;
+    }
+
+    @Override
+    public synchronized CompletableFuture<RowPage> read(
+            String table, String part, Optional<String> fromKey, int limit) {
+        if (mAway) {
+            return failed();
+        }
+        List<StoredRow> rows =
+                mRows.values().stream()
+                        .filter(row -> row.id().table().equals(table))
+                        .filter(row -> row.id().part().equals(part))
+                        .filter(row -> row.id().key().compareTo(fromKey.orElse("")) >= 0)
+                        .limit(limit)
+                        .toList();
+        return CompletableFuture.completedFuture(new RowPage(rows, false, mVersion));
+    }
+
+    @Override
+    public synchronized CompletableFuture<TransactionResult> apply(RowTransaction transaction) {
+        if (mAway) {
+            return failed();
+        }
+        boolean holds =
+                transaction.conditions().stream()
+                        .allMatch(
+                                condition ->
+                                        Optional.ofNullable(mRows.get(condition.id()))
+                                                        .map(StoredRow::version)
+                                                        .orElse(0L)
+                                                == condition.version());
+        if (!holds) {
+            return CompletableFuture.completedFuture(
+                    new TransactionResult.Rejected(
+                            transaction.conditions().stream()
+                                    .map(condition -> mRows.get(condition.id()))
+                                    .filter(row -> row != null)
+                                    .toList()));
+        }
+        mVersion++;
+        transaction
+                .writes()
+                .forEach(
+                        write ->
+                                mRows.put(
+                                        write.id(),
+                                        new StoredRow(write.id(), write.value(), mVersion)));
+        return CompletableFuture.completedFuture(new TransactionResult.Committed(mVersion));
+    }
+
+    @Override
+    public synchronized CompletableFuture<RowChanges> awaitChanges(
+            String table, long afterVersion, long waitMillis) {
+        if (mAway) {
+            return failed();
+        }
+        CompletableFuture<RowChanges> answer = new CompletableFuture<>();
+        Runnable complete = () -> answer.complete(changes(table, afterVersion));
+        if (mVersion > afterVersion) {
+            complete.run();
+        } else {
+            mWaiting.add(complete);
+            var _ = mExecutor.schedule(complete, waitMillis, TimeUnit.MILLISECONDS);
+        }
+        return answer;
+    }
+
+    private synchronized RowChanges changes(String table, long afterVersion) {
+        List<RowChange> changes = new ArrayList<>();
+        for (StoredRow row : mRows.values()) {
+            if (row.id().table().equals(table) && row.version() > afterVersion) {
+                changes.add(new RowChange.Written(row));
+            }
+        }
+        return new RowChanges.Changed(changes, mVersion);
+    }
+
+    private static <T> CompletableFuture<T> failed() {
+        return CompletableFuture.failedFuture(
+                new StoreException(Execution.NOT_RUN, "the store is away", null));
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/ScriptedTarget.java
@@ -0,0 +1,177 @@
+package org.oleandertrack.gateway.host;
+
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** A target that does with each request what a test says, byte by byte. */
+final class ScriptedTarget implements Closeable {
+
+    /** What the target does with a request. */
+    @FunctionalInterface
+    interface Script {
+
+        /**
+         * Handles a request.
+         *
+         * @param number of the request at this target, from 0
+         */
+        void handle(Exchange exchange, int number) throws IOException;
+    }
+
+    private final ServerSocket mServer;
+    private final Script mScript;
+    private final List<String> mRequests = new CopyOnWriteArrayList<>();
+    private final List<String> mClosedByPeer = new CopyOnWriteArrayList<>();
+
+    ScriptedTarget(Script script) throws IOException {
+        mServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        mScript = script;
+        Thread.startVirtualThread(this::acceptLoop);
+    }
+
+    int port() {
+        return mServer.getLocalPort();
+    }
+
+    /** Returns the heads of the requests so far. */
+    List<String> requests() {
+        return mRequests;
+    }
+
+    /** Returns the heads of the requests whose connection the peer closed during the script. */
+    List<String> closedByPeer() {
+        return mClosedByPeer;
+    }
+
+    @Override
+    public void close() throws IOException {
+        mServer.close();
+    }
+
+    private void acceptLoop() {
+        try {
+            while (true) {
+                Socket socket = mServer.accept();
+                Thread.startVirtualThread(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // The test has closed the target.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            while (true) {
+                String head = readHead(socket.getInputStream());
+                if (head.isEmpty()) {
+                    return;
+                }
+                socket.getInputStream().readNBytes(contentLength(head));
+                int number;
+                synchronized (mRequests) {
+                    number = mRequests.size();
+                    mRequests.add(head);
+                }
+                mScript.handle(new Exchange(this, socket, head), number);
+            }
+        } catch (IOException e) {
+            // Broken off by the script or the peer.
+        }
+    }
+
+    private static String readHead(InputStream input) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+            int next = input.read();
+            if (next < 0) {
+                return "";
+            }
+            head.write(next);
+        }
+        return head.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    static String header(String head, String name) {
+        return head.lines()
+                .filter(
+                        line ->
+                                line.toLowerCase(java.util.Locale.ROOT)
+                                        .startsWith(name.toLowerCase(java.util.Locale.ROOT) + ":"))
+                .map(line -> line.substring(name.length() + 1).trim())
+                .findFirst()
+                .orElse("");
+    }
+
+    private static int contentLength(String head) {
+        String length = header(head, "content-length");
+        return length.isEmpty() ? 0 : Integer.parseInt(length);
+    }
+
+    /** One request and the connection on which it came. */
+    record Exchange(ScriptedTarget target, Socket socket, String head) {
+
+        String id() {
+            return header(head, "Id");
+        }
+
+        void write(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+            socket.getOutputStream().flush();
+        }
+
+        void answer(int status, String headers, String body) throws IOException {
+            write(
+                    "HTTP/1.1 "
+                            + status
+                            + " X\r\nId: "
+                            + id()
+                            + "\r\n"
+                            + headers
+                            + "Content-Length: "
+                            + body.length()
+                            + "\r\n\r\n"
+                            + body);
+        }
+
+        /** Writes the head of a stream and chunks with the given texts. */
+        void startStream(String... chunks) throws IOException {
+            write(
+                    "HTTP/1.1 200 OK\r\nId: "
+                            + id()
+                            + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding:"
+                            + " chunked\r\n\r\n");
+            for (String chunk : chunks) {
+                chunk(chunk);
+            }
+        }
+
+        void chunk(String text) throws IOException {
+            write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+        }
+
+        void endStream() throws IOException {
+            write("0\r\n\r\n");
+        }
+
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        /** Waits until the peer closes the connection, and notes it. */
+        void awaitPeerClose() throws IOException {
+            if (socket.getInputStream().read() < 0) {
+                target.mClosedByPeer.add(head);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
@@ -0,0 +1,107 @@
+package org.oleandertrack.gateway.host;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.awaitility.Awaitility;
+import org.oleandertrack.telemetry.logging.EventLog;
+import org.oleandertrack.telemetry.metrics.MetricsRegistry;
+
+/** A gateway in this process, with a store in memory and targets of the test. */
+final class TestGateway implements AutoCloseable {
+
+    private static final int MAX_LOG_LINES = 100_000;
+
+    private final ScheduledExecutorService mExecutor = Executors.newSingleThreadScheduledExecutor();
+    private final EventLoopGroup mLoops =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ByteArrayOutputStream mLines = new ByteArrayOutputStream();
+    private final MemoryRowStore mStore = new MemoryRowStore(mExecutor);
+    private final GatewayHost mHost;
+    private final InetSocketAddress mAddress;
+
+    TestGateway(long graceMillis) {
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        mHost =
+                new GatewayHost(
+                        new GatewaySettings(
+                                "node",
+                                "zone",
+                                any,
+                                any,
+                                any,
+                                List.of(),
+                                any,
+                                graceMillis,
+                                2_000,
+                                MAX_LOG_LINES),
+                        mLoops,
+                        mStore,
+                        new TestTables(),
+                        new TestDialect(),
+                        new EventLog(mLines::writeBytes, Clock.systemUTC(), MAX_LOG_LINES),
+                        new MetricsRegistry());
+        mAddress = mHost.start();
+    }
+
+    /** Returns a gateway with a configuration and the given targets of one service. */
+    static TestGateway with(String service, ScriptedTarget... targets) {
+        return with(1_000, service, targets);
+    }
+
+    /** Returns a gateway with the given time for a graceful stop. */
+    static TestGateway with(long graceMillis, String service, ScriptedTarget... targets) {
+        TestGateway gateway = new TestGateway(graceMillis);
+        gateway.configure(1);
+        for (int i = 0; i < targets.length; i++) {
+            gateway.register("t" + i, service, targets[i].port(), false);
+        }
+        gateway.awaitTargets(targets.length);
+        return gateway;
+    }
+
+    MemoryRowStore store() {
+        return mStore;
+    }
+
+    GatewayHost host() {
+        return mHost;
+    }
+
+    void configure(long version) {
+        mStore.put(TestTables.CONFIG, "config", Long.toString(version));
+        Awaitility.await().until(() -> logs().contains("\"configVersion\":" + version + ","));
+    }
+
+    void register(String id, String service, int port, boolean draining) {
+        mStore.put(TestTables.TARGETS, id, service + " " + port + " " + draining + " 1");
+    }
+
+    void awaitTargets(int count) {
+        Awaitility.await().until(() -> logs().split("\"target added\"", -1).length - 1 >= count);
+    }
+
+    TestClient client() throws java.io.IOException {
+        return new TestClient(mAddress);
+    }
+
+    /** Returns the log lines so far. */
+    String logs() {
+        return mLines.toString(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void close() {
+        mHost.stop();
+        var _ = mLoops.shutdownGracefully();
+        mExecutor.shutdownNow();
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestTables.java
@@ -0,0 +1,94 @@
+package org.oleandertrack.gateway.host;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.oleandertrack.coordination.store.StoredRow;
+import org.oleandertrack.core.discovery.TargetRecord;
+import org.oleandertrack.core.traffic.CallerLimits;
+import org.oleandertrack.core.traffic.EngineSpec;
+import org.oleandertrack.core.traffic.RequestKind;
+import org.oleandertrack.core.traffic.Route;
+import org.oleandertrack.core.traffic.RouteShare;
+import org.oleandertrack.core.traffic.ServiceSpec;
+import org.oleandertrack.core.traffic.TrafficConfig;
+
+/** Rows of the tests: a configuration is its version, a target "service port draining started". */
+final class TestTables implements PlatformTables {
+
+    static final String CONFIG = "config";
+    static final String TARGETS = "targets";
+    static final long TIMEOUT_MILLIS = 1_500;
+    static final long PATIENT_MILLIS = 30_000;
+
+    @Override
+    public String configTable() {
+        return CONFIG;
+    }
+
+    @Override
+    public String targetTable() {
+        return TARGETS;
+    }
+
+    @Override
+    public Optional<TrafficConfig> readConfig(StoredRow row) {
+        long version = Long.parseLong(row.value());
+        Map<String, ServiceSpec> services = new HashMap<>();
+        services.put(
+                "engine",
+                new ServiceSpec("engine", 100, Optional.of(new EngineSpec(4, 10_000, 5))));
+        services.put("tool", new ServiceSpec("tool", 100, Optional.empty()));
+        return Optional.of(
+                new TrafficConfig(
+                        version,
+                        List.of(
+                                route("turn", RequestKind.STREAMING, "engine"),
+                                route("safe", RequestKind.SAFE, "tool"),
+                                route("unsafe", RequestKind.UNSAFE, "tool"),
+                                route("patient", RequestKind.UNSAFE, "tool", PATIENT_MILLIS),
+                                route("v" + version, RequestKind.SAFE, "tool")),
+                        services,
+                        CallerLimits.DEFAULT));
+    }
+
+    private static Route route(String name, RequestKind kind, String service) {
+        return route(name, kind, service, TIMEOUT_MILLIS);
+    }
+
+    private static Route route(String name, RequestKind kind, String service, long timeoutMillis) {
+        return new Route(
+                name,
+                "host",
+                "/" + name + "/",
+                kind,
+                timeoutMillis,
+                200,
+                0,
+                1,
+                true,
+                300,
+                60_000,
+                List.of(new RouteShare(service, 1)));
+    }
+
+    @Override
+    public Optional<TargetRecord> readTarget(StoredRow row) {
+        String[] words = row.value().split(" ", -1);
+        if (words.length != 4) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new TargetRecord(
+                        row.id().key(),
+                        words[0],
+                        "127.0.0.1",
+                        Integer.parseInt(words[1]),
+                        "zone",
+                        Boolean.parseBoolean(words[2]),
+                        4,
+                        OptionalLong.of(Long.parseLong(words[3]))));
+    }
+}
--- a/http/src/main/java/org/oleandertrack/http/HttpServer.java
+++ b/http/src/main/java/org/oleandertrack/http/HttpServer.java
@@ -90,6 +90,11 @@
         mDraining = true;
     }
 
+    /** Closes the connections on which no request has begun. */
+    public void closeIdle() {
+        mConnections.forEach(connection -> connection.onLoop(connection::closeIfIdle));
+    }
+
     /** Stops listening and closes all connections, also those with an exchange under way. */
     public void stop() {
         if (mSweep != null) {
--- a/http/src/main/java/org/oleandertrack/http/InboundConnection.java
+++ b/http/src/main/java/org/oleandertrack/http/InboundConnection.java
@@ -90,6 +90,12 @@
         var _ = mContext.close();
     }
 
+    void closeIfIdle() {
+        if (isIdle()) {
+            close();
+        }
+    }
+
     /** Runs a task on the connection's event loop, at once if called there. */
     void onLoop(Runnable task) {
         EventLoop loop = mContext.channel().eventLoop();
