--- a/coordination/src/main/java/org/oleandertrack/coordination/spending/GrantPolicy.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/spending/GrantPolicy.java
@@ -13,9 +13,22 @@
     private static final int PARTS_OF_REST = 8;
     // A host keeps what it does not use until the budget is half granted.
     private static final int SCARCE_PART = 2;
+    private static final int OUTAGE_PART = 4;
+    private static final int MIN_TURNS_FOR_OUTAGE = 8;
 
     private GrantPolicy() {}
 
+    /**
+     * Returns the tokens of a budget that are never granted through the store, because they are
+     * handed out during its outages. Budgets of a few turns have none: one turn too many would
+     * exceed them noticeably.
+     */
+    static long outageTokens(long budgetTokens, long maxTurnTokens) {
+        return budgetTokens >= MIN_TURNS_FOR_OUTAGE * maxTurnTokens
+                ? budgetTokens / OUTAGE_PART
+                : 0;
+    }
+
     /** Returns whether hosts give back what they do not use. */
     static boolean isScarce(long budgetTokens, long grantedTokens) {
         return grantedTokens > budgetTokens / SCARCE_PART;
--- a/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingResult.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingResult.java
@@ -3,8 +3,12 @@
 /** Outcome of a reservation. */
 public sealed interface SpendingResult {
 
-    /** The tokens are reserved durably. */
-    record Reserved(long tokens) implements SpendingResult {}
+    /**
+     * The tokens are reserved.
+     *
+     * @param fromAllowance whether they come from the outage allowance and not from a grant
+     */
+    record Reserved(long tokens, boolean fromAllowance) implements SpendingResult {}
 
     /**
      * The rest of the budget does not cover the reservation.
--- a/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingService.java
@@ -43,13 +43,20 @@
     private static final long RETURN_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
     private final RowStore mStore;
+    private final AllowanceIssuer mIssuer;
     private final WriteIds mWriteIds;
     private final LongSupplier mNanoClock;
     private final List<Map<String, SpendingAccount>> mShards = new ArrayList<>();
 
-    /** Creates a service without accounts. */
-    public SpendingService(RowStore store, WriteIds writeIds, LongSupplier nanoClock) {
+    /**
+     * Creates a service without accounts.
+     *
+     * @param issuer asked while the store cannot be reached
+     */
+    public SpendingService(
+            RowStore store, AllowanceIssuer issuer, WriteIds writeIds, LongSupplier nanoClock) {
         mStore = store;
+        mIssuer = issuer;
         mWriteIds = writeIds;
         mNanoClock = nanoClock;
         for (int i = 0; i < SHARDS; i++) {
@@ -75,7 +82,8 @@
             account.mLastUsedNanos = mNanoClock.getAsLong();
             if (account.mWaiters.isEmpty() && account.availableTokens() >= maxTokens) {
                 account.reserved(maxTokens);
-                return CompletableFuture.completedFuture(new SpendingResult.Reserved(maxTokens));
+                return CompletableFuture.completedFuture(
+                        new SpendingResult.Reserved(maxTokens, false));
             }
             account.mWaiters.add(new Waiter(maxTokens, result));
         }
@@ -84,12 +92,17 @@
     }
 
     /** Gives back what a turn did not generate of its reservation. */
-    public void settle(String program, long reservedTokens, long generatedTokens) {
+    public void settle(String program, SpendingResult.Reserved reserved, long generatedTokens) {
+        long unusedTokens = Math.max(0, reserved.tokens() - generatedTokens);
+        if (reserved.fromAllowance()) {
+            mIssuer.giveBack(program, unusedTokens);
+            return;
+        }
         Map<String, SpendingAccount> shard = shardOf(program);
         synchronized (shard) {
             SpendingAccount account = shard.get(program);
             if (account != null) {
-                account.mUsedHereTokens -= Math.max(0, reservedTokens - generatedTokens);
+                account.mUsedHereTokens -= unusedTokens;
                 account.mOpenReservations--;
                 account.mLastUsedNanos = mNanoClock.getAsLong();
             }
@@ -145,7 +158,9 @@
             }
         }
         served.forEach(
-                waiter -> waiter.result().complete(new SpendingResult.Reserved(waiter.tokens())));
+                waiter ->
+                        waiter.result()
+                                .complete(new SpendingResult.Reserved(waiter.tokens(), false)));
         grant.ifPresent(this::write);
     }
 
@@ -226,7 +241,11 @@
         long neededTokens = account.mWaiters.peek().tokens() - account.availableTokens();
         OptionalLong size =
                 GrantPolicy.grantTokens(
-                        account.mBudgetTokens, account.mGrantedTotalTokens, neededTokens);
+                        account.mBudgetTokens
+                                - GrantPolicy.outageTokens(
+                                        account.mBudgetTokens, account.mWaiters.peek().tokens()),
+                        account.mGrantedTotalTokens,
+                        neededTokens);
         return new Grant(account.mProgram, account.mRowVersion, account.mGrantedTotalTokens, size);
     }
 
@@ -347,15 +366,31 @@
     }
 
     private void refuseUnavailable(String program, Throwable failure) {
-        List<Waiter> refused;
+        List<Waiter> waiters;
+        long budgetTokens;
         synchronized (shardOf(program)) {
             SpendingAccount account = account(program);
             account.mCallUnderWay = false;
-            refused = new ArrayList<>(account.mWaiters);
+            budgetTokens = account.mBudgetTokens;
+            waiters = new ArrayList<>(account.mWaiters);
             account.mWaiters.clear();
         }
         String reason = StoreFailures.asStoreException(failure).getMessage();
-        refused.forEach(waiter -> waiter.result().complete(new SpendingResult.Unavailable(reason)));
+        waiters.forEach(waiter -> takeAllowance(program, budgetTokens, waiter, reason));
+    }
+
+    private void takeAllowance(String program, long budgetTokens, Waiter waiter, String reason) {
+        var _ =
+                mIssuer.take(program, budgetTokens, waiter.tokens())
+                        .thenAccept(
+                                taken ->
+                                        waiter.result()
+                                                .complete(
+                                                        taken
+                                                                ? new SpendingResult.Reserved(
+                                                                        waiter.tokens(), true)
+                                                                : new SpendingResult.Unavailable(
+                                                                        reason)));
     }
 
     // Accounts with a call under way have waiters and are never dropped.
--- a/core/src/main/java/org/oleandertrack/core/placement/TargetSubset.java
+++ b/core/src/main/java/org/oleandertrack/core/placement/TargetSubset.java
@@ -40,7 +40,7 @@
         List<Ranked> other = new ArrayList<>();
         for (TargetInfo target : targets) {
             List<Ranked> list = target.zone().equals(zone) ? own : other;
-            list.add(new Ranked(target.id(), hash(hostId, target.id())));
+            list.add(new Ranked(target.id(), RendezvousHash.rank(hostId, target.id())));
         }
         Comparator<Ranked> order =
                 Comparator.comparingLong(Ranked::hash).thenComparing(Ranked::targetId);
@@ -55,25 +55,5 @@
         return chosen;
     }
 
-    // FNV-1a over both ids, finished with the mixer of SplitMix64, because FNV alone spreads the
-    // last characters poorly over the high bits.
-    private static long hash(String hostId, String targetId) {
-        long hash = 0xcbf29ce484222325L;
-        hash = addTo(hash, hostId);
-        hash = (hash ^ 0xffff) * 0x100000001b3L;
-        hash = addTo(hash, targetId);
-        hash = (hash ^ (hash >>> 30)) * 0xbf58476d1ce4e5b9L;
-        hash = (hash ^ (hash >>> 27)) * 0x94d049bb133111ebL;
-        return hash ^ (hash >>> 31);
-    }
-
-    private static long addTo(long hash, String text) {
-        long sum = hash;
-        for (int i = 0; i < text.length(); i++) {
-            sum = (sum ^ text.charAt(i)) * 0x100000001b3L;
-        }
-        return sum;
-    }
-
     private record Ranked(String targetId, long hash) {}
 }
--- a/core/src/main/java/org/oleandertrack/core/turn/TurnPlacement.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/TurnPlacement.java
@@ -16,6 +16,9 @@
     private static final double OTHER_ZONE_MILLIS = 2.5;
     // More than any wait: a target that failed is used only when no other is left.
     private static final double AVOIDED_MILLIS = 1e6;
+    // Decides between engines that are otherwise equal, in other zones too: the program's later
+    // turns will find its parts there.
+    private static final double HOME_MILLIS = 5;
     // Delay of others counts like the turn's own: the mean over all programs is what matters.
     private static final double OTHERS_WEIGHT = 1;
 
@@ -38,7 +41,7 @@
             TurnRequest turn,
             Set<String> excluded,
             long nowNanos) {
-        Optional<String> home = assumedHome(engines, turn);
+        AssumedPrefixes assumed = AssumedPrefixes.of(turn, engines);
         TargetState best = null;
         int bestMissingTokens = 0;
         double bestMillis = Double.MAX_VALUE;
@@ -46,8 +49,10 @@
             if (excluded.contains(engine.id())) {
                 continue;
             }
-            int missingTokens = missingTokens(engine, turn, home);
-            double costMillis = costMillis(engine, turn, missingTokens, nowNanos);
+            int missingTokens = assumed.missingTokens(engine);
+            double costMillis =
+                    costMillis(engine, turn, missingTokens, nowNanos)
+                            - (assumed.isHome(engine) ? HOME_MILLIS : 0);
             if (costMillis < bestMillis) {
                 best = engine;
                 bestMissingTokens = missingTokens;
@@ -62,24 +67,6 @@
 
     // Helpers
 
-    // The program's home is assumed to have read the earlier turns unless this host knows of an
-    // engine that has.
-    private static Optional<String> assumedHome(Collection<TargetState> engines, TurnRequest turn) {
-        int newTokens = turn.newTokens();
-        boolean known =
-                engines.stream()
-                        .anyMatch(engine -> engine.prefixes().missingTokens(turn) <= newTokens);
-        return known || turn.programId().isEmpty()
-                ? Optional.empty()
-                : HomeTarget.of(turn.programId(), engines);
-    }
-
-    private static int missingTokens(TargetState engine, TurnRequest turn, Optional<String> home) {
-        int missing = engine.prefixes().missingTokens(turn);
-        boolean isHome = home.isPresent() && home.get().equals(engine.id());
-        return isHome ? Math.min(missing, turn.newTokens()) : missing;
-    }
-
     private double predictedMillis(
             TargetState engine, TurnRequest turn, int missingTokens, long nowNanos) {
         double requests = engine.load().requests(nowNanos);
--- a/core/src/main/java/org/oleandertrack/core/turn/TurnRequest.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/TurnRequest.java
@@ -6,19 +6,9 @@
  * What placement needs to know of a turn.
  *
  * @param promptTokens length of the whole prompt
- * @param parts parts of the prompt in order; may be empty
+ * @param parts parts of the prompt in order; may be empty; the last one grows from turn to turn
  * @param expectedTokens tokens that the turn is likely to generate
  * @param programId the program to which the turn belongs; empty if there is none
  */
 public record TurnRequest(
-        int promptTokens, List<PromptPart> parts, int expectedTokens, String programId) {
-
-    /** Returns the tokens that no earlier turn of the program can have read. */
-    int newTokens() {
-        int earlier = 0;
-        for (int i = 0; i < parts.size() - 1; i++) {
-            earlier += parts.get(i).tokens();
-        }
-        return Math.max(0, promptTokens - earlier);
-    }
-}
+        int promptTokens, List<PromptPart> parts, int expectedTokens, String programId) {}
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -63,7 +63,7 @@
     private final Set<String> mRanAt = new HashSet<>();
     private ScheduledFuture<?> mTimer;
     private Optional<Attempt> mAttempt = Optional.empty();
-    private long mReservedTokens;
+    private Optional<SpendingResult.Reserved> mReserved = Optional.empty();
     private int mSends;
     private int mRefusals;
     private boolean mEnded;
@@ -165,13 +165,13 @@
     private void reserved(ProgramFacts program, SpendingResult result) {
         if (mEnded) {
             if (result instanceof SpendingResult.Reserved reserved) {
-                mContext.spending().settle(program.programId(), reserved.tokens(), 0);
+                mContext.spending().settle(program.programId(), reserved, 0);
             }
             return;
         }
         switch (result) {
             case SpendingResult.Reserved reserved -> {
-                mReservedTokens = reserved.tokens();
+                mReserved = Optional.of(reserved);
                 dispatch(Optional.empty());
             }
             case SpendingResult.Exhausted exhausted ->
@@ -373,15 +373,13 @@
         mEnded = true;
         mTimer.cancel(false);
         mAttempt = Optional.empty();
-        mFacts.program()
-                .filter(program -> mReservedTokens > 0)
-                .ifPresent(
-                        program ->
-                                mContext.spending()
-                                        .settle(
-                                                program.programId(),
-                                                mReservedTokens,
-                                                mProgress.events() * mTokensPerEvent));
+        mReserved.ifPresent(
+                reserved ->
+                        mContext.spending()
+                                .settle(
+                                        mFacts.program().orElseThrow().programId(),
+                                        reserved,
+                                        mProgress.events() * mTokensPerEvent));
         long durationNanos = System.nanoTime() - mRequest.firstByteNanos();
         mContext.metrics().ended(mRoute.kind(), result, durationNanos);
         var line =
@@ -399,7 +397,12 @@
             line.number("firstEventMs", mProgress.firstEventMillis(mRequest.firstByteNanos()))
                     .number("longestGapMs", mProgress.longestGapMillis())
                     .number("events", mProgress.events())
-                    .number("reservedTokens", mReservedTokens);
+                    .number(
+                            "reservedTokens",
+                            mReserved.map(SpendingResult.Reserved::tokens).orElse(0L))
+                    .flag(
+                            "outageAllowance",
+                            mReserved.map(SpendingResult.Reserved::fromAllowance).orElse(false));
         }
         line.write();
     }
@@ -445,6 +448,10 @@
                         .number("missingTokens", choice.missingTokens())
                         .number("ageMs", Math.min(choice.ageMillis(), 1_000_000))
                         .number("remainingMs", remainingMillis());
+        mTurn.ifPresent(
+                turn ->
+                        line.number("promptTokens", turn.promptTokens())
+                                .number("promptParts", turn.parts().size()));
         mFacts.program()
                 .ifPresent(
                         program ->
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -17,6 +17,7 @@
 import org.oleandertrack.coordination.feed.TableFollower;
 import org.oleandertrack.coordination.relay.RelayingRowStore;
 import org.oleandertrack.coordination.schedule.Scheduler;
+import org.oleandertrack.coordination.spending.OutageAllowance;
 import org.oleandertrack.coordination.spending.SpendingService;
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.RowTransaction;
@@ -34,8 +35,9 @@
 import org.oleandertrack.gateway.call.CallMetrics;
 import org.oleandertrack.gateway.call.CallService;
 import org.oleandertrack.gateway.call.OwnAnswers;
+import org.oleandertrack.gateway.peer.PeerAllowanceIssuer;
 import org.oleandertrack.gateway.peer.PeerDirectory;
-import org.oleandertrack.gateway.peer.PeerStoreHandler;
+import org.oleandertrack.gateway.peer.PeerHandler;
 import org.oleandertrack.gateway.targets.TargetRegistry;
 import org.oleandertrack.http.HttpResponses;
 import org.oleandertrack.http.HttpServer;
@@ -62,11 +64,13 @@
     private final MetricsRegistry mMetrics;
     private final Scheduler mScheduler;
     private final TargetDirectory mDirectory;
+    private final OutageAllowance mAllowance = new OutageAllowance(System::nanoTime);
     private final SpendingService mSpending;
     private final CallService mCalls;
     private final TargetFeed mTargetFeed;
     private final TableFollower mConfigFollower;
     private final TableFollower mTargetFollower;
+    private final TargetRegistry mTargets;
     private final RelayingRowStore mStore;
     private final PeerDirectory mPeers;
     private final TableFollower mPeerFollower;
@@ -92,9 +96,11 @@
         mMetrics = metrics;
         mScheduler = new LoopScheduler(loops.next());
         Random random = new Random();
-        mPeers = new PeerDirectory(loops.next(), settings.peers(), settings.seeds(), log);
+        mPeers =
+                new PeerDirectory(
+                        loops.next(), settings.node(), settings.peers(), settings.seeds(), log);
         mStore = new RelayingRowStore(store, mPeers::stores, random);
-        TargetRegistry targets =
+        mTargets =
                 new TargetRegistry(
                         new TurnPlacement(EngineTimes.DEFAULT, settings.zone()),
                         new CallPlacement(settings.zone(), random),
@@ -102,16 +108,21 @@
         mDirectory =
                 new TargetDirectory(
                         TimeUnit.MILLISECONDS.toNanos(settings.entryRenewalMillis()),
-                        targets,
+                        mTargets,
                         System.nanoTime());
-        mSpending = new SpendingService(mStore, new WriteIds(random), System::nanoTime);
+        mSpending =
+                new SpendingService(
+                        mStore,
+                        new PeerAllowanceIssuer(mPeers, mAllowance, log),
+                        new WriteIds(random),
+                        System::nanoTime);
         OwnAnswers answers = new OwnAnswers(dialect);
         mCalls =
                 new CallService(
                         new CallContext(
                                 dialect,
                                 answers,
-                                targets,
+                                mTargets,
                                 mSpending,
                                 log,
                                 new CallMetrics(metrics)));
@@ -123,7 +134,7 @@
                         mScheduler,
                         System::nanoTime,
                         random,
-                        new ConfigFeed(tables, mCalls, targets, log));
+                        new ConfigFeed(tables, mCalls, mTargets, log));
         mTargetFollower =
                 new TableFollower(
                         mStore,
@@ -139,7 +150,7 @@
                 new HttpServer(
                         loops,
                         () -> PEER_LIMITS,
-                        new PeerStoreHandler(store, mStore::isDirectFailing),
+                        new PeerHandler(store, mStore::isDirectFailing, mAllowance),
                         HttpResponses::empty);
         mCallerServer =
                 new HttpServer(
@@ -219,10 +230,7 @@
         RowTransaction transaction =
                 new RowTransaction(
                         List.of(),
-                        List.of(
-                                new RowTransaction.Write(
-                                        PeerDirectory.rowOf(mSettings.node()),
-                                        mPeers.announcement())),
+                        List.of(new RowTransaction.Write(mPeers.row(), mPeers.announcement())),
                         List.of());
         var _ =
                 mStore.apply(transaction)
@@ -236,8 +244,10 @@
 
     private void upkeep() {
         mStore.probe();
+        mTargets.setHosts(1 + mPeers.stores().size());
         mDirectory.dropExpired(System.nanoTime());
         mSpending.upkeep();
+        mAllowance.dropIdle();
         mScheduler.schedule(UPKEEP_NANOS, this::upkeep);
     }
 
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerRowStore.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
@@ -17,8 +17,8 @@
 import org.oleandertrack.http.HttpCaller;
 import org.oleandertrack.http.HttpReply;
 
-/** The store as one peer passes calls on to it. Thread-safe. */
-final class PeerRowStore implements RowStore {
+/** Calls to one peer, which passes those for the store on to it. Thread-safe. */
+final class PeerClient implements RowStore {
 
     // The store answers the peer in some milliseconds, or the peer says that it does not.
     private static final long CALL_TIMEOUT_MILLIS = 800;
@@ -28,7 +28,7 @@
 
     private final HttpCaller mCaller;
 
-    PeerRowStore(HttpCaller caller) {
+    PeerClient(HttpCaller caller) {
         mCaller = caller;
     }
 
@@ -63,6 +63,24 @@
                 .thenApply(PeerMessages.Changes::toAnswer);
     }
 
+    CompletableFuture<Boolean> takeAllowance(PeerMessages.TakeAllowance message) {
+        return call(
+                        PeerMessages.TAKE_ALLOWANCE,
+                        message,
+                        PeerMessages.Taken.class,
+                        CALL_TIMEOUT_MILLIS)
+                .thenApply(PeerMessages.Taken::taken);
+    }
+
+    CompletableFuture<Boolean> returnAllowance(PeerMessages.ReturnAllowance message) {
+        return call(
+                        PeerMessages.RETURN_ALLOWANCE,
+                        message,
+                        PeerMessages.Taken.class,
+                        CALL_TIMEOUT_MILLIS)
+                .thenApply(PeerMessages.Taken::taken);
+    }
+
     void close() {
         mCaller.close();
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerDirectory.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerDirectory.java
@@ -13,6 +13,7 @@
 import org.oleandertrack.coordination.store.RowJson;
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.StoredRow;
+import org.oleandertrack.core.placement.RendezvousHash;
 import org.oleandertrack.http.HttpCaller;
 import org.oleandertrack.telemetry.logging.EventLog;
 
@@ -27,23 +28,27 @@
     public static final String TABLE = "gateways";
 
     private final EventLoop mLoop;
+    private final String mOwnNode;
     private final InetSocketAddress mOwnAddress;
     private final EventLog mLog;
-    private final Map<InetSocketAddress, PeerRowStore> mPeers = new HashMap<>();
+    private final Map<InetSocketAddress, PeerClient> mPeers = new HashMap<>();
     private final Map<String, InetSocketAddress> mAnnounced = new HashMap<>();
 
     /**
      * Creates a directory.
      *
+     * @param ownNode name of this gateway
      * @param ownAddress address on which this gateway serves its peers
      * @param seeds addresses of some gateways, which may be stale
      */
     public PeerDirectory(
             EventLoop loop,
+            String ownNode,
             InetSocketAddress ownAddress,
             List<InetSocketAddress> seeds,
             EventLog log) {
         mLoop = loop;
+        mOwnNode = ownNode;
         mOwnAddress = ownAddress;
         mLog = log;
         seeds.forEach(this::add);
@@ -55,8 +60,8 @@
     // Accessors
 
     /** Returns the row by which this gateway announces itself. */
-    public static RowId rowOf(String node) {
-        return new RowId(TABLE, "", node);
+    public RowId row() {
+        return new RowId(TABLE, "", mOwnNode);
     }
 
     /** Returns the value of the row by which this gateway announces itself. */
@@ -70,6 +75,22 @@
         return new ArrayList<>(mPeers.values());
     }
 
+    /**
+     * Returns the gateway that all gateways with the same knowledge choose for a key; empty if it
+     * is this one.
+     */
+    synchronized Optional<PeerClient> chosenFor(String key) {
+        String highest = mOwnNode;
+        for (String node : mAnnounced.keySet()) {
+            if (RendezvousHash.rank(key, node) > RendezvousHash.rank(key, highest)) {
+                highest = node;
+            }
+        }
+        return highest.equals(mOwnNode)
+                ? Optional.empty()
+                : Optional.ofNullable(mPeers.get(mAnnounced.get(highest)));
+    }
+
     // Operations
 
     @Override
@@ -124,12 +145,11 @@
 
     private void add(InetSocketAddress address) {
         if (!address.equals(mOwnAddress)) {
-            mPeers.computeIfAbsent(
-                    address, key -> new PeerRowStore(new HttpCaller(mLoop, address)));
+            mPeers.computeIfAbsent(address, key -> new PeerClient(new HttpCaller(mLoop, address)));
         }
     }
 
     private void close(InetSocketAddress address) {
-        Optional.ofNullable(mPeers.remove(address)).ifPresent(PeerRowStore::close);
+        Optional.ofNullable(mPeers.remove(address)).ifPresent(PeerClient::close);
     }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
@@ -14,8 +14,20 @@
     static final String APPLY = "/peer/apply";
     static final String CHANGES = "/peer/changes";
 
+    static final String TAKE_ALLOWANCE = "/peer/allowance-take";
+    static final String RETURN_ALLOWANCE = "/peer/allowance-return";
+
     private PeerMessages() {}
 
+    /** Takes tokens of a program's outage allowance. */
+    record TakeAllowance(String program, long budgetTokens, long maxTokens) {}
+
+    /** Answer: whether the tokens were taken. */
+    record Taken(boolean taken) {}
+
+    /** Gives tokens of a program's outage allowance back. */
+    record ReturnAllowance(String program, long tokens) {}
+
     /** Asks for rows; an empty first key starts at the beginning. */
     record Read(String table, String part, String fromKey, int limit) {}
 
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
@@ -45,6 +45,10 @@
         }
     }
 
+    synchronized void setMemory(long memoryTokens) {
+        mStates.forEach(state -> state.prefixes().setCapacity(memoryTokens));
+    }
+
     synchronized int size() {
         return mHandles.size();
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
@@ -21,11 +21,15 @@
     // Assumed until the configuration says how much an engine's memory holds.
     private static final long DEFAULT_MEMORY_TOKENS = 100_000;
 
+    // The rest holds shared first parts and the requests that run.
+    private static final double HISTORY_PART = 0.6;
+
     private final TurnPlacement mTurnPlacement;
     private final CallPlacement mCallPlacement;
     private final EventLog mLog;
     private final Map<String, ServiceTargets> mServices = new ConcurrentHashMap<>();
     private volatile Map<String, ServiceSpec> mSpecs = Map.of();
+    private volatile int mHosts = 1;
 
     /** Creates a registry without targets. */
     public TargetRegistry(TurnPlacement turnPlacement, CallPlacement callPlacement, EventLog log) {
@@ -46,6 +50,15 @@
     /** Takes what a new configuration says about services. */
     public void configure(TrafficConfig config) {
         mSpecs = config.services();
+        resizeMemories();
+    }
+
+    /** Takes the number of hosts that use the targets, this one included. */
+    public void setHosts(int hosts) {
+        if (hosts != mHosts) {
+            mHosts = hosts;
+            resizeMemories();
+        }
     }
 
     @Override
@@ -102,11 +115,18 @@
         return mServices.computeIfAbsent(service, name -> new ServiceTargets());
     }
 
+    private void resizeMemories() {
+        mServices.forEach((name, targets) -> targets.setMemory(memoryTokens(name)));
+    }
+
+    // Each host sees only its own turns, which fill its part of an engine's memory.
     private long memoryTokens(String service) {
-        return Optional.ofNullable(mSpecs.get(service))
-                .flatMap(ServiceSpec::engine)
-                .map(EngineSpec::memoryTokens)
-                .orElse(DEFAULT_MEMORY_TOKENS);
+        long tokens =
+                Optional.ofNullable(mSpecs.get(service))
+                        .flatMap(ServiceSpec::engine)
+                        .map(EngineSpec::memoryTokens)
+                        .orElse(DEFAULT_MEMORY_TOKENS);
+        return (long) (tokens * HISTORY_PART / Math.max(1, mHosts));
     }
 
     private void log(String event, TargetRecord target, String reason) {
