Ask again for answers that a target has lost; bound the wait for a reservation

A repeatable request is now sent once more to the same target after 0.9 s of silence, unless that target is nearly full; a reservation is asked of the outage allowance after 0.7 s.

--- a/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingService.java
@@ -91,6 +91,18 @@
         return result;
     }
 
+    /** Reserves tokens of the outage allowance, when the store takes too long. */
+    public CompletableFuture<SpendingResult> reserveFromAllowance(
+            String program, long budgetTokens, long maxTokens) {
+        return mIssuer.take(program, budgetTokens, maxTokens)
+                .thenApply(
+                        taken ->
+                                taken
+                                        ? new SpendingResult.Reserved(maxTokens, true)
+                                        : new SpendingResult.Unavailable(
+                                                "the store has not answered in time"));
+    }
+
     /** Gives back what a turn did not generate of its reservation. */
     public void settle(String program, SpendingResult.Reserved reserved, long generatedTokens) {
         long unusedTokens = Math.max(0, reserved.tokens() - generatedTokens);
@@ -382,15 +394,12 @@
     private void takeAllowance(String program, long budgetTokens, Waiter waiter, String reason) {
         var _ =
                 mIssuer.take(program, budgetTokens, waiter.tokens())
-                        .thenAccept(
+                        .thenApply(
                                 taken ->
-                                        waiter.result()
-                                                .complete(
-                                                        taken
-                                                                ? new SpendingResult.Reserved(
-                                                                        waiter.tokens(), true)
-                                                                : new SpendingResult.Unavailable(
-                                                                        reason)));
+                                        taken
+                                                ? new SpendingResult.Reserved(waiter.tokens(), true)
+                                                : new SpendingResult.Unavailable(reason))
+                        .thenAccept(waiter.result()::complete);
     }
 
     // Accounts with a call under way have waiters and are never dropped.
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -48,6 +48,12 @@
     // A resumed stream needs some tens of milliseconds to its first event; with less time left the
     // caller has given up before.
     private static final long MIN_REMAINING_MILLIS = 50;
+    // A slow store answers within half a second; later the outage allowance is asked.
+    private static final long RESERVE_LIMIT_MILLIS = 700;
+    // Callers give up a silent stream after two seconds and more, a lookup after two.
+    private static final long STALL_MILLIS = 900;
+    private static final long STALL_FACTOR = 4;
+    private static final long STALL_RECHECK_MILLIS = 100;
     private static final int DEFAULT_EXPECTED_TOKENS = 35;
 
     private final CallContext mContext;
@@ -68,6 +74,8 @@
     private int mRefusals;
     private boolean mEnded;
     private boolean mMayHaveRun;
+    private boolean mStalledOnce;
+    private long mSentNanos;
     private StreamProgress mProgress = new StreamProgress();
 
     Call(
@@ -150,6 +158,13 @@
     // Budget
 
     private void reserve(ProgramFacts program, TurnFacts turn) {
+        Reservation reservation = new Reservation(program);
+        var _ =
+                mWriter.eventLoop()
+                        .schedule(
+                                () -> reserveFromAllowance(reservation, turn),
+                                RESERVE_LIMIT_MILLIS,
+                                TimeUnit.MILLISECONDS);
         var _ =
                 mContext.spending()
                         .reserve(
@@ -159,7 +174,46 @@
                         .thenAccept(
                                 result ->
                                         mWriter.eventLoop()
-                                                .execute(() -> reserved(program, result)));
+                                                .execute(() -> reservation.take(result)));
+    }
+
+    // The store has not answered for so long that the caller's time would pass unused.
+    private void reserveFromAllowance(Reservation reservation, TurnFacts turn) {
+        if (mEnded || reservation.mTaken) {
+            return;
+        }
+        logStep("reservation late", null, "the store has not answered in time");
+        var _ =
+                mContext.spending()
+                        .reserveFromAllowance(
+                                reservation.mProgram.programId(),
+                                turn.budgetTokens().getAsLong(),
+                                turn.maxTokens())
+                        .thenAccept(
+                                result ->
+                                        mWriter.eventLoop()
+                                                .execute(() -> reservation.take(result)));
+    }
+
+    /** Takes the first answer to a reservation and gives back what a second one has reserved. */
+    private final class Reservation {
+        private final ProgramFacts mProgram;
+        private boolean mTaken;
+
+        private Reservation(ProgramFacts program) {
+            mProgram = program;
+        }
+
+        private void take(SpendingResult result) {
+            if (!mTaken) {
+                mTaken = true;
+                reserved(mProgram, result);
+                return;
+            }
+            if (result instanceof SpendingResult.Reserved second) {
+                mContext.spending().settle(mProgram.programId(), second, 0);
+            }
+        }
     }
 
     private void reserved(ProgramFacts program, SpendingResult result) {
@@ -207,6 +261,8 @@
         logPlaced(handle, placed.get().choice(), again.isPresent());
         Attempt attempt = new Attempt(this, handle);
         mAttempt = Optional.of(attempt);
+        mSentNanos = System.nanoTime();
+        watchForStall(attempt, placed.get().choice());
         attempt.send(makeRequest(handle), mRequest.body().retainedDuplicate());
     }
 
@@ -265,6 +321,49 @@
         return head;
     }
 
+    // Stalls
+
+    // A target may run a request and lose its answer. A repeatable request is then sent to the same
+    // target once more; not while the target is so full that it may only be late.
+    private void watchForStall(Attempt attempt, PlacementChoice choice) {
+        if (!mRoute.isRepeatable() || mStalledOnce) {
+            return;
+        }
+        long predictedMillis = mTurn.isPresent() ? (long) choice.predictedCost() : 0;
+        long limitMillis = Math.max(STALL_MILLIS, STALL_FACTOR * predictedMillis);
+        var _ =
+                mWriter.eventLoop()
+                        .schedule(
+                                () -> checkForStall(attempt, limitMillis),
+                                limitMillis,
+                                TimeUnit.MILLISECONDS);
+    }
+
+    private void checkForStall(Attempt attempt, long limitMillis) {
+        boolean current = mAttempt.isPresent() && mAttempt.get().equals(attempt);
+        if (mEnded || !current || mStalledOnce) {
+            return;
+        }
+        long nowNanos = System.nanoTime();
+        long quietMillis =
+                TimeUnit.NANOSECONDS.toMillis(nowNanos - mProgress.lastActivityNanos(mSentNanos));
+        if (quietMillis < limitMillis || !mContext.targets().hasRoom(attempt.handle(), nowNanos)) {
+            var _ =
+                    mWriter.eventLoop()
+                            .schedule(
+                                    () -> checkForStall(attempt, limitMillis),
+                                    Math.max(STALL_RECHECK_MILLIS, limitMillis - quietMillis),
+                                    TimeUnit.MILLISECONDS);
+            return;
+        }
+        mStalledOnce = true;
+        mMayHaveRun = true;
+        mRanAt.add(attempt.handle().id());
+        attempt.cancel();
+        logStep("target stalled", attempt.handle(), "quiet for " + quietMillis + " ms");
+        next(Optional.of(attempt.handle()), "stalled");
+    }
+
     // Outcomes of attempts, called by the attempt
 
     /** The target stated that it has not run the request. */
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/StreamProgress.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StreamProgress.java
@@ -26,6 +26,11 @@
         return mLastEventId;
     }
 
+    /** Returns the time of the last event, or of the last send if that was later. */
+    long lastActivityNanos(long sentNanos) {
+        return mEvents == 0 || sentNanos - mLastEventNanos > 0 ? sentNanos : mLastEventNanos;
+    }
+
     /** Returns the time from an earlier moment to the first event; 0 if there was none. */
     long firstEventMillis(long sinceNanos) {
         return mEvents == 0 ? 0 : TimeUnit.NANOSECONDS.toMillis(mFirstEventNanos - sinceNanos);
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
@@ -18,6 +18,9 @@
 /** The targets of one service, guarded by one lock. Thread-safe. */
 final class ServiceTargets {
 
+    // Above this part of its slots a target may well make a request wait.
+    private static final double ROOM_PART = 0.75;
+
     private final Map<String, TargetHandle> mHandles = new LinkedHashMap<>();
     private final List<TargetState> mStates = new ArrayList<>();
 
@@ -91,6 +94,10 @@
         handle.state().load().slownessSeen(slowness, nowNanos);
     }
 
+    synchronized boolean hasRoom(TargetHandle handle, long nowNanos) {
+        return handle.state().load().requests(nowNanos) < handle.state().slots() * ROOM_PART;
+    }
+
     synchronized void avoid(TargetHandle handle, long untilNanos) {
         handle.state().avoid(untilNanos);
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
@@ -104,6 +104,11 @@
         targetsOf(handle.record().service()).reported(handle, figures, nowNanos);
     }
 
+    /** Returns whether a target has slots free, as far as this host knows. */
+    public boolean hasRoom(TargetHandle handle, long nowNanos) {
+        return targetsOf(handle.record().service()).hasRoom(handle, nowNanos);
+    }
+
     /** Prefers other targets until a time. */
     public void avoid(TargetHandle handle, long untilNanos) {
         targetsOf(handle.record().service()).avoid(handle, untilNanos);
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayCallTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayCallTest.java
@@ -218,6 +218,16 @@
         }
     }
 
+    @Test
+    void anUnsafeRequestWhoseAnswerIsLostIsNotSentAgain() throws IOException {
+        try (ScriptedTarget target =
+                        new ScriptedTarget((exchange, number) -> exchange.awaitPeerClose());
+                TestGateway gateway = TestGateway.with("tool", target)) {
+            assertTrue(call(gateway, "POST", "/unsafe/x").startsWith("HTTP/1.1 504"));
+            assertEquals(1, target.requests().size());
+        }
+    }
+
     @Test
     void aCallerThatLeavesCancelsAtTheTarget() throws IOException {
         try (ScriptedTarget target =
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayStreamTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayStreamTest.java
@@ -121,4 +121,39 @@
             assertEquals(0, target.requests().size());
         }
     }
+
+    @Test
+    void aStoreThatNeverAnswersDoesNotHoldATurnUntilItsTimeIsUp() throws IOException {
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    exchange.startStream(event(1));
+                                    exchange.endStream();
+                                });
+                TestGateway gateway = TestGateway.with("engine", target)) {
+            gateway.store().setSilent(true);
+            assertTrue(stream(gateway, "Program: p\r\nBudget: 2000\r\n").contains("e1"));
+            String small = stream(gateway, TURN);
+            assertTrue(small.startsWith("HTTP/1.1 503"), small);
+            assertTrue(small.contains("STORE_UNAVAILABLE"), small);
+        }
+    }
+
+    @Test
+    void aStreamWhoseAnswerIsLostIsAskedForAgainInTime() throws IOException {
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    if (number == 0) {
+                                        exchange.awaitPeerClose();
+                                        return;
+                                    }
+                                    exchange.startStream(event(1));
+                                    exchange.endStream();
+                                });
+                TestGateway gateway = TestGateway.with("engine", target)) {
+            assertTrue(stream(gateway, "").contains("e1"));
+            assertEquals(2, target.requests().size());
+        }
+    }
 }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/MemoryRowStore.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/MemoryRowStore.java
@@ -27,6 +27,7 @@
             new TreeMap<>(java.util.Comparator.comparing(RowId::toString));
     private final List<Runnable> mWaiting = new ArrayList<>();
     private boolean mAway;
+    private boolean mSilent;
     private long mVersion;
 
     MemoryRowStore(ScheduledExecutorService executor) {
@@ -48,6 +49,11 @@
         mAway = away;
     }
 
+    /** Leaves transactions without an answer, or answers again. */
+    synchronized void setSilent(boolean silent) {
+        mSilent = silent;
+    }
+
     @Override
     public synchronized CompletableFuture<RowPage> read(
             String table, String part, Optional<String> fromKey, int limit) {
@@ -69,6 +75,9 @@
         if (mAway) {
             return failed();
         }
+        if (mSilent) {
+            return new CompletableFuture<>();
+        }
         boolean holds =
                 transaction.conditions().stream()
                         .allMatch(
