--- /dev/null
+++ b/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
@@ -0,0 +1,142 @@
+package org.oleandertrack.gateway.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.oleandertrack.coordination.spending.OutageAllowance;
+import org.oleandertrack.coordination.store.RowChange;
+import org.oleandertrack.coordination.store.RowChanges;
+import org.oleandertrack.coordination.store.RowId;
+import org.oleandertrack.coordination.store.RowPage;
+import org.oleandertrack.coordination.store.RowStore;
+import org.oleandertrack.coordination.store.RowTransaction;
+import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.coordination.store.StoredRow;
+import org.oleandertrack.coordination.store.TransactionResult;
+import org.oleandertrack.core.result.Execution;
+import org.oleandertrack.http.HttpCaller;
+import org.oleandertrack.http.HttpResponses;
+import org.oleandertrack.http.HttpServer;
+import org.oleandertrack.http.InboundLimits;
+
+/** Guards against answers of the store that change on their way through a peer. */
+final class PeerCallsTest {
+
+    private static final RowId ID = new RowId("t", "p", "k");
+    private static final StoredRow ROW = new StoredRow(ID, "v", 3);
+    private static final RowTransaction WRITE = RowTransaction.replace(ID, 2, "w");
+
+    private final EventLoopGroup mLoops =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private volatile boolean mDirectFails;
+    private volatile TransactionResult mResult = new TransactionResult.Committed(7);
+    private volatile RowChanges mChanges = new RowChanges.HistoryLost();
+
+    private final RowStore mStore =
+            new RowStore() {
+                @Override
+                public CompletableFuture<RowPage> read(
+                        String table, String part, Optional<String> fromKey, int limit) {
+                    return CompletableFuture.completedFuture(new RowPage(List.of(ROW), true, 9));
+                }
+
+                @Override
+                public CompletableFuture<TransactionResult> apply(RowTransaction transaction) {
+                    return transaction.equals(WRITE)
+                            ? CompletableFuture.completedFuture(mResult)
+                            : CompletableFuture.failedFuture(
+                                    new IllegalArgumentException("another transaction"));
+                }
+
+                @Override
+                public CompletableFuture<RowChanges> awaitChanges(
+                        String table, long afterVersion, long waitMillis) {
+                    return CompletableFuture.completedFuture(mChanges);
+                }
+            };
+
+    private final HttpServer mServer =
+            new HttpServer(
+                    mLoops,
+                    () -> new InboundLimits(8_192, 65_536, 2_000, 60_000),
+                    new PeerHandler(mStore, () -> mDirectFails, new OutageAllowance(() -> 0)),
+                    HttpResponses::empty);
+    private final InetSocketAddress mAddress =
+            mServer.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    private final PeerClient mPeer = new PeerClient(new HttpCaller(mLoops.next(), mAddress));
+
+    // The first call of a JVM loads the codec's classes, which can take longer than a peer waits.
+    @BeforeEach
+    void loadClasses() {
+        Awaitility.await()
+                .ignoreExceptions()
+                .until(() -> mPeer.apply(WRITE).thenCombine(readAll(), (a, b) -> true).join());
+    }
+
+    private CompletableFuture<RowChanges> readAll() {
+        return mPeer.read("t", "p", Optional.empty(), 1)
+                .thenCompose(page -> mPeer.awaitChanges("t", 1, 10));
+    }
+
+    @AfterEach
+    void stop() {
+        mServer.stop();
+        var _ = mLoops.shutdownGracefully();
+    }
+
+    @Test
+    void readsComeBackUnchanged() {
+        assertEquals(
+                new RowPage(List.of(ROW), true, 9),
+                mPeer.read("t", "p", Optional.of("a"), 10).join());
+    }
+
+    @Test
+    void transactionsComeBackUnchanged() {
+        assertEquals(mResult, mPeer.apply(WRITE).join());
+        mResult = new TransactionResult.Rejected(List.of(ROW));
+        assertEquals(mResult, mPeer.apply(WRITE).join());
+    }
+
+    @Test
+    void changesComeBackUnchanged() {
+        assertEquals(mChanges, mPeer.awaitChanges("t", 1, 10).join());
+        mChanges =
+                new RowChanges.Changed(
+                        List.of(new RowChange.Written(ROW), new RowChange.Removed(ID)), 12);
+        assertEquals(mChanges, mPeer.awaitChanges("t", 1, 10).join());
+    }
+
+    @Test
+    void aPeerWithoutTheStoreSaysThatNothingWasDone() {
+        mDirectFails = true;
+        CompletionException failure =
+                assertThrows(CompletionException.class, () -> mPeer.apply(WRITE).join());
+        assertEquals(Execution.NOT_RUN, StoreFailures.executionOf(failure));
+    }
+
+    @Test
+    void anAllowanceIsHandedOutOnceAndReturnsWhatIsGivenBack() {
+        PeerMessages.TakeAllowance take = new PeerMessages.TakeAllowance("p", 800, 100);
+        assertTrue(mPeer.takeAllowance(take).join());
+        assertTrue(mPeer.takeAllowance(take).join());
+        assertFalse(mPeer.takeAllowance(take).join());
+        var _ = mPeer.returnAllowance(new PeerMessages.ReturnAllowance("p", 100)).join();
+        assertTrue(mPeer.takeAllowance(take).join());
+    }
+}
