Do not take a lost reply for an outage of the store

Ruled out: the read of an adoption, which a first turn does not make.

The store now counts as failing after half a second without a success, measured from the first request that failed, so a silent store is noticed as early as before.

--- a/coordination/src/main/java/org/oleandertrack/coordination/commit/GroupCommit.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/commit/GroupCommit.java
@@ -34,6 +34,13 @@
  */
 public final class GroupCommit {
 
+    /**
+     * The store counts as failing once requests have failed for this long without a success. Longer
+     * than three lost replies take with the default waits between them, which are at most 50, 100
+     * and 200 ms.
+     */
+    private static final long OUTAGE_NANOS = 500_000_000L;
+
     private final TableStore mTable;
     private final ObjectStore mObjects;
     private final Scheduler mScheduler;
@@ -54,6 +61,7 @@
     private boolean mStarted;
     private boolean mStopping;
     private boolean mFailing;
+    private long mFailingSinceNanos;
 
     /**
      * Creates a group commit.
@@ -108,10 +116,13 @@
 
     // Accessors.
 
-    /** Returns whether the latest request to the store failed. */
+    /**
+     * Returns whether requests to the store have failed for half a second. A single lost reply is
+     * settled by reading back and is no reason to refuse a call.
+     */
     public boolean isStoreFailing() {
         synchronized (mLock) {
-            return mFailing;
+            return mFailing && mNanoClock.getAsLong() - mFailingSinceNanos >= OUTAGE_NANOS;
         }
     }
 
@@ -252,11 +263,12 @@
             return;
         }
         // A batch object has one writer and one content, so putting it again is harmless.
+        long sentNanos = mNanoClock.getAsLong();
         var _ =
                 mObjects.put(batch.mObjectKey, batch.object().get())
                         .whenComplete(
                                 (done, failure) -> {
-                                    noteReply(batch, failure);
+                                    noteReply(batch, sentNanos, failure);
                                     if (failure != null) {
                                         retry(batch, () -> putObject(batch));
                                     } else {
@@ -279,11 +291,12 @@
             return;
         }
         List<ConditionalWrite> writes = items.stream().map(Batch.Item::write).toList();
+        long sentNanos = mNanoClock.getAsLong();
         var _ =
                 mTable.write(writes)
                         .whenComplete(
                                 (outcomes, failure) -> {
-                                    noteReply(batch, failure);
+                                    noteReply(batch, sentNanos, failure);
                                     if (failure == null) {
                                         onOutcomes(batch, items, outcomes);
                                     } else {
@@ -327,13 +340,14 @@
         if (finishIfEmpty(batch)) {
             return;
         }
+        long sentNanos = mNanoClock.getAsLong();
         List<CompletableFuture<Optional<Row>>> reads =
                 items.stream().map(item -> mTable.get(item.write().key())).toList();
         var _ =
                 CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new))
                         .whenComplete(
                                 (done, failure) -> {
-                                    noteReply(batch, failure);
+                                    noteReply(batch, sentNanos, failure);
                                     if (failure != null) {
                                         retry(batch, () -> readBack(batch));
                                     } else {
@@ -367,11 +381,14 @@
         }
     }
 
-    private void noteReply(Batch batch, Throwable failure) {
+    private void noteReply(Batch batch, long sentNanos, Throwable failure) {
         boolean changed;
         synchronized (mLock) {
             boolean failing = failure != null;
             changed = failing != mFailing;
+            if (changed && failing) {
+                mFailingSinceNanos = sentNanos;
+            }
             mFailing = failing;
             batch.mFailures = failing ? batch.mFailures + 1 : 0;
         }
--- a/coordination/src/test/java/org/oleandertrack/coordination/commit/GroupCommitTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/commit/GroupCommitTest.java
@@ -136,6 +136,35 @@
         assertFalse(mCommit.isStoreFailing());
     }
 
+    /** Guards against calls refused because the replies to a host's own renewals were lost. */
+    @Test
+    void lostRepliesAreNoOutage() {
+        mStore.setLostReplies(3);
+        CompletableFuture<CommitResult> future = create("a", "1", 5);
+        mTime.afterEach(() -> assertFalse(mCommit.isStoreFailing()));
+        mTime.runFor(VirtualTime.SECOND);
+        assertTrue(applied(future, 1));
+    }
+
+    /** Guards against calls that wait for a silent store until their own deadline. */
+    @Test
+    void unansweredRequestsAreAnOutage() {
+        mView.setSilent(true);
+        mCommit =
+                new GroupCommit(
+                        new TimeLimitedTableStore(mView, mNode, VirtualTime.SECOND),
+                        new TimeLimitedObjectStore(mView.objects(), mNode, VirtualTime.SECOND),
+                        mNode,
+                        mNode::nanos,
+                        mNode.random(),
+                        GroupCommitLimits.defaults(),
+                        "turns/n-");
+        mCommit.start();
+        var _ = create("a", "1", 60);
+        mTime.runFor(1_001 * VirtualTime.MILLI);
+        assertTrue(mCommit.isStoreFailing());
+    }
+
     /** Guards against NOT_RUN for a write that may still apply, and UNKNOWN for one never sent. */
     @Test
     void deadlineTellsWhetherTheWriteWasSent() {
