Close listeners before the end of a stop, so that new connections are not reset

Cause of the reset in the red scenario rolling-restart: Jetty's stop closes connections that were accepted a moment before and whose request had not been read. Listeners now close first, and accepted connections are answered for another half second.

--- a/server/src/main/java/org/oleandertrack/server/http/HttpService.java
+++ b/server/src/main/java/org/oleandertrack/server/http/HttpService.java
@@ -14,7 +14,9 @@
 import io.dropwizard.util.DataSize;
 import io.dropwizard.util.Duration;
 import java.util.List;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
+import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.NetworkConnector;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.handler.GracefulHandler;
@@ -24,6 +26,12 @@
 
     private static final int FIRST_CONNECTOR = 0;
 
+    /**
+     * Time in which requests on connections that were just accepted are still answered after the
+     * listeners have closed. Covers a round trip between availability zones many times over.
+     */
+    private static final long LINGER_NANOS = 500_000_000L;
+
     private final HttpServiceConfig mConfig;
     private final Consumer<Environment> mSetup;
     private Server mServer;
@@ -56,11 +64,19 @@
         mServer.start();
     }
 
-    /** Stops the server; requests under way end first, within the grace period. */
+    /**
+     * Stops the server. Listeners close first, so that no connection is accepted only to be reset;
+     * requests under way end within the grace period.
+     */
     public void stop() throws Exception {
-        if (mServer != null) {
-            mServer.stop();
+        if (mServer == null) {
+            return;
+        }
+        for (Connector connector : mServer.getConnectors()) {
+            ((NetworkConnector) connector).close();
         }
+        LockSupport.parkNanos(LINGER_NANOS);
+        mServer.stop();
     }
 
     // Accessors
