Use one client of the platform's store for the daemons too; remove platform-http

The stand-in of the store now serves the published calls: rows with parts, transactions, feed, parts and objects, with its failures (away, hanging, slow, 503, 429, lost answers, writes done late, forgotten history). The daemons of the product's own interface reach it through HttpRowStore and HttpObjectStore of the module platform; RowTableStore gives each write its own condition on top of transactions that are applied whole, and RowHostList reads the hosts from a table. The module platform-http is gone.

TableTest checked the former stand-in; its conditions are checked by RowTablesTest (stand-in) and RowTableStoreTest (product). Its check that a new row starts at version 1 is replaced by one that versions rise over removals, because the published store has one counter.

An https URL of the store ends the start with 9003, because the client has no TLS; no deployment used one.

--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/store/RowTableStore.java
@@ -0,0 +1,199 @@
+package org.oleandertrack.coordination.store;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.oleandertrack.core.result.Execution;
+
+/**
+ * Keeps versioned rows in one part of a table of the platform. The platform applies a transaction
+ * whole or not at all, so writes whose conditions fail are left out and the others sent again.
+ * Thread-safe.
+ */
+public final class RowTableStore implements TableStore {
+
+    // The platform takes at most 100 entries and 1 MB in one transaction.
+    private static final int MAX_WRITES = 100;
+    private static final int MAX_CHARS = 500_000;
+    // The platform returns at most 500 rows for one read.
+    private static final int MAX_PAGE_ROWS = 500;
+    private static final String PART = "";
+
+    private final RowStore mRows;
+    private final String mTable;
+
+    /** Creates a view of the rows of a table. */
+    public RowTableStore(RowStore rows, String table) {
+        mRows = rows;
+        mTable = table;
+    }
+
+    // Operations
+
+    @Override
+    public CompletableFuture<Optional<Row>> get(String key) {
+        return mRows.read(mTable, PART, Optional.of(key), 1)
+                .thenApply(
+                        page ->
+                                page.rows().stream()
+                                        .filter(row -> row.id().key().equals(key))
+                                        .findFirst()
+                                        .map(RowTableStore::toRow));
+    }
+
+    @Override
+    public CompletableFuture<List<Row>> scan(String prefix, String afterKey, int limit) {
+        boolean afterIsLater = afterKey.compareTo(prefix) >= 0;
+        return scan(
+                new Scan(prefix, afterKey, limit, new ArrayList<>()),
+                afterIsLater ? afterKey : prefix);
+    }
+
+    @Override
+    public CompletableFuture<List<WriteOutcome>> write(List<ConditionalWrite> writes) {
+        Writing writing = new Writing(writes);
+        return writing.continueWith(writing.nextChunk());
+    }
+
+    // Helpers
+
+    private record Scan(String prefix, String afterKey, int limit, List<Row> found) {}
+
+    private CompletableFuture<List<Row>> scan(Scan scan, String fromKey) {
+        // The first row may be the one after which the scan continues.
+        int wanted = Math.min(MAX_PAGE_ROWS, scan.limit() - scan.found().size() + 1);
+        return mRows.read(mTable, PART, Optional.of(fromKey), wanted)
+                .thenCompose(page -> take(scan, fromKey, page));
+    }
+
+    private CompletableFuture<List<Row>> take(Scan scan, String fromKey, RowPage page) {
+        String lastKey = fromKey;
+        for (StoredRow row : page.rows()) {
+            lastKey = row.id().key();
+            boolean ended = !lastKey.startsWith(scan.prefix());
+            if (ended || scan.found().size() == scan.limit()) {
+                return CompletableFuture.completedFuture(scan.found());
+            }
+            if (lastKey.compareTo(scan.afterKey()) > 0) {
+                scan.found().add(toRow(row));
+            }
+        }
+        if (!page.hasMore() || scan.found().size() == scan.limit()) {
+            return CompletableFuture.completedFuture(scan.found());
+        }
+        Scan rest = new Scan(scan.prefix(), lastKey, scan.limit(), scan.found());
+        return scan(rest, lastKey);
+    }
+
+    private static Row toRow(StoredRow row) {
+        return new Row(row.id().key(), row.version(), row.value());
+    }
+
+    /** Writes that are sent in as many transactions as are needed. Used by one thread at a time. */
+    private final class Writing {
+        private final List<ConditionalWrite> mWrites;
+        private final WriteOutcome[] mOutcomes;
+        private int mNext;
+        private boolean mSomeApplied;
+
+        private Writing(List<ConditionalWrite> writes) {
+            mWrites = writes;
+            mOutcomes = new WriteOutcome[writes.size()];
+        }
+
+        private List<Integer> nextChunk() {
+            List<Integer> chunk = new ArrayList<>();
+            int chars = 0;
+            while (mNext < mWrites.size() && chunk.size() < MAX_WRITES) {
+                int length = mWrites.get(mNext).value().map(String::length).orElse(0);
+                if (!chunk.isEmpty() && chars + length > MAX_CHARS) {
+                    break;
+                }
+                chars += length;
+                chunk.add(mNext++);
+            }
+            return chunk;
+        }
+
+        private CompletableFuture<List<WriteOutcome>> continueWith(List<Integer> chunk) {
+            if (chunk.isEmpty()) {
+                return CompletableFuture.completedFuture(List.of(mOutcomes));
+            }
+            return mRows.apply(transaction(chunk))
+                    .exceptionallyCompose(this::failed)
+                    .thenCompose(result -> accept(chunk, result));
+        }
+
+        private CompletableFuture<List<WriteOutcome>> accept(
+                List<Integer> chunk, TransactionResult result) {
+            return switch (result) {
+                case TransactionResult.Committed committed -> {
+                    mSomeApplied = true;
+                    for (int index : chunk) {
+                        boolean deletion = mWrites.get(index).value().isEmpty();
+                        mOutcomes[index] =
+                                new WriteOutcome.Applied(deletion ? 0 : committed.version());
+                    }
+                    yield continueWith(nextChunk());
+                }
+                case TransactionResult.Rejected rejected -> withoutConflicts(chunk, rejected);
+            };
+        }
+
+        private CompletableFuture<List<WriteOutcome>> withoutConflicts(
+                List<Integer> chunk, TransactionResult.Rejected rejected) {
+            Map<String, Long> versions = new HashMap<>();
+            rejected.current().forEach(row -> versions.put(row.id().key(), row.version()));
+            List<Integer> rest = new ArrayList<>();
+            for (int index : chunk) {
+                ConditionalWrite write = mWrites.get(index);
+                long version = versions.getOrDefault(write.key(), 0L);
+                if (version == write.expectedVersion()) {
+                    rest.add(index);
+                } else {
+                    mOutcomes[index] = new WriteOutcome.Conflict(version);
+                }
+            }
+            if (rest.size() == chunk.size()) {
+                return failed(
+                                new StoreException(
+                                        Execution.NOT_RUN,
+                                        "a transaction was rejected although its conditions hold",
+                                        null))
+                        .thenCompose(result -> accept(chunk, result));
+            }
+            return continueWith(rest.isEmpty() ? nextChunk() : rest);
+        }
+
+        // An earlier transaction of the same write makes the outcome of the whole unknown.
+        private CompletableFuture<TransactionResult> failed(Throwable failure) {
+            StoreException cause = StoreFailures.asStoreException(failure);
+            return CompletableFuture.failedFuture(
+                    mSomeApplied
+                            ? new StoreException(
+                                    Execution.UNKNOWN,
+                                    "some rows were written: " + cause.getMessage(),
+                                    cause)
+                            : cause);
+        }
+
+        private RowTransaction transaction(List<Integer> chunk) {
+            List<RowTransaction.Condition> conditions = new ArrayList<>();
+            List<RowTransaction.Write> writes = new ArrayList<>();
+            List<RowId> removals = new ArrayList<>();
+            for (int index : chunk) {
+                ConditionalWrite write = mWrites.get(index);
+                RowId id = new RowId(mTable, PART, write.key());
+                conditions.add(new RowTransaction.Condition(id, write.expectedVersion()));
+                write.value()
+                        .ifPresentOrElse(
+                                value -> writes.add(new RowTransaction.Write(id, value)),
+                                () -> removals.add(id));
+            }
+            return new RowTransaction(conditions, writes, removals);
+        }
+    }
+}
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryStateModule.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryStateModule.java
@@ -4,10 +4,13 @@
 import com.google.inject.Provider;
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
 import java.net.URI;
-import java.net.http.HttpClient;
 import java.security.SecureRandom;
-import java.time.Duration;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -16,17 +19,22 @@
 import org.oleandertrack.coordination.config.SnapshotStore;
 import org.oleandertrack.coordination.intent.IntentStore;
 import org.oleandertrack.coordination.membership.HostList;
+import org.oleandertrack.coordination.membership.RowHostList;
 import org.oleandertrack.coordination.program.ProgramStore;
 import org.oleandertrack.coordination.schedule.ExecutorScheduler;
 import org.oleandertrack.coordination.schedule.Scheduler;
 import org.oleandertrack.coordination.store.ObjectStore;
+import org.oleandertrack.coordination.store.RowStore;
+import org.oleandertrack.coordination.store.RowTableStore;
 import org.oleandertrack.coordination.store.TableStore;
 import org.oleandertrack.coordination.store.TimeLimitedObjectStore;
 import org.oleandertrack.coordination.store.TimeLimitedTableStore;
-import org.oleandertrack.platform.http.HttpHostList;
-import org.oleandertrack.platform.http.HttpObjectStore;
-import org.oleandertrack.platform.http.HttpTableStore;
-import org.oleandertrack.platform.http.PlatformHttpContext;
+import org.oleandertrack.core.result.ResultCode;
+import org.oleandertrack.core.result.ResultException;
+import org.oleandertrack.http.HttpCaller;
+import org.oleandertrack.platform.HttpObjectStore;
+import org.oleandertrack.platform.HttpRowStore;
+import org.oleandertrack.platform.StoreCalls;
 import org.oleandertrack.protocol.LocalNode;
 import org.oleandertrack.server.settings.EntrySettings;
 import org.tinylog.Logger;
@@ -37,6 +45,13 @@
     /** Covers a few turns, so that a turn rarely waits for a grant of its own. */
     private static final long GRANT_TOKENS = 50_000;
 
+    /** The table that holds members, shards, programs, intents and the configuration. */
+    private static final String STATE_TABLE = "oleandertrack";
+
+    /** One thread: the process makes some tens of calls to the store in a second. */
+    private static final int STORE_LOOPS = 1;
+
+    private static final int DEFAULT_HTTP_PORT = 80;
     private static final int MAX_ANSWER_BYTES = 4 << 20;
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
@@ -50,36 +65,33 @@
 
     @Provides
     @Singleton
-    PlatformHttpContext platform() {
-        long timeoutMillis = mSettings.platform().timeoutMillis();
-        HttpClient client =
-                HttpClient.newBuilder()
-                        .version(HttpClient.Version.HTTP_1_1)
-                        .connectTimeout(Duration.ofMillis(timeoutMillis))
-                        .build();
-        return new PlatformHttpContext(client, timeoutMillis);
+    EventLoopGroup storeLoops() {
+        return new MultiThreadIoEventLoopGroup(
+                STORE_LOOPS, new DefaultThreadFactory("store", true), NioIoHandler.newFactory());
     }
 
     @Provides
     @Singleton
-    HostList hostList(PlatformHttpContext platform) {
-        return new HttpHostList(platform, URI.create(mSettings.platform().hostsUrl()));
+    HostList hostList(EventLoopGroup loops) {
+        return new RowHostList(rows(loops, mSettings.platform().hostsUrl()));
     }
 
     @Provides
     @Singleton
-    TableStore tableStore(PlatformHttpContext platform, Scheduler scheduler) {
+    TableStore tableStore(EventLoopGroup loops, Scheduler scheduler) {
         return new TimeLimitedTableStore(
-                new HttpTableStore(platform, URI.create(mSettings.platform().tableUrl())),
+                new RowTableStore(rows(loops, mSettings.platform().tableUrl()), STATE_TABLE),
                 scheduler,
                 TimeUnit.MILLISECONDS.toNanos(mSettings.platform().timeoutMillis()));
     }
 
     @Provides
     @Singleton
-    ObjectStore objectStore(PlatformHttpContext platform, Scheduler scheduler) {
+    ObjectStore objectStore(EventLoopGroup loops, Scheduler scheduler) {
         return new TimeLimitedObjectStore(
-                new HttpObjectStore(platform, URI.create(mSettings.platform().objectUrl())),
+                new HttpObjectStore(
+                        calls(loops, mSettings.platform().objectUrl()),
+                        mSettings.platform().timeoutMillis()),
                 scheduler,
                 TimeUnit.MILLISECONDS.toNanos(mSettings.platform().timeoutMillis()));
     }
@@ -219,6 +231,24 @@
 
     // Helpers
 
+    private RowStore rows(EventLoopGroup loops, String url) {
+        return new HttpRowStore(calls(loops, url), mSettings.platform().timeoutMillis());
+    }
+
+    private static StoreCalls calls(EventLoopGroup loops, String url) {
+        URI base = URI.create(url);
+        if (!base.getScheme().equals("http")) {
+            throw new ResultException(
+                    ResultCode.SETTINGS_INVALID_VALUE,
+                    "the client of the store has no TLS, so " + url + " must be an http URL");
+        }
+        int port = base.getPort() < 0 ? DEFAULT_HTTP_PORT : base.getPort();
+        String host = base.getHost().replaceAll("[\\[\\]]", "");
+        String path = base.getPath().replaceAll("/$", "");
+        return new StoreCalls(
+                new HttpCaller(loops.next(), new InetSocketAddress(host, port)), path);
+    }
+
     private ProgramCallService.ProgramCallConfig callConfig() {
         return new ProgramCallService.ProgramCallConfig(
                 MAX_ANSWER_BYTES, mSettings.commit().deadlineMillis(), RETRY_AFTER_MILLIS);
--- a/standins/src/main/java/org/oleandertrack/standins/platform/PlatformFaults.java
+++ b/standins/src/main/java/org/oleandertrack/standins/platform/PlatformFaults.java
@@ -18,13 +18,18 @@
         EXECUTE,
         /** Execute, then close the connection without an answer. */
         EXECUTE_AND_LOSE_REPLY,
+        /** Close the connection without an answer and execute after a while. */
+        EXECUTE_LATE,
         /** Answer with 503 without executing. */
         REFUSE,
+        /** Answer with 429 without executing. */
+        LIMIT,
     }
 
     private enum DownAs {
         CLOSE,
         REFUSE,
+        LIMIT,
         HANG,
     }
 
@@ -43,6 +48,8 @@
     private Settings mSettings = new Settings(false, DownAs.CLOSE, 0, "", DEFAULT_SERVICES);
     private long mRepliesToLose;
     private long mWritesToRefuse;
+    private long mLateWrites;
+    private long mLateMillis;
 
     /** Replaces all faults; a field that is absent has its default, which is no fault. */
     synchronized void replace(JsonNode json) throws BadRequestException {
@@ -56,8 +63,11 @@
                 switch (json.path("downAs").asText("close")) {
                     case "close" -> DownAs.CLOSE;
                     case "refuse" -> DownAs.REFUSE;
+                    case "limit" -> DownAs.LIMIT;
                     case "hang" -> DownAs.HANG;
-                    default -> throw new BadRequestException("downAs is not close, refuse or hang");
+                    default ->
+                            throw new BadRequestException(
+                                    "downAs is not close, refuse, limit or hang");
                 };
         Set<String> services = new HashSet<>();
         json.path("services").forEach(service -> services.add(service.asText()));
@@ -70,6 +80,8 @@
                         services.isEmpty() ? DEFAULT_SERVICES : services);
         mRepliesToLose = json.path("loseReplies").asLong(0);
         mWritesToRefuse = json.path("refuseWrites").asLong(0);
+        mLateWrites = json.path("lateWrites").asLong(0);
+        mLateMillis = json.path("lateMillis").asLong(1_000);
         mHang.setClosed(down && downAs == DownAs.HANG);
     }
 
@@ -90,6 +102,11 @@
         return write ? writeVerdict() : Verdict.EXECUTE;
     }
 
+    /** Returns the time after which a late write is executed, in milliseconds. */
+    synchronized long lateMillis() {
+        return mLateMillis;
+    }
+
     /** Returns how many requests hang now. */
     int held() {
         return mHang.held();
@@ -99,6 +116,9 @@
         if (settings.downAs() == DownAs.REFUSE) {
             return Verdict.REFUSE;
         }
+        if (settings.downAs() == DownAs.LIMIT) {
+            return Verdict.LIMIT;
+        }
         if (settings.downAs() == DownAs.HANG) {
             mHang.pass();
         }
@@ -114,6 +134,10 @@
             mWritesToRefuse--;
             return Verdict.REFUSE;
         }
+        if (mLateWrites > 0) {
+            mLateWrites--;
+            return Verdict.EXECUTE_LATE;
+        }
         if (mRepliesToLose > 0) {
             mRepliesToLose--;
             return Verdict.EXECUTE_AND_LOSE_REPLY;
