Leave out peers that did not answer, or that miss the store, for a while

A silent peer is now left out for 2 s, one without the store for 250 ms; an issuer that was silent refuses at once.

--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -244,7 +244,7 @@
 
     private void upkeep() {
         mStore.probe();
-        mTargets.setHosts(1 + mPeers.stores().size());
+        mTargets.setHosts(1 + mPeers.size());
         mDirectory.dropExpired(System.nanoTime());
         mSpending.upkeep();
         mAllowance.dropIdle();
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerAllowanceIssuer.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerAllowanceIssuer.java
@@ -1,5 +1,6 @@
 package org.oleandertrack.gateway.peer;
 
+import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.oleandertrack.coordination.spending.AllowanceIssuer;
@@ -30,6 +31,10 @@
         if (issuer.isEmpty()) {
             return CompletableFuture.completedFuture(mOwn.take(program, budgetTokens, maxTokens));
         }
+        if (!issuer.get().answers(System.nanoTime())) {
+            return CompletableFuture.completedFuture(
+                    failed(program, "take", new IOException("did not answer a moment ago")));
+        }
         return issuer.get()
                 .takeAllowance(new PeerMessages.TakeAllowance(program, budgetTokens, maxTokens))
                 .exceptionally(failure -> failed(program, "take", failure));
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.oleandertrack.coordination.store.RowChanges;
 import org.oleandertrack.coordination.store.RowJson;
 import org.oleandertrack.coordination.store.RowPage;
@@ -22,16 +24,40 @@
 
     // The store answers the peer in some milliseconds, or the peer says that it does not.
     private static final long CALL_TIMEOUT_MILLIS = 800;
+    // A peer that did not answer is left out for longer than the call took, so that an outage costs
+    // a caller at most one wait.
+    private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(2);
+    // A gateway that is cut off from the store finds its return with a probe each 250 ms.
+    private static final long WITHOUT_STORE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
     private static final int OK = 200;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final String JSON = "application/json";
 
     private final HttpCaller mCaller;
+    private final AtomicLong mSilentUntilNanos;
+    private final AtomicLong mWithoutStoreUntilNanos;
 
     PeerClient(HttpCaller caller) {
+        long nowNanos = System.nanoTime();
         mCaller = caller;
+        mSilentUntilNanos = new AtomicLong(nowNanos);
+        mWithoutStoreUntilNanos = new AtomicLong(nowNanos);
     }
 
+    // Accessors
+
+    /** Returns whether the peer answered when it was last asked, or that was a while ago. */
+    boolean answers(long nowNanos) {
+        return nowNanos - mSilentUntilNanos.get() >= 0;
+    }
+
+    /** Returns whether a call to the store may succeed through this peer. */
+    boolean reachesStore(long nowNanos) {
+        return answers(nowNanos) && nowNanos - mWithoutStoreUntilNanos.get() >= 0;
+    }
+
+    // Operations
+
     @Override
     public CompletableFuture<RowPage> read(
             String table, String part, Optional<String> fromKey, int limit) {
@@ -92,8 +118,13 @@
                 .handle(
                         (reply, failure) -> {
                             if (failure != null) {
+                                mSilentUntilNanos.set(System.nanoTime() + SILENT_NANOS);
                                 throw new CompletionException(asStoreException(failure));
                             }
+                            if (reply.status() == SERVICE_UNAVAILABLE) {
+                                mWithoutStoreUntilNanos.set(
+                                        System.nanoTime() + WITHOUT_STORE_NANOS);
+                            }
                             return decode(path, reply, answerType);
                         });
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerDirectory.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerDirectory.java
@@ -70,9 +70,17 @@
                 new Announcement(mOwnAddress.getAddress().getHostAddress(), mOwnAddress.getPort()));
     }
 
-    /** Returns the store as each peer passes calls on to it. */
+    /** Returns the number of peers that are known. */
+    public synchronized int size() {
+        return mPeers.size();
+    }
+
+    /** Returns the store as each peer that may reach it passes calls on. */
     public synchronized List<RowStore> stores() {
-        return new ArrayList<>(mPeers.values());
+        long nowNanos = System.nanoTime();
+        List<RowStore> stores = new ArrayList<>();
+        mPeers.values().stream().filter(peer -> peer.reachesStore(nowNanos)).forEach(stores::add);
+        return stores;
     }
 
     /**
--- a/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
@@ -8,8 +8,11 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Clock;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -33,6 +36,7 @@
 import org.oleandertrack.http.HttpResponses;
 import org.oleandertrack.http.HttpServer;
 import org.oleandertrack.http.InboundLimits;
+import org.oleandertrack.telemetry.logging.EventLog;
 
 /** Guards against answers of the store that change on their way through a peer. */
 final class PeerCallsTest {
@@ -139,4 +143,41 @@
         var _ = mPeer.returnAllowance(new PeerMessages.ReturnAllowance("p", 100)).join();
         assertTrue(mPeer.takeAllowance(take).join());
     }
+
+    /** Guards against callers of which each waits for the same peer that does not answer. */
+    @Test
+    void aPeerThatDidNotAnswerIsLeftOutForAWhile() throws IOException {
+        try (ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            PeerDirectory peers = directory((InetSocketAddress) silent.getLocalSocketAddress());
+            assertEquals(1, peers.stores().size());
+            CompletableFuture<TransactionResult> call = peers.stores().getFirst().apply(WRITE);
+            assertEquals(
+                    Execution.UNKNOWN,
+                    StoreFailures.executionOf(assertThrows(CompletionException.class, call::join)));
+
+            assertEquals(List.of(), peers.stores());
+            assertEquals(1, peers.size());
+        }
+    }
+
+    /** Guards against calls that fail at peers without the store while others have it. */
+    @Test
+    void aPeerWithoutTheStoreIsLeftOutForAShortWhile() {
+        PeerDirectory peers = directory(mAddress);
+        mDirectFails = true;
+        CompletableFuture<TransactionResult> call = peers.stores().getFirst().apply(WRITE);
+        assertThrows(CompletionException.class, call::join);
+
+        assertEquals(List.of(), peers.stores());
+        Awaitility.await().until(() -> peers.stores().size() == 1);
+    }
+
+    private PeerDirectory directory(InetSocketAddress peer) {
+        return new PeerDirectory(
+                mLoops.next(),
+                "own",
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+                List.of(peer),
+                new EventLog(line -> {}, Clock.systemUTC(), 1));
+    }
 }
