--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -59,7 +59,6 @@
     private static final InboundLimits PEER_LIMITS =
             new InboundLimits(8_192, 1024 * 1024, 2_000, 60_000);
 
-    private final GatewaySettings mSettings;
     private final EventLog mLog;
     private final MetricsRegistry mMetrics;
     private final Scheduler mScheduler;
@@ -78,6 +77,7 @@
     private final HttpServer mCallerServer;
     private final HttpServer mReadinessServer;
     private final HttpServer mMetricsServer;
+    private volatile GatewaySettings mSettings;
     private volatile boolean mStopping;
 
     // Life-cycle
@@ -218,6 +218,21 @@
         return !mStopping && mCalls.config().isPresent() && mTargetFeed.isComplete();
     }
 
+    // Operations
+
+    /** Takes over those settings that may change while the process runs, and names the others. */
+    public void reconfigure(GatewaySettings settings) {
+        GatewaySettings before = mSettings;
+        mSettings = before.withChangeable(settings);
+        mPeers.addSeeds(settings.seeds());
+        mLog.notice("reloaded")
+                .text("node", before.node())
+                .number("graceMs", settings.graceMillis())
+                .number("seeds", settings.seeds().size())
+                .flag("restartNeeded", !mSettings.equals(settings))
+                .write();
+    }
+
     // Helpers
 
     private void refuseNew() {
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
@@ -28,4 +28,20 @@
         InetSocketAddress metrics,
         long graceMillis,
         long entryRenewalMillis,
-        int maxLogLinesPerSecond) {}
+        int maxLogLinesPerSecond) {
+
+    /** Returns these settings with those of another that may change while the process runs. */
+    GatewaySettings withChangeable(GatewaySettings other) {
+        return new GatewaySettings(
+                node,
+                zone,
+                callers,
+                readiness,
+                peers,
+                other.seeds,
+                metrics,
+                other.graceMillis,
+                entryRenewalMillis,
+                maxLogLinesPerSecond);
+    }
+}
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerDirectory.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerDirectory.java
@@ -101,6 +101,11 @@
 
     // Operations
 
+    /** Adds addresses of other gateways, which may be stale. */
+    public synchronized void addSeeds(List<InetSocketAddress> seeds) {
+        seeds.forEach(this::add);
+    }
+
     @Override
     public synchronized void replaced(List<StoredRow> rows) {
         rows.forEach(this::announced);
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
@@ -25,24 +25,27 @@
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final ByteArrayOutputStream mLines = new ByteArrayOutputStream();
     private final MemoryRowStore mStore = new MemoryRowStore(mExecutor);
+    private final GatewaySettings mSettings;
     private final GatewayHost mHost;
     private final InetSocketAddress mAddress;
 
     TestGateway(long graceMillis) {
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        mSettings =
+                new GatewaySettings(
+                        "node",
+                        "zone",
+                        any,
+                        any,
+                        any,
+                        List.of(),
+                        any,
+                        graceMillis,
+                        2_000,
+                        MAX_LOG_LINES);
         mHost =
                 new GatewayHost(
-                        new GatewaySettings(
-                                "node",
-                                "zone",
-                                any,
-                                any,
-                                any,
-                                List.of(),
-                                any,
-                                graceMillis,
-                                2_000,
-                                MAX_LOG_LINES),
+                        mSettings,
                         mLoops,
                         mStore,
                         new TestTables(),
@@ -72,6 +75,10 @@
         return mStore;
     }
 
+    GatewaySettings settings() {
+        return mSettings;
+    }
+
     GatewayHost host() {
         return mHost;
     }
