Set targets aside that fail this host's requests, whatever their health check says

A turn's route allows one engine, so it cannot go on elsewhere.

The product's HealthTracker now judges the gateway's targets as well. Two failures in a row, or silence while no other request was answered, set a target aside; requests that may not be repeated never probe. A caller of a target that hangs is told with 502 after the second silence, or at once if the target is set aside, and comes back with a new attempt. The gateway ignores the judgement while more than half of a service's targets fail.

Ruled out: resending elsewhere, which the routes' single attempt forbids.

--- a/core/src/main/java/org/oleandertrack/core/health/HealthConfig.java
+++ b/core/src/main/java/org/oleandertrack/core/health/HealthConfig.java
@@ -9,6 +9,8 @@
  * @param minObservations observations of a target before it is judged; positive
  * @param failuresInRow failures without a success in between after which a target is failing;
  *     positive
+ * @param failingPart part of the last calls, about five, whose failure makes a target failing even
+ *     if others succeed; 1 to go by failures in a row alone
  * @param firstProbeNanos time from setting a target aside to its first probe, in nanoseconds;
  *     doubled after each probe that finds no recovery; positive
  * @param maxProbeNanos largest time between probes, in nanoseconds
@@ -20,6 +22,7 @@
         double recoveredRatio,
         int minObservations,
         int failuresInRow,
+        double failingPart,
         long firstProbeNanos,
         long maxProbeNanos,
         long staleNanos,
@@ -30,7 +33,7 @@
 
     /** The defaults. */
     public static final HealthConfig DEFAULT =
-            new HealthConfig(2.0, 1.5, 2, 3, SECOND, 16 * SECOND, 60 * SECOND, 50 * MILLISECOND);
+            new HealthConfig(2.0, 1.5, 2, 3, 1, SECOND, 16 * SECOND, 60 * SECOND, 50 * MILLISECOND);
 
     /**
      * Checks the values.
@@ -46,6 +49,9 @@
             throw new IllegalArgumentException(
                     "minObservations " + minObservations + ", failuresInRow " + failuresInRow);
         }
+        if (failingPart <= 0 || failingPart > 1) {
+            throw new IllegalArgumentException("failingPart " + failingPart);
+        }
         if (firstProbeNanos <= 0 || maxProbeNanos < firstProbeNanos || staleNanos <= 0) {
             throw new IllegalArgumentException(
                     "firstProbeNanos "
@@ -64,9 +70,24 @@
                 recoveredRatio,
                 minObservations,
                 failuresInRow,
+                failingPart,
                 first,
                 max,
                 staleNanos,
                 evaluationNanos);
     }
+
+    /** Returns a copy with other bounds for failures. */
+    public HealthConfig withFailures(int inRow, double part) {
+        return new HealthConfig(
+                slowRatio,
+                recoveredRatio,
+                minObservations,
+                inRow,
+                part,
+                firstProbeNanos,
+                maxProbeNanos,
+                staleNanos,
+                evaluationNanos);
+    }
 }
--- a/core/src/main/java/org/oleandertrack/core/health/HealthTracker.java
+++ b/core/src/main/java/org/oleandertrack/core/health/HealthTracker.java
@@ -14,8 +14,9 @@
  * Health of the targets that serve one model, judged by what this process observes. A target is
  * slow when its time per token is well above the median of its peers. Slow targets are set aside,
  * the slowest first, up to a third of the targets that are not failing; the others that are slow
- * carry a penalty. A target that fails several times in a row is left out, apart from that bound.
- * Both kinds are probed with single calls and return when a probe goes well.
+ * carry a penalty. A target that fails several times in a row, or a large part of its calls, is
+ * left out, apart from that bound. Both kinds are probed with single calls and return when a probe
+ * goes well; the end of a call that was sent before says nothing.
  *
  * <p>{@link #assess} only reads what the last evaluation found, so that its cost does not depend on
  * the number of targets. Evaluations happen when observations arrive, or by {@link #evaluate}.
@@ -36,6 +37,11 @@
     private static final double OBSERVATION_WEIGHT = 0.4;
     // Weight of the newest call in the mean time of a call, which scales the penalty.
     private static final double CALL_WEIGHT = 0.05;
+    // Weight of the newest call in the part of calls that fail: about five calls count.
+    private static final double FAILURE_WEIGHT = 0.2;
+    // The part with which a target returns from a good probe: it is left out again sooner than one
+    // that never failed.
+    private static final double RETURNED_FAILURE_PART = 0.2;
     // Fewer targets have no meaningful median.
     private static final int MIN_PEERS = 3;
 
@@ -91,6 +97,12 @@
         return (int) mStates.values().stream().filter(state -> state.mFailing).count();
     }
 
+    /** Returns whether a target is left out because it fails. */
+    public boolean isFailing(String targetId) {
+        State state = mStates.get(targetId);
+        return state != null && state.mFailing;
+    }
+
     // Operations
 
     /**
@@ -145,7 +157,12 @@
         if (state == null) {
             return;
         }
+        if (state.mFailing && !state.mProbing) {
+            return;
+        }
         state.mFailuresInRow = 0;
+        state.mFailurePart =
+                state.mFailing ? RETURNED_FAILURE_PART : state.mFailurePart * (1 - FAILURE_WEIGHT);
         state.mFailing = false;
         if (state.mSetAside && state.mProbing) {
             evaluate(nowNanos);
@@ -169,9 +186,13 @@
             return;
         }
         state.mFailuresInRow++;
+        state.mFailurePart += FAILURE_WEIGHT * (1 - state.mFailurePart);
         boolean wasProbe = state.mProbing;
         state.mProbing = false;
-        if (state.mFailing ? wasProbe : state.mFailuresInRow >= mConfig.failuresInRow()) {
+        boolean tooMany =
+                state.mFailuresInRow >= mConfig.failuresInRow()
+                        || state.mFailurePart >= mConfig.failingPart();
+        if (state.mFailing ? wasProbe : tooMany) {
             state.mFailing = true;
             state.postponeProbe(nowNanos);
         }
@@ -254,6 +275,7 @@
         private double mRatio = 1;
         private long mPenaltyNanos;
         private int mFailuresInRow;
+        private double mFailurePart;
         private boolean mFailing;
         private boolean mSetAside;
         private boolean mProbing;
--- a/core/src/main/java/org/oleandertrack/core/turn/TargetState.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/TargetState.java
@@ -1,5 +1,8 @@
 package org.oleandertrack.core.turn;
 
+import org.oleandertrack.core.placement.HealthView;
+import org.oleandertrack.core.placement.TargetAssessment;
+
 /**
  * One target as placement sees it. Not thread-safe: the owner guards each instance with its own
  * lock.
@@ -9,8 +12,9 @@
     private final String mId;
     private final String mZone;
     private final int mSlots;
-    private final LoadEstimate mLoad = new LoadEstimate();
+    private final LoadEstimate mLoad;
     private final PrefixMemory mPrefixes;
+    private final HealthView mHealth;
     private long mAvoidUntilNanos;
     private boolean mAvoided;
 
@@ -19,11 +23,14 @@
      *
      * @param slots requests that it runs at once; positive
      * @param memoryTokens tokens that its memory holds; 0 for a plain service
+     * @param health what this host's calls to the targets of its service say about them
      */
-    public TargetState(String id, String zone, int slots, long memoryTokens) {
+    public TargetState(String id, String zone, int slots, long memoryTokens, HealthView health) {
         mId = id;
         mZone = zone;
         mSlots = slots;
+        mLoad = new LoadEstimate();
+        mHealth = health;
         mPrefixes = new PrefixMemory(memoryTokens);
     }
 
@@ -49,9 +56,10 @@
         return mPrefixes;
     }
 
-    /** Returns whether the target failed a short time ago and others are preferred. */
+    /** Returns whether others are preferred, because this target failed. */
     public boolean isAvoided(long nowNanos) {
-        return mAvoided && nowNanos < mAvoidUntilNanos;
+        return (mAvoided && nowNanos < mAvoidUntilNanos)
+                || mHealth.assess(mId, nowNanos).use() == TargetAssessment.Use.LAST_RESORT;
     }
 
     // Operations
--- a/core/src/test/java/org/oleandertrack/core/health/HealthTrackerTest.java
+++ b/core/src/test/java/org/oleandertrack/core/health/HealthTrackerTest.java
@@ -1,9 +1,12 @@
 package org.oleandertrack.core.health;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -138,4 +141,55 @@
         }
         tracker.evaluate(now);
     }
+
+    /** Guards against a target that fails four calls in ten and keeps its work. */
+    @Test
+    void aTargetThatFailsALargePartOfItsCallsIsFound() {
+        assertTrue(callsUntilFailing(0.4) < 8);
+    }
+
+    /** Guards against sound targets left out: one answer in twenty is lost on the users' days. */
+    @Test
+    void aTargetThatLosesOneAnswerInTwentyKeepsItsWork() {
+        assertTrue(callsUntilFailing(0.05) > 40);
+    }
+
+    /** Guards against a faulty target that returns because a call sent before ended well. */
+    @Test
+    void onlyAProbeBringsAFailingTargetBack() {
+        HealthTracker tracker = partTracker();
+        tracker.failed("t0", 0);
+        tracker.failed("t0", 0);
+        tracker.succeeded("t0", SECOND, 0);
+        assertTrue(tracker.isFailing("t0"));
+        tracker.sent("t0");
+        tracker.succeeded("t0", SECOND, SECOND);
+        assertFalse(tracker.isFailing("t0"));
+    }
+
+    private static HealthTracker partTracker() {
+        HealthTracker tracker = new HealthTracker(HealthConfig.DEFAULT.withFailures(2, 0.35));
+        tracker.add("t0");
+        return tracker;
+    }
+
+    /** Returns the mean number of calls until a target that fails a part of them is found. */
+    private static double callsUntilFailing(double failurePart) {
+        RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(7);
+        int calls = 20_000;
+        int found = 0;
+        HealthTracker tracker = partTracker();
+        for (int i = 0; i < calls; i++) {
+            if (random.nextDouble() < failurePart) {
+                tracker.failed("t0", i);
+            } else {
+                tracker.succeeded("t0", SECOND, i);
+            }
+            if (tracker.isFailing("t0")) {
+                found++;
+                tracker = partTracker();
+            }
+        }
+        return (double) calls / Math.max(1, found);
+    }
 }
--- a/core/src/test/java/org/oleandertrack/core/turn/CallPlacementTest.java
+++ b/core/src/test/java/org/oleandertrack/core/turn/CallPlacementTest.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.oleandertrack.core.placement.HealthView;
 
 /** Guards against calls that crowd on one target while others are idle. */
 final class CallPlacementTest {
@@ -17,9 +18,9 @@
 
     private final List<TargetState> mTargets =
             List.of(
-                    new TargetState("a", "z", 6, 0),
-                    new TargetState("b", "z", 6, 0),
-                    new TargetState("c", "z", 6, 0));
+                    new TargetState("a", "z", 6, 0, HealthView.ALL_HEALTHY),
+                    new TargetState("b", "z", 6, 0, HealthView.ALL_HEALTHY),
+                    new TargetState("c", "z", 6, 0, HealthView.ALL_HEALTHY));
     private final CallPlacement mPlacement = new CallPlacement("z", new Random(7));
 
     private Map<String, Integer> place(int calls) {
--- a/core/src/test/java/org/oleandertrack/core/turn/TurnPlacementTest.java
+++ b/core/src/test/java/org/oleandertrack/core/turn/TurnPlacementTest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.oleandertrack.core.placement.HealthView;
 
 /**
  * Guards against turns that wait behind slow hosts, full batches or prompts that are read again.
@@ -23,8 +24,10 @@
                     35,
                     "");
 
-    private final TargetState mNear = new TargetState("near", "z1", 12, 100_000);
-    private final TargetState mFar = new TargetState("far", "z2", 12, 100_000);
+    private final TargetState mNear =
+            new TargetState("near", "z1", 12, 100_000, HealthView.ALL_HEALTHY);
+    private final TargetState mFar =
+            new TargetState("far", "z2", 12, 100_000, HealthView.ALL_HEALTHY);
     private final TurnPlacement mPlacement = new TurnPlacement(EngineTimes.DEFAULT, "z1");
 
     private String choose() {
@@ -58,8 +61,8 @@
         return new TurnPlacement(EngineTimes.DEFAULT, zone)
                 .choose(
                         List.of(
-                                new TargetState("near", "z1", 12, 100_000),
-                                new TargetState("far", "z2", 12, 100_000)),
+                                new TargetState("near", "z1", 12, 100_000, HealthView.ALL_HEALTHY),
+                                new TargetState("far", "z2", 12, 100_000, HealthView.ALL_HEALTHY)),
                         turn,
                         Set.of(),
                         NOW)
@@ -71,7 +74,7 @@
     void whatAHostKnowsGoesBeforeTheAssumedHome() {
         for (int program = 0; program < 20; program++) {
             TurnRequest later = new TurnRequest(3_000, TURN.parts(), 35, "program-" + program);
-            TargetState read = new TargetState("read", "z2", 12, 100_000);
+            TargetState read = new TargetState("read", "z2", 12, 100_000, HealthView.ALL_HEALTHY);
             read.prefixes().use(later.parts());
             assertEquals(
                     "read",
@@ -158,7 +161,7 @@
     void hostsThatKnowNothingReadASharedPartAtFewEngines() {
         List<TargetState> engines = new ArrayList<>();
         for (int i = 0; i < 28; i++) {
-            engines.add(new TargetState("e" + i, "z1", 16, 100_000));
+            engines.add(new TargetState("e" + i, "z1", 16, 100_000, HealthView.ALL_HEALTHY));
         }
         Set<String> chosen = new HashSet<>();
         for (int program = 0; program < 200; program++) {
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -75,6 +75,7 @@
     /** Breaks the attempt off; the target sees its connection close. */
     void cancel() {
         mConnection.close();
+        mCall.context().targets().abandoned(mHandle);
         released();
     }
 
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -50,10 +50,8 @@
     private static final long MIN_REMAINING_MILLIS = 50;
     // A slow store answers within half a second; later the outage allowance is asked.
     private static final long RESERVE_LIMIT_MILLIS = 700;
-    // Callers give up a silent stream after two seconds and more, a lookup after two.
-    private static final long STALL_MILLIS = 900;
-    private static final long STALL_FACTOR = 4;
-    private static final long STALL_RECHECK_MILLIS = 100;
+    // An answer is asked for once more at a target that was silent once.
+    private static final int MAX_STALLS = 2;
     private static final int DEFAULT_EXPECTED_TOKENS = 35;
 
     private final CallContext mContext;
@@ -74,7 +72,8 @@
     private int mRefusals;
     private boolean mEnded;
     private boolean mMayHaveRun;
-    private boolean mStalledOnce;
+    private int mStalls;
+    private long mPredictedMillis;
     private long mSentNanos;
     private StreamProgress mProgress = new StreamProgress();
 
@@ -262,7 +261,12 @@
         Attempt attempt = new Attempt(this, handle);
         mAttempt = Optional.of(attempt);
         mSentNanos = System.nanoTime();
-        watchForStall(attempt, placed.get().choice());
+        if (mTurn.isPresent() && again.isEmpty()) {
+            mPredictedMillis = (long) placed.get().choice().predictedCost();
+        }
+        if (mRoute.isRepeatable() && mStalls < MAX_STALLS) {
+            new StallWatch(this, attempt, mPredictedMillis).start();
+        }
         attempt.send(makeRequest(handle), mRequest.body().retainedDuplicate());
     }
 
@@ -276,7 +280,8 @@
         long nowNanos = System.nanoTime();
         return mTurn.isPresent()
                 ? mContext.targets().placeTurn(mService, mTurn.get(), mExcluded, nowNanos)
-                : mContext.targets().placeCall(mService, mExcluded, nowNanos);
+                : mContext.targets()
+                        .placeCall(mService, mExcluded, mRoute.isRepeatable(), nowNanos);
     }
 
     private void failUnplaced() {
@@ -323,45 +328,51 @@
 
     // Stalls
 
-    // A target may run a request and lose its answer. A repeatable request is then sent to the same
-    // target once more; not while the target is so full that it may only be late.
-    private void watchForStall(Attempt attempt, PlacementChoice choice) {
-        if (!mRoute.isRepeatable() || mStalledOnce) {
-            return;
-        }
-        long predictedMillis = mTurn.isPresent() ? (long) choice.predictedCost() : 0;
-        long limitMillis = Math.max(STALL_MILLIS, STALL_FACTOR * predictedMillis);
-        var _ =
-                mWriter.eventLoop()
-                        .schedule(
-                                () -> checkForStall(attempt, limitMillis),
-                                limitMillis,
-                                TimeUnit.MILLISECONDS);
+    boolean isCurrent(Attempt attempt) {
+        return !mEnded && mAttempt.isPresent() && mAttempt.get().equals(attempt);
     }
 
-    private void checkForStall(Attempt attempt, long limitMillis) {
-        boolean current = mAttempt.isPresent() && mAttempt.get().equals(attempt);
-        if (mEnded || !current || mStalledOnce) {
-            return;
-        }
+    /** Returns how long the target has been silent. */
+    long quietMillis(long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nowNanos - mProgress.lastActivityNanos(mSentNanos));
+    }
+
+    /** The target has been silent for longer than its load explains. */
+    void stalled(Attempt attempt, long quietMillis) {
+        TargetHandle handle = attempt.handle();
         long nowNanos = System.nanoTime();
-        long quietMillis =
-                TimeUnit.NANOSECONDS.toMillis(nowNanos - mProgress.lastActivityNanos(mSentNanos));
-        if (quietMillis < limitMillis || !mContext.targets().hasRoom(attempt.handle(), nowNanos)) {
-            var _ =
-                    mWriter.eventLoop()
-                            .schedule(
-                                    () -> checkForStall(attempt, limitMillis),
-                                    Math.max(STALL_RECHECK_MILLIS, limitMillis - quietMillis),
-                                    TimeUnit.MILLISECONDS);
+        mStalls++;
+        boolean hangs = mStalls >= MAX_STALLS || mContext.targets().isFailing(handle);
+        mContext.targets().silent(handle, mSentNanos, nowNanos);
+        logStep("target stalled", handle, "quiet for " + quietMillis + " ms");
+        boolean elsewhere = mayRunElsewhere(handle);
+        if (hangs && !elsewhere && mProgress.isStarted()) {
+            // The caller has a part of the answer, and no other target may go on with it.
             return;
         }
-        mStalledOnce = true;
         mMayHaveRun = true;
-        mRanAt.add(attempt.handle().id());
+        mRanAt.add(handle.id());
         attempt.cancel();
-        logStep("target stalled", attempt.handle(), "quiet for " + quietMillis + " ms");
-        next(Optional.of(attempt.handle()), "stalled");
+        if (elsewhere) {
+            mExcluded.add(handle.id());
+            next(Optional.empty(), "stalled");
+            return;
+        }
+        if (hangs) {
+            fail(
+                    ResultCode.TARGET_FAILED,
+                    Execution.UNKNOWN,
+                    "target " + handle.id() + " does not answer",
+                    0);
+            return;
+        }
+        next(Optional.of(handle), "stalled");
+    }
+
+    private boolean mayRunElsewhere(TargetHandle handle) {
+        Set<String> ranAt = new HashSet<>(mRanAt);
+        ranAt.add(handle.id());
+        return ranAt.size() < mRoute.attempts();
     }
 
     // Outcomes of attempts, called by the attempt
@@ -376,6 +387,7 @@
                 .avoid(
                         handle,
                         System.nanoTime() + (otherIncarnation ? AVOID_NANOS : FULL_AVOID_NANOS));
+        mContext.targets().abandoned(handle);
         mExcluded.add(handle.id());
         logStep("target refused", handle, "status " + status);
         next(Optional.empty(), "refused with status " + status);
@@ -386,6 +398,8 @@
         attempt.released();
         TargetHandle handle = attempt.handle();
         logStep("target failed", handle, failure.name().toLowerCase(Locale.ROOT));
+        mContext.targets()
+                .failed(handle, failure.name().toLowerCase(Locale.ROOT), System.nanoTime());
         if (!failure.mayHaveRun()) {
             mContext.targets().avoid(handle, System.nanoTime() + AVOID_NANOS);
             mExcluded.add(handle.id());
@@ -402,7 +416,7 @@
             }
             return;
         }
-        boolean mayGoElsewhere = mRanAt.size() < mRoute.attempts();
+        boolean mayGoElsewhere = mayRunElsewhere(handle);
         if (mayGoElsewhere) {
             mExcluded.add(handle.id());
         }
@@ -412,6 +426,12 @@
     /** The answer was passed on whole. */
     void answered(Attempt attempt, int status) {
         attempt.released();
+        long nowNanos = System.nanoTime();
+        if (status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
+            mContext.targets().failed(attempt.handle(), "status " + status, nowNanos);
+        } else {
+            mContext.targets().succeeded(attempt.handle(), nowNanos - mSentNanos, nowNanos);
+        }
         end("OK", "status " + status);
     }
 
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.oleandertrack.core.discovery.TargetListener;
@@ -84,9 +85,14 @@
         return targetsOf(service).placeTurn(mTurnPlacement, turn, excluded, nowNanos);
     }
 
-    /** Chooses the target of a call to a plain service and counts the call there. */
-    public Optional<PlacedTarget> placeCall(String service, Set<String> excluded, long nowNanos) {
-        return targetsOf(service).placeCall(mCallPlacement, excluded, nowNanos);
+    /**
+     * Chooses the target of a call to a plain service and counts the call there.
+     *
+     * @param repeatable whether the call may find out if a target that failed works again
+     */
+    public Optional<PlacedTarget> placeCall(
+            String service, Set<String> excluded, boolean repeatable, long nowNanos) {
+        return targetsOf(service).placeCall(mCallPlacement, excluded, repeatable, nowNanos);
     }
 
     /** Counts a request that is sent to the same target once more. */
@@ -109,6 +115,36 @@
         return targetsOf(handle.record().service()).hasRoom(handle, nowNanos);
     }
 
+    /** Notes an answer that was complete and no failure of the target. */
+    public void succeeded(TargetHandle handle, long durationNanos, long nowNanos) {
+        targetsOf(handle.record().service()).succeeded(handle, durationNanos, nowNanos);
+    }
+
+    /** Notes a request whose connection or answer failed. */
+    public void failed(TargetHandle handle, String reason, long nowNanos) {
+        failed(handle, OptionalLong.empty(), reason, nowNanos);
+    }
+
+    /**
+     * Notes a request that got no answer. If no other request was answered meanwhile, that counts
+     * twice.
+     *
+     * @param sentNanos when the request was sent
+     */
+    public void silent(TargetHandle handle, long sentNanos, long nowNanos) {
+        failed(handle, OptionalLong.of(sentNanos), "silent", nowNanos);
+    }
+
+    /** Notes a request whose end says nothing about the target. */
+    public void abandoned(TargetHandle handle) {
+        targetsOf(handle.record().service()).abandoned(handle);
+    }
+
+    /** Returns whether a target gets no requests while others are left. */
+    public boolean isFailing(TargetHandle handle) {
+        return targetsOf(handle.record().service()).isFailing(handle);
+    }
+
     /** Prefers other targets until a time. */
     public void avoid(TargetHandle handle, long untilNanos) {
         targetsOf(handle.record().service()).avoid(handle, untilNanos);
@@ -116,6 +152,18 @@
 
     // Helpers
 
+    private void failed(
+            TargetHandle handle, OptionalLong silentSinceNanos, String reason, long nowNanos) {
+        ServiceTargets targets = targetsOf(handle.record().service());
+        if (targets.failed(handle, silentSinceNanos, nowNanos)) {
+            mLog.notice("target set aside")
+                    .text("target", handle.id())
+                    .text("service", handle.record().service())
+                    .text("reason", reason)
+                    .write();
+        }
+    }
+
     private ServiceTargets targetsOf(String service) {
         return mServices.computeIfAbsent(service, name -> new ServiceTargets());
     }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayStreamTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayStreamTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
 
 /** Guards against streams with missing, repeated or mixed events, and against overspent budgets. */
@@ -156,4 +157,50 @@
             assertEquals(2, target.requests().size());
         }
     }
+
+    /** Guards against turns that go on being sent to a target that accepts them and hangs. */
+    @Test
+    void aTargetThatHangsIsSetAside() throws IOException {
+        try (ScriptedTarget hanging =
+                        new ScriptedTarget((exchange, number) -> exchange.awaitPeerClose());
+                ScriptedTarget sound =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    exchange.startStream(event(1));
+                                    exchange.endStream();
+                                });
+                TestGateway gateway = TestGateway.with("engine", hanging);
+                TestClient waiting = gateway.client()) {
+            waiting.send("POST", "/turn/x", "r0", "", "prompt");
+            Awaitility.await().until(() -> !hanging.requests().isEmpty());
+            gateway.register("sound", "engine", sound.port(), false);
+            gateway.awaitTargets(2);
+            Awaitility.await().until(() -> gateway.logs().contains("target set aside"));
+
+            for (int i = 0; i < 5; i++) {
+                String answer = stream(gateway, "Program: p" + i + "\r\nBudget: 500\r\n");
+                assertTrue(answer.contains("e1"), answer);
+            }
+            assertEquals(5, sound.requests().size());
+        }
+    }
+
+    /** Guards against callers that wait for a hanging target until their time is up. */
+    @Test
+    void aCallerOfATargetKnownToHangIsToldBeforeItsTimeIsUp() throws IOException {
+        try (ScriptedTarget hanging =
+                        new ScriptedTarget((exchange, number) -> exchange.awaitPeerClose());
+                TestGateway gateway = TestGateway.with("engine", hanging);
+                TestClient first = gateway.client();
+                TestClient second = gateway.client()) {
+            first.send("POST", "/turn/x", "r1", "", "prompt");
+            Awaitility.await().until(() -> hanging.requests().size() == 1);
+            second.send("POST", "/turn/x", "r2", "", "prompt");
+
+            String answer = second.readAnswer();
+            assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+            assertTrue(answer.contains("\"execution\":\"unknown\""), answer);
+            assertTrue(answer.contains("does not answer"), answer);
+        }
+    }
 }
