Take a target that this host has not heard of to be as busy as the others

Cause: one of 27 hosts hears of each of 28 engines about once in two seconds, and an estimate that was old fell back to the target's own slow mean, which begins at idle.

Old estimates now fall back to the mean load of the service, from the last ten responses of any of its targets. The unused reports of other hosts are removed.

--- a/core/src/main/java/org/oleandertrack/core/turn/LoadEstimate.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/LoadEstimate.java
@@ -15,16 +15,28 @@
     private static final double MIN_SLOWNESS = 0.5;
     private static final double MAX_SLOWNESS = 20;
 
+    private final ServiceLoad mService;
+    private final int mSlots;
     private int mOwn;
-    private int mPeers;
-    private boolean mPeersKnown;
     private double mOthers;
-    private double mMeanOthers;
+    private boolean mReported;
     private long mOthersAtNanos;
     private double mSlowness = 1;
     private double mMeanSlowness = 1;
+    private double mMeanSlownessTrust;
     private long mSlownessAtNanos;
 
+    /**
+     * Creates an estimate for a target of which nothing is known.
+     *
+     * @param service load of the targets of the same service
+     * @param slots requests that the target runs at once
+     */
+    public LoadEstimate(ServiceLoad service, int slots) {
+        mService = service;
+        mSlots = slots;
+    }
+
     // Accessors
 
     /** Returns the requests of this host that are under way at the target. */
@@ -34,17 +46,17 @@
 
     /** Returns the estimated number of requests at the target, of all hosts. */
     public double requests(long nowNanos) {
-        if (mPeersKnown) {
-            return mOwn + mPeers;
-        }
-        double weight = freshness(nowNanos - mOthersAtNanos);
-        return mOwn + mOthers * weight + mMeanOthers * (1 - weight);
+        double weight = mReported ? freshness(nowNanos - mOthersAtNanos) : 0;
+        double usualOthers = Math.max(0, mService.fill() * mSlots - mOwn);
+        return mOwn + mOthers * weight + usualOthers * (1 - weight);
     }
 
     /** Returns the estimated time that work takes, relative to an idle host of the usual speed. */
     public double slowness(long nowNanos) {
         double weight = freshness(nowNanos - mSlownessAtNanos);
-        return mSlowness * weight + mMeanSlowness * (1 - weight);
+        double usual =
+                mMeanSlowness * mMeanSlownessTrust + mService.slowness() * (1 - mMeanSlownessTrust);
+        return mSlowness * weight + usual * (1 - weight);
     }
 
     /** Returns the age of the last observation of the target's slowness, in nanoseconds. */
@@ -68,8 +80,9 @@
     public void reported(LoadFigures figures, long nowNanos) {
         double others = Math.max(0, figures.running() + figures.waiting() - mOwn);
         mOthers = others;
-        mMeanOthers += MEAN_WEIGHT * (others - mMeanOthers);
+        mReported = true;
         mOthersAtNanos = nowNanos;
+        mService.reported(figures, mSlots);
         slownessSeen(figures.slowness(), nowNanos);
     }
 
@@ -77,20 +90,10 @@
     public void slownessSeen(double slowness, long nowNanos) {
         mSlowness = Math.clamp(slowness, MIN_SLOWNESS, MAX_SLOWNESS);
         mMeanSlowness += MEAN_WEIGHT * (mSlowness - mMeanSlowness);
+        mMeanSlownessTrust += MEAN_WEIGHT * (1 - mMeanSlownessTrust);
         mSlownessAtNanos = nowNanos;
     }
 
-    /** Takes the number of requests that all other hosts say they have under way at the target. */
-    public void peersReported(int requests) {
-        mPeers = requests;
-        mPeersKnown = true;
-    }
-
-    /** Notes that the other hosts cannot be heard, so that their requests are estimated. */
-    public void peersLost() {
-        mPeersKnown = false;
-    }
-
     private static double freshness(long ageNanos) {
         return Math.exp(-ageNanos / MEMORY_NANOS);
     }
--- a/core/src/main/java/org/oleandertrack/core/turn/TargetState.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/TargetState.java
@@ -23,13 +23,20 @@
      *
      * @param slots requests that it runs at once; positive
      * @param memoryTokens tokens that its memory holds; 0 for a plain service
+     * @param service load of the targets of its service
      * @param health what this host's calls to the targets of its service say about them
      */
-    public TargetState(String id, String zone, int slots, long memoryTokens, HealthView health) {
+    public TargetState(
+            String id,
+            String zone,
+            int slots,
+            long memoryTokens,
+            ServiceLoad service,
+            HealthView health) {
         mId = id;
         mZone = zone;
         mSlots = slots;
-        mLoad = new LoadEstimate();
+        mLoad = new LoadEstimate(service, slots);
         mHealth = health;
         mPrefixes = new PrefixMemory(memoryTokens);
     }
--- a/core/src/test/java/org/oleandertrack/core/turn/CallPlacementTest.java
+++ b/core/src/test/java/org/oleandertrack/core/turn/CallPlacementTest.java
@@ -16,11 +16,12 @@
 
     private static final long NOW = 1_000_000_000L;
 
+    private final ServiceLoad mService = new ServiceLoad();
     private final List<TargetState> mTargets =
             List.of(
-                    new TargetState("a", "z", 6, 0, HealthView.ALL_HEALTHY),
-                    new TargetState("b", "z", 6, 0, HealthView.ALL_HEALTHY),
-                    new TargetState("c", "z", 6, 0, HealthView.ALL_HEALTHY));
+                    new TargetState("a", "z", 6, 0, mService, HealthView.ALL_HEALTHY),
+                    new TargetState("b", "z", 6, 0, mService, HealthView.ALL_HEALTHY),
+                    new TargetState("c", "z", 6, 0, mService, HealthView.ALL_HEALTHY));
     private final CallPlacement mPlacement = new CallPlacement("z", new Random(7));
 
     private Map<String, Integer> place(int calls) {
--- a/core/src/test/java/org/oleandertrack/core/turn/TurnPlacementTest.java
+++ b/core/src/test/java/org/oleandertrack/core/turn/TurnPlacementTest.java
@@ -24,10 +24,11 @@
                     35,
                     "");
 
+    private final ServiceLoad mService = new ServiceLoad();
     private final TargetState mNear =
-            new TargetState("near", "z1", 12, 100_000, HealthView.ALL_HEALTHY);
+            new TargetState("near", "z1", 12, 100_000, mService, HealthView.ALL_HEALTHY);
     private final TargetState mFar =
-            new TargetState("far", "z2", 12, 100_000, HealthView.ALL_HEALTHY);
+            new TargetState("far", "z2", 12, 100_000, mService, HealthView.ALL_HEALTHY);
     private final TurnPlacement mPlacement = new TurnPlacement(EngineTimes.DEFAULT, "z1");
 
     private String choose() {
@@ -61,8 +62,20 @@
         return new TurnPlacement(EngineTimes.DEFAULT, zone)
                 .choose(
                         List.of(
-                                new TargetState("near", "z1", 12, 100_000, HealthView.ALL_HEALTHY),
-                                new TargetState("far", "z2", 12, 100_000, HealthView.ALL_HEALTHY)),
+                                new TargetState(
+                                        "near",
+                                        "z1",
+                                        12,
+                                        100_000,
+                                        new ServiceLoad(),
+                                        HealthView.ALL_HEALTHY),
+                                new TargetState(
+                                        "far",
+                                        "z2",
+                                        12,
+                                        100_000,
+                                        new ServiceLoad(),
+                                        HealthView.ALL_HEALTHY)),
                         turn,
                         Set.of(),
                         NOW)
@@ -74,7 +87,8 @@
     void whatAHostKnowsGoesBeforeTheAssumedHome() {
         for (int program = 0; program < 20; program++) {
             TurnRequest later = new TurnRequest(3_000, TURN.parts(), 35, "program-" + program);
-            TargetState read = new TargetState("read", "z2", 12, 100_000, HealthView.ALL_HEALTHY);
+            TargetState read =
+                    new TargetState("read", "z2", 12, 100_000, mService, HealthView.ALL_HEALTHY);
             read.prefixes().use(later.parts());
             assertEquals(
                     "read",
@@ -161,7 +175,8 @@
     void hostsThatKnowNothingReadASharedPartAtFewEngines() {
         List<TargetState> engines = new ArrayList<>();
         for (int i = 0; i < 28; i++) {
-            engines.add(new TargetState("e" + i, "z1", 16, 100_000, HealthView.ALL_HEALTHY));
+            engines.add(
+                    new TargetState("e" + i, "z1", 16, 100_000, mService, HealthView.ALL_HEALTHY));
         }
         Set<String> chosen = new HashSet<>();
         for (int program = 0; program < 200; program++) {
@@ -171,4 +186,31 @@
         assertTrue(chosen.size() <= 7, chosen.toString());
         assertTrue(chosen.size() >= 6, chosen.toString());
     }
+
+    /**
+     * A burst on 28 engines, of which this host has heard of two lately: the home is as busy as the
+     * others, and a host that takes the unheard ones for idle reads the prompt again there.
+     */
+    @Test
+    void aTargetNotHeardOfIsAsBusyAsTheOthers() {
+        List<TargetState> engines = new ArrayList<>();
+        for (int i = 0; i < 28; i++) {
+            engines.add(
+                    new TargetState("e" + i, "z1", 16, 100_000, mService, HealthView.ALL_HEALTHY));
+        }
+        TurnRequest turn =
+                new TurnRequest(
+                        6_000,
+                        List.of(new PromptPart("shared", 2_500), new PromptPart("own", 3_500)),
+                        35,
+                        "program");
+        TargetState home = engines.get(3);
+        home.prefixes().use(turn.parts());
+        for (int i = 0; i < 20; i++) {
+            engines.get(i % 2).load().reported(new LoadFigures(12, 0, 16, 1), NOW);
+        }
+        home.load().reported(new LoadFigures(13, 0, 16, 1), NOW);
+        assertEquals(
+                "e3", mPlacement.choose(engines, turn, Set.of(), NOW).orElseThrow().targetId());
+    }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
@@ -17,6 +17,7 @@
 import org.oleandertrack.core.turn.CallPlacement;
 import org.oleandertrack.core.turn.LoadFigures;
 import org.oleandertrack.core.turn.PlacementChoice;
+import org.oleandertrack.core.turn.ServiceLoad;
 import org.oleandertrack.core.turn.TargetState;
 import org.oleandertrack.core.turn.TurnPlacement;
 import org.oleandertrack.core.turn.TurnRequest;
@@ -38,6 +39,7 @@
 
     private final Map<String, TargetHandle> mHandles = new LinkedHashMap<>();
     private final List<TargetState> mStates = new ArrayList<>();
+    private final ServiceLoad mLoad = new ServiceLoad();
     private final HealthTracker mHealth =
             new HealthTracker(
                     HealthConfig.DEFAULT
@@ -51,6 +53,7 @@
                         record.zone(),
                         Math.max(1, record.slots()),
                         memoryTokens,
+                        mLoad,
                         this::assess);
         InetSocketAddress remote = new InetSocketAddress(record.host(), record.port());
         TargetHandle handle = new TargetHandle(record, state, new TargetConnections(remote));
