Give up requests at targets that hang also while a burst makes all of them late

Cause: a request was given up after four times its predicted time and only if the target had slots free. The wait is now at most 1.5 s, or half more than predicted at a target known to be slow, and a full target counts as late only while it answers other requests of this host.

Not yet measured on its own.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -332,6 +332,10 @@
         return !mEnded && mAttempt.isPresent() && mAttempt.get().equals(attempt);
     }
 
+    long sentNanos() {
+        return mSentNanos;
+    }
+
     /** Returns how long the target has been silent. */
     long quietMillis(long nowNanos) {
         return TimeUnit.NANOSECONDS.toMillis(nowNanos - mProgress.lastActivityNanos(mSentNanos));
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/StallWatch.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StallWatch.java
@@ -1,6 +1,7 @@
 package org.oleandertrack.gateway.call;
 
 import java.util.concurrent.TimeUnit;
+import org.oleandertrack.core.health.SilenceRule;
 
 /**
  * Notices a target that is silent for longer than its load explains: it may have run a request and
@@ -8,15 +9,11 @@
  */
 final class StallWatch {
 
-    // Callers give up a silent stream after two seconds and more, a lookup after two.
-    private static final long STALL_MILLIS = 900;
-    // A turn takes this much longer than predicted only on a target that is in trouble.
-    private static final long STALL_FACTOR = 4;
     private static final long RECHECK_MILLIS = 100;
 
     private final Call mCall;
     private final Attempt mAttempt;
-    private final long mLimitMillis;
+    private final long mPredictedMillis;
 
     /**
      * Creates a watch.
@@ -26,11 +23,11 @@
     StallWatch(Call call, Attempt attempt, long predictedMillis) {
         mCall = call;
         mAttempt = attempt;
-        mLimitMillis = Math.max(STALL_MILLIS, STALL_FACTOR * predictedMillis);
+        mPredictedMillis = predictedMillis;
     }
 
     void start() {
-        checkAfter(mLimitMillis);
+        checkAfter(SilenceRule.limitMillis(mPredictedMillis));
     }
 
     private void checkAfter(long delayMillis) {
@@ -46,10 +43,19 @@
         }
         long nowNanos = System.nanoTime();
         long quietMillis = mCall.quietMillis(nowNanos);
-        // A target that is nearly full may only be late.
-        boolean explained = !mCall.context().targets().hasRoom(mAttempt.handle(), nowNanos);
-        if (quietMillis < mLimitMillis || explained) {
-            checkAfter(Math.max(RECHECK_MILLIS, mLimitMillis - quietMillis));
+        boolean stalled =
+                SilenceRule.isStalled(
+                        quietMillis,
+                        mPredictedMillis,
+                        mCall.context().targets().hasRoom(mAttempt.handle(), nowNanos),
+                        mCall.context()
+                                .targets()
+                                .hasAnsweredSince(mAttempt.handle(), mCall.sentNanos()));
+        if (!stalled) {
+            checkAfter(
+                    Math.max(
+                            RECHECK_MILLIS,
+                            SilenceRule.limitMillis(mPredictedMillis) - quietMillis));
             return;
         }
         mCall.stalled(mAttempt, quietMillis);
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
@@ -120,6 +120,7 @@
     }
 
     synchronized void reported(TargetHandle handle, LoadFigures figures, long nowNanos) {
+        handle.noteAnswer(nowNanos);
         handle.state().load().reported(figures, nowNanos);
         handle.state().succeeded();
     }
@@ -129,7 +130,7 @@
     }
 
     synchronized void succeeded(TargetHandle handle, long durationNanos, long nowNanos) {
-        handle.noteSuccess(nowNanos);
+        handle.noteAnswer(nowNanos);
         mHealth.succeeded(handle.id(), durationNanos, nowNanos);
     }
 
@@ -144,7 +145,7 @@
         boolean wasFailing = mHealth.isFailing(handle.id());
         mHealth.failed(handle.id(), nowNanos);
         if (silentSinceNanos.isPresent()
-                && !handle.hasSucceededSince(silentSinceNanos.getAsLong())) {
+                && !handle.hasAnsweredSince(silentSinceNanos.getAsLong())) {
             mHealth.failed(handle.id(), nowNanos);
         }
         return !wasFailing && mHealth.isFailing(handle.id());
@@ -159,6 +160,10 @@
         return mHealth.isFailing(handle.id());
     }
 
+    synchronized boolean hasAnsweredSince(TargetHandle handle, long sinceNanos) {
+        return handle.hasAnsweredSince(sinceNanos);
+    }
+
     synchronized boolean hasRoom(TargetHandle handle, long nowNanos) {
         return handle.state().load().requests(nowNanos) < handle.state().slots() * ROOM_PART;
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetHandle.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetHandle.java
@@ -4,8 +4,8 @@
 import org.oleandertrack.core.turn.TargetState;
 
 /**
- * One incarnation of a target. The state and the time of the last success are guarded by the lock
- * of the service.
+ * One incarnation of a target. The state and the time of the last answer are guarded by the lock of
+ * the service.
  */
 public final class TargetHandle {
 
@@ -13,8 +13,8 @@
     private final TargetState mState;
     private final TargetConnections mConnections;
     private volatile boolean mRemoved;
-    private boolean mSucceeded;
-    private long mLastSuccessNanos;
+    private boolean mAnswered;
+    private long mLastAnswerNanos;
 
     TargetHandle(TargetRecord record, TargetState state, TargetConnections connections) {
         mRecord = record;
@@ -43,13 +43,13 @@
         return mState;
     }
 
-    boolean hasSucceededSince(long sinceNanos) {
-        return mSucceeded && mLastSuccessNanos - sinceNanos >= 0;
+    boolean hasAnsweredSince(long sinceNanos) {
+        return mAnswered && mLastAnswerNanos - sinceNanos >= 0;
     }
 
-    void noteSuccess(long nowNanos) {
-        mSucceeded = true;
-        mLastSuccessNanos = nowNanos;
+    void noteAnswer(long nowNanos) {
+        mAnswered = true;
+        mLastAnswerNanos = nowNanos;
     }
 
     void markRemoved() {
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
@@ -145,6 +145,11 @@
         return targetsOf(handle.record().service()).isFailing(handle);
     }
 
+    /** Returns whether a target has answered any request of this host since a time. */
+    public boolean hasAnsweredSince(TargetHandle handle, long sinceNanos) {
+        return targetsOf(handle.record().service()).hasAnsweredSince(handle, sinceNanos);
+    }
+
     /** Prefers other targets until a time. */
     public void avoid(TargetHandle handle, long untilNanos) {
         targetsOf(handle.record().service()).avoid(handle, untilNanos);
