--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -516,6 +516,8 @@
                         .number("durationMs", TimeUnit.NANOSECONDS.toMillis(durationNanos))
                         .number("sends", mSends)
                         .number("refusals", mRefusals);
+        // A request that was never placed has no other line that names its program.
+        mFacts.program().ifPresent(program -> line.text("program", program.programId()));
         if (mRoute.kind() == RequestKind.STREAMING) {
             line.number("firstEventMs", mProgress.firstEventMillis(mRequest.firstByteNanos()))
                     .number("longestGapMs", mProgress.longestGapMillis())
