--- a/standins/src/main/java/org/oleandertrack/standins/platform/PlatformHandler.java
+++ b/standins/src/main/java/org/oleandertrack/standins/platform/PlatformHandler.java
@@ -21,6 +21,16 @@
     private final RowCalls mRowCalls = new RowCalls(mTables, mHosts, mGate);
     private final ObjectCalls mObjectCalls = new ObjectCalls(mGate);
 
+    /** Returns the rows, which whoever holds this handler may change past all faults. */
+    public RowTables tables() {
+        return mTables;
+    }
+
+    /** Replaces all faults, as the control request does. */
+    public void setFaults(JsonNode faults) throws BadRequestException {
+        mFaults.replace(faults);
+    }
+
     @Override
     public void handle(Request request) throws IOException {
         switch (request.route()) {
--- /dev/null
+++ b/standins/src/main/java/org/oleandertrack/standins/published/PublishedCaller.java
@@ -0,0 +1,121 @@
+package org.oleandertrack.standins.published;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+
+/** A client of the users, which keeps its connections open. Thread-safe. */
+public final class PublishedCaller {
+
+    /**
+     * What became of a request.
+     *
+     * @param status status of the answer; empty if none came
+     * @param signature signature of the server, or empty
+     * @param body as far as it came
+     * @param complete whether the answer came to its end
+     * @param connected whether the connection was established
+     * @param durationNanos time from sending to the end
+     */
+    public record Answer(
+            Optional<Integer> status,
+            String signature,
+            String body,
+            boolean complete,
+            boolean connected,
+            long durationNanos) {}
+
+    /**
+     * A turn of a program.
+     *
+     * @param budgetTokens tokens that the program may generate
+     * @param maxTokens tokens that this turn may generate
+     */
+    public record Turn(String program, long budgetTokens, int maxTokens) {}
+
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+    private static final long DEADLINE_MILLIS = 4_000;
+    private static final Duration DEADLINE = Duration.ofMillis(DEADLINE_MILLIS);
+
+    // The client's own retries would send a request that must not run twice once more.
+    static {
+        System.setProperty("jdk.httpclient.enableAllMethodRetry", "false");
+        System.setProperty("jdk.httpclient.disableRetryConnect", "true");
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+    }
+
+    private final HttpClient mClient =
+            HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .connectTimeout(CONNECT_TIMEOUT)
+                    .build();
+
+    /** Sends a request to a process and reads its answer. */
+    public Answer send(String address, String path, String requestId, Optional<Turn> turn) {
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder(
+                                URI.create(
+                                        "http://"
+                                                + address
+                                                + ":"
+                                                + PublishedSettings.CALLERS
+                                                + path))
+                        .timeout(DEADLINE)
+                        .header("Host", PublishedStore.host())
+                        .header("X-Request-Id", requestId)
+                        .header("X-Deadline-Milliseconds", Long.toString(DEADLINE_MILLIS))
+                        .POST(HttpRequest.BodyPublishers.ofString("body of " + requestId));
+        turn.ifPresent(
+                t ->
+                        request.header("X-Program-Id", t.program())
+                                .header("X-Session-Id", t.program())
+                                .header("X-Program-Deadline", Long.toString(DEADLINE_MILLIS))
+                                .header("X-Token-Budget", Long.toString(t.budgetTokens()))
+                                .header("X-Token-Counts", "600," + t.maxTokens())
+                                .header("X-Prompt-Prefix", "aa:500," + t.program() + ":100"));
+        long startNanos = System.nanoTime();
+        StringBuilder body = new StringBuilder();
+        HttpResponse<java.io.InputStream> response;
+        try {
+            response = mClient.send(request.build(), HttpResponse.BodyHandlers.ofInputStream());
+        } catch (IOException e) {
+            boolean connected =
+                    !(e instanceof HttpConnectTimeoutException
+                            || e instanceof java.net.ConnectException);
+            return new Answer(
+                    Optional.empty(), "", "", false, connected, System.nanoTime() - startNanos);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+        boolean complete = read(response, body);
+        return new Answer(
+                Optional.of(response.statusCode()),
+                response.headers().firstValue("X-Response-Signature").orElse(""),
+                body.toString(),
+                complete,
+                true,
+                System.nanoTime() - startNanos);
+    }
+
+    private static boolean read(HttpResponse<java.io.InputStream> response, StringBuilder body) {
+        try (BufferedReader reader =
+                new BufferedReader(
+                        new InputStreamReader(response.body(), StandardCharsets.UTF_8))) {
+            for (int next = reader.read(); next >= 0; next = reader.read()) {
+                body.append((char) next);
+            }
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/oleandertrack/standins/published/PublishedStore.java
@@ -0,0 +1,124 @@
+package org.oleandertrack.standins.published;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.Base64;
+import java.util.List;
+import org.oleandertrack.standins.http.Json;
+import org.oleandertrack.standins.http.StandinServer;
+import org.oleandertrack.standins.platform.PlatformHandler;
+import org.oleandertrack.standins.platform.RowTables;
+
+/** The store, to which the operator and the servers write past all faults. Thread-safe. */
+public final class PublishedStore implements AutoCloseable {
+
+    /** Number of tokens that an event of a stream stands for. */
+    public static final int TOKENS_PER_EVENT = 6;
+
+    private static final String HOST = "service.example";
+
+    private final PlatformHandler mHandler = new PlatformHandler();
+    private final StandinServer mServer;
+
+    /** Starts a store on a free port of the loopback address. */
+    public PublishedStore() throws IOException {
+        mServer = new StandinServer("127.0.0.1", 0, mHandler);
+        mServer.start();
+    }
+
+    // Life-cycle
+
+    @Override
+    public void close() {
+        mServer.stop();
+    }
+
+    // Accessors
+
+    public int port() {
+        return mServer.port();
+    }
+
+    /** Returns the host name that the routes of the configuration have. */
+    public static String host() {
+        return HOST;
+    }
+
+    // Operations
+
+    /** Writes a configuration with a route for streams and one for requests that run once. */
+    public void configure(long version, long timeoutMillis) {
+        ObjectNode config = Json.object().put("version", version);
+        ArrayNode routes = config.putArray("routes");
+        route(routes, "turn", "streaming", "engine", timeoutMillis).put("allow_resume", true);
+        route(routes, "order", "unsafe", "orders", timeoutMillis);
+        ArrayNode services = config.putArray("services");
+        services.addObject()
+                .put("name", "engine")
+                .put("connection_limit", 200)
+                .putObject("engine")
+                .put("slots", 16)
+                .put("cache_tokens", 100_000)
+                .put("stride", TOKENS_PER_EVENT);
+        services.addObject().put("name", "orders").put("connection_limit", 200);
+        write("op", "config", config);
+    }
+
+    /** Writes a server's entry. */
+    public void register(PublishedServer server, String service, int port, boolean draining) {
+        write(
+                "servers",
+                server.id(),
+                Json.object()
+                        .put("service", service)
+                        .put("address", "127.0.0.1:" + port)
+                        .put("zone", "zone")
+                        .put("slots", server.slots())
+                        .put("state", draining ? "draining" : "ready")
+                        .put("born", System.currentTimeMillis()));
+    }
+
+    /** Removes a server's entry. */
+    public void remove(String serverId) {
+        mHandler.tables()
+                .apply(
+                        new RowTables.Transaction(
+                                List.of(),
+                                List.of(),
+                                List.of(new RowTables.Id("servers", "", serverId))));
+    }
+
+    /** Replaces the faults of the store; see the page on stand-ins. */
+    public void setFaults(String json) throws IOException {
+        mHandler.setFaults(
+                Json.parseObject(json.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+    }
+
+    /** Drops the history of changes. */
+    public void forgetHistory() {
+        mHandler.tables().forgetHistory();
+    }
+
+    // Helpers
+
+    private static ObjectNode route(
+            ArrayNode routes, String name, String kind, String service, long timeoutMillis) {
+        return routes.addObject()
+                .put("name", name)
+                .put("host", HOST)
+                .put("prefix", "/" + name + "/")
+                .put("kind", kind)
+                .put("timeout_ms", timeoutMillis)
+                .put("attempts", 1)
+                .put("service", service);
+    }
+
+    private void write(String table, String key, ObjectNode value) {
+        RowTables.Write write =
+                new RowTables.Write(
+                        new RowTables.Id(table, "", key),
+                        Base64.getEncoder().encodeToString(Json.bytes(value)));
+        mHandler.tables().apply(new RowTables.Transaction(List.of(), List.of(write), List.of()));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/oleandertrack/standins/published/RunLog.java
@@ -0,0 +1,35 @@
+package org.oleandertrack.standins.published;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** What servers ran. Thread-safe. */
+public final class RunLog {
+
+    /** One run of a request at a server. */
+    public record Run(String requestId, String serverId, long startNanos) {}
+
+    private final Map<String, List<Run>> mRuns = new ConcurrentHashMap<>();
+
+    /** Returns the runs of a request. */
+    public List<Run> runsOf(String requestId) {
+        return mRuns.getOrDefault(requestId, List.of());
+    }
+
+    /** Returns the runs of all requests. */
+    public List<Run> all() {
+        return mRuns.values().stream().flatMap(List::stream).toList();
+    }
+
+    void add(Run run) {
+        mRuns.compute(
+                run.requestId(),
+                (id, runs) -> {
+                    List<Run> all = new ArrayList<>(runs == null ? List.of() : runs);
+                    all.add(run);
+                    return List.copyOf(all);
+                });
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/oleandertrack/standins/published/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins of the users' servers, clients and operator, which speak their published protocol. */
+package org.oleandertrack.standins.published;
--- a/system-tests/src/main/java/org/oleandertrack/system/ManagedProcess.java
+++ b/system-tests/src/main/java/org/oleandertrack/system/ManagedProcess.java
@@ -9,6 +9,7 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -38,10 +39,25 @@
      */
     public static ManagedProcess start(
             String name, List<String> command, Pattern ready, Path logFile) {
+        return start(name, command, Map.of(), ready, logFile);
+    }
+
+    /**
+     * Starts a process with further variables in its environment.
+     *
+     * @param ready matches the output line that says that the process serves
+     */
+    public static ManagedProcess start(
+            String name,
+            List<String> command,
+            Map<String, String> environment,
+            Pattern ready,
+            Path logFile) {
         try {
             Files.createDirectories(logFile.getParent());
             ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
             builder.environment().put("MALLOC_ARENA_MAX", "1");
+            builder.environment().putAll(environment);
             Process process = builder.start();
             ManagedProcess managed = new ManagedProcess(name, process);
             Thread.ofPlatform()
@@ -112,6 +128,13 @@
         signal("STOP");
     }
 
+    /** Tells the process that its settings have changed (SIGHUP). */
+    public void reload() {
+        if (mProcess.isAlive()) {
+            signal("HUP");
+        }
+    }
+
     /** Lets a frozen process go on (SIGCONT). */
     public void resume() {
         if (mProcess.isAlive()) {
