--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
@@ -0,0 +1,381 @@
+package org.oleandertrack.coordination.conversation;
+
+import java.util.Iterator;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.oleandertrack.coordination.schedule.Scheduler;
+import org.oleandertrack.coordination.store.RowStore;
+import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.core.result.Execution;
+
+/**
+ * Keeps the turns of conversations and finds them by id. A turn is kept in the store before its
+ * response ends. While the store is away, this host and some peers hold the turn, and each of them
+ * writes it when the store is back. Thread-safe.
+ */
+public final class ConversationService {
+
+    // A slow store answers within 500 ms. After this time, peers hold the turn as well.
+    private static final long STORE_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+    // A caller's next turn should not wait for a store that is away if a peer has the turn.
+    private static final long READ_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    private static final long WRITE_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    // Callers give up a stream after two seconds without an event.
+    private static final long KEEP_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
+    private static final int MAX_HAND_OVERS_IN_FLIGHT = 8;
+    // Each part is searched for expired turns once in this time.
+    private static final long REMOVAL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+    private final ConversationStore mStore;
+    private final ConversationPeers mPeers;
+    private final Scheduler mScheduler;
+    private final LongSupplier mNanoClock;
+    private final ConversationListener mListener;
+    private final ConversationCache mCache;
+    private final HeldTurns mHeldTurns;
+    private final Set<String> mHandOversInFlight = ConcurrentHashMap.newKeySet();
+    private final long mStartNanos;
+    private Iterator<String> mPartsToSearch = ConversationRows.parts().iterator();
+    private long mLastSearchNanos;
+
+    /**
+     * Creates a service.
+     *
+     * @param nanoClock monotonic time, in nanoseconds
+     * @param epochMillisClock time of day, in milliseconds since the epoch
+     */
+    public ConversationService(
+            RowStore store,
+            ConversationPeers peers,
+            Scheduler scheduler,
+            LongSupplier nanoClock,
+            LongSupplier epochMillisClock,
+            ConversationListener listener,
+            ConversationLimits limits) {
+        mStore = new ConversationStore(store, epochMillisClock);
+        mPeers = peers;
+        mScheduler = scheduler;
+        mNanoClock = nanoClock;
+        mListener = listener;
+        mCache = new ConversationCache(limits.cacheBytes());
+        mHeldTurns = new HeldTurns(limits.heldBytes());
+        mStartNanos = nanoClock.getAsLong();
+        mLastSearchNanos = mStartNanos;
+    }
+
+    // Accessors
+
+    /** Returns the number of turns that the store does not have yet. */
+    public int heldCount() {
+        return mHeldTurns.count();
+    }
+
+    // Operations
+
+    /** Keeps a turn that has generated its last event. The future never fails. */
+    public CompletableFuture<KeepOutcome> keep(KeptTurn turn) {
+        Keeping keeping = new Keeping(turn);
+        keeping.start();
+        return keeping.mOutcome;
+    }
+
+    /**
+     * Forgets this host's copy of a turn whose response did not end whole, so that the conversation
+     * continues from another try of the same turn, if there is one.
+     */
+    public void forget(String turnId) {
+        mCache.remove(turnId);
+        mHeldTurns.remove(turnId);
+    }
+
+    /**
+     * Finds the conversation up to and including a turn. The future never fails.
+     *
+     * @param retentionMillis time for which turns are kept, in milliseconds
+     */
+    public CompletableFuture<TurnLookup> find(String turnId, long retentionMillis) {
+        Optional<Conversation> local = findLocally(turnId);
+        if (local.isPresent()) {
+            return CompletableFuture.completedFuture(
+                    new TurnLookup.Found(local.get(), TurnLookup.Source.LOCAL));
+        }
+        Finding finding = new Finding(turnId, retentionMillis);
+        finding.start();
+        return finding.mResult;
+    }
+
+    /** Holds a turn for a peer until the store has it; returns whether there is room for it. */
+    public boolean holdForPeer(KeptTurn turn) {
+        return mHeldTurns.add(turn, mNanoClock.getAsLong());
+    }
+
+    /** Returns a conversation that this host has in memory. */
+    public Optional<Conversation> findLocally(String turnId) {
+        return mCache.get(turnId).or(() -> mHeldTurns.get(turnId));
+    }
+
+    /**
+     * Returns whether this host would still hold each turn that it has agreed to hold within the
+     * given time. A host that started later may have held a turn before.
+     */
+    public boolean remembersSince(long retentionMillis) {
+        return mNanoClock.getAsLong() - mStartNanos
+                >= TimeUnit.MILLISECONDS.toNanos(retentionMillis);
+    }
+
+    /** Hands held turns over to the store and removes expired ones from it. Call regularly. */
+    public void runMaintenance() {
+        mHeldTurns.removeExpired(mNanoClock.getAsLong()).forEach(mListener::onHeldTurnExpired);
+        handOver();
+        searchNextPart();
+    }
+
+    // Helpers
+
+    private void handOver() {
+        for (KeptTurn turn : mHeldTurns.oldest(MAX_HAND_OVERS_IN_FLIGHT)) {
+            if (!mHandOversInFlight.add(turn.turnId())) {
+                continue;
+            }
+            var _ =
+                    mStore.write(turn)
+                            .whenComplete(
+                                    (done, failure) -> {
+                                        mHandOversInFlight.remove(turn.turnId());
+                                        if (failure == null) {
+                                            onStored(turn);
+                                        }
+                                    });
+        }
+    }
+
+    private void onStored(KeptTurn turn) {
+        if (mHeldTurns.remove(turn.turnId())) {
+            mListener.onHandedOver(turn.turnId());
+        }
+    }
+
+    private synchronized void searchNextPart() {
+        long nowNanos = mNanoClock.getAsLong();
+        long parts = ConversationRows.parts().count();
+        if (nowNanos - mLastSearchNanos < REMOVAL_INTERVAL_NANOS / parts) {
+            return;
+        }
+        mLastSearchNanos = nowNanos;
+        if (!mPartsToSearch.hasNext()) {
+            mPartsToSearch = ConversationRows.parts().iterator();
+        }
+        String part = mPartsToSearch.next();
+        if (mPeers.isSelectedFor(part)) {
+            removeExpired(part);
+        }
+    }
+
+    private void removeExpired(String part) {
+        var _ =
+                mStore.removeExpired(part)
+                        .whenComplete(
+                                (turns, failure) -> {
+                                    if (failure != null) {
+                                        mListener.onRemovalFailed(part, reason(failure));
+                                    } else if (turns > 0) {
+                                        mListener.onRemoved(part, turns);
+                                        removeExpired(part);
+                                    }
+                                });
+    }
+
+    private static String reason(Throwable failure) {
+        return StoreFailures.asStoreException(failure).getMessage();
+    }
+
+    /** The attempts to keep one turn: in the store and, if that takes long or fails, at peers. */
+    private final class Keeping {
+        private final KeptTurn mTurn;
+        private final long mBeginNanos = mNanoClock.getAsLong();
+        private final CompletableFuture<KeepOutcome> mOutcome = new CompletableFuture<>();
+        private final AtomicInteger mRefusedWrites = new AtomicInteger();
+        private boolean mAskedPeers;
+
+        private Keeping(KeptTurn turn) {
+            mTurn = turn;
+        }
+
+        private void start() {
+            mScheduler.schedule(STORE_PATIENCE_NANOS, this::holdUnlessEnded);
+            write();
+        }
+
+        private void write() {
+            var _ =
+                    mStore.write(mTurn)
+                            .whenComplete(
+                                    (done, failure) -> {
+                                        if (failure == null) {
+                                            mCache.put(mTurn.turnId(), mTurn.conversation());
+                                            onStored(mTurn);
+                                            mOutcome.complete(KeepOutcome.STORED);
+                                        } else {
+                                            onWriteFailed(failure);
+                                        }
+                                    });
+        }
+
+        // A write of unknown outcome may be repeated. A store that refuses two writes is away. A
+        // turn
+        // that peers hold is written by them.
+        private void onWriteFailed(Throwable failure) {
+            boolean refused = StoreFailures.executionOf(failure) == Execution.NOT_RUN;
+            if (refused && mRefusedWrites.incrementAndGet() > 1) {
+                holdUnlessEnded();
+            }
+            if (mOutcome.isDone()) {
+                return;
+            }
+            if (mNanoClock.getAsLong() - mBeginNanos >= KEEP_LIMIT_NANOS) {
+                mHeldTurns.remove(mTurn.turnId());
+                mOutcome.complete(KeepOutcome.NOT_KEPT);
+                return;
+            }
+            mScheduler.schedule(WRITE_RETRY_NANOS, this::writeUnlessEnded);
+        }
+
+        private void writeUnlessEnded() {
+            if (!mOutcome.isDone()) {
+                write();
+            }
+        }
+
+        private void holdUnlessEnded() {
+            synchronized (this) {
+                if (mOutcome.isDone() || mAskedPeers) {
+                    return;
+                }
+                mAskedPeers = true;
+            }
+            boolean heldHere = mHeldTurns.add(mTurn, mNanoClock.getAsLong());
+            if (mPeers.peerCount() == 0) {
+                if (heldHere) {
+                    mOutcome.complete(KeepOutcome.HELD);
+                }
+                return;
+            }
+            var _ =
+                    mPeers.hold(mTurn)
+                            .thenAccept(
+                                    peers -> {
+                                        if (peers > 0) {
+                                            mOutcome.complete(KeepOutcome.HELD);
+                                        }
+                                    });
+        }
+    }
+
+    /** The search for one turn that this host does not have in memory. */
+    private final class Finding {
+        private final String mTurnId;
+        private final long mRetentionMillis;
+        private final CompletableFuture<TurnLookup> mResult = new CompletableFuture<>();
+
+        private Finding(String turnId, long retentionMillis) {
+            mTurnId = turnId;
+            mRetentionMillis = retentionMillis;
+        }
+
+        private void start() {
+            mScheduler.schedule(READ_PATIENCE_NANOS, this::askPeersEarly);
+            var _ =
+                    mStore.read(mTurnId)
+                            .whenComplete(
+                                    (conversation, failure) -> {
+                                        if (failure != null) {
+                                            onReadFailed(failure);
+                                        } else if (conversation.isPresent()) {
+                                            found(conversation.get(), TurnLookup.Source.STORE);
+                                        } else {
+                                            onAbsent();
+                                        }
+                                    });
+        }
+
+        private void found(Conversation conversation, TurnLookup.Source source) {
+            mCache.put(mTurnId, conversation);
+            mResult.complete(new TurnLookup.Found(conversation, source));
+        }
+
+        private void askPeersEarly() {
+            if (!mResult.isDone()) {
+                askPeers(answer -> {});
+            }
+        }
+
+        private void askPeers(Consumer<TurnLookup> onNotFound) {
+            var _ =
+                    mPeers.find(mTurnId, mRetentionMillis)
+                            .thenAccept(
+                                    answer -> {
+                                        if (answer instanceof TurnLookup.Found found) {
+                                            found(found.conversation(), TurnLookup.Source.PEER);
+                                        } else {
+                                            onNotFound.accept(answer);
+                                        }
+                                    });
+        }
+
+        private void onReadFailed(Throwable failure) {
+            String reason = readFailure(failure);
+            askPeers(answer -> mResult.complete(new TurnLookup.Unavailable(reason)));
+        }
+
+        private String readFailure(Throwable failure) {
+            if (StoreFailures.isStoreFailure(failure)) {
+                return reason(failure);
+            }
+            String reason = String.valueOf(failure.getMessage());
+            mListener.onUnreadable(mTurnId, reason);
+            return "the turn's rows are unreadable: " + reason;
+        }
+
+        // A turn that is not in the store may be held by a host that cannot reach the store.
+        private void onAbsent() {
+            askPeers(
+                    answer -> {
+                        if (answer instanceof TurnLookup.NotFound
+                                && remembersSince(mRetentionMillis)) {
+                            readAgain();
+                        } else {
+                            mResult.complete(
+                                    answer instanceof TurnLookup.Unavailable
+                                            ? answer
+                                            : new TurnLookup.Unavailable(
+                                                    "this host has not run for the retention"
+                                                            + " time"));
+                        }
+                    });
+        }
+
+        // A peer may have handed the turn over after the first read and before it was asked.
+        private void readAgain() {
+            var _ =
+                    mStore.read(mTurnId)
+                            .whenComplete(
+                                    (conversation, failure) -> {
+                                        if (failure != null) {
+                                            mResult.complete(
+                                                    new TurnLookup.Unavailable(
+                                                            readFailure(failure)));
+                                        } else if (conversation.isPresent()) {
+                                            found(conversation.get(), TurnLookup.Source.STORE);
+                                        } else {
+                                            mResult.complete(new TurnLookup.NotFound());
+                                        }
+                                    });
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationStore.java
@@ -0,0 +1,226 @@
+package org.oleandertrack.coordination.conversation;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.oleandertrack.coordination.store.RowId;
+import org.oleandertrack.coordination.store.RowStore;
+import org.oleandertrack.coordination.store.RowTransaction;
+import org.oleandertrack.coordination.store.StoredRow;
+import org.oleandertrack.coordination.store.TransactionResult;
+
+/**
+ * Kept turns in the platform's store. Each turn has the whole conversation in its own rows, so that
+ * one unreadable row harms no other conversation and one read is enough. Thread-safe.
+ */
+final class ConversationStore {
+
+    // The platform accepts 1 MB and 100 entries in a transaction; values are sent as Base64.
+    private static final int MAX_TRANSACTION_CHARS = 600_000;
+    private static final int MAX_TRANSACTION_ROWS = 100;
+    // Beyond the retention time: clocks of hosts differ, and a turn may be written late.
+    private static final long REMOVAL_DELAY_MILLIS = 60_000;
+    private static final int REMOVAL_BATCH_TURNS = 40;
+    private static final int MAX_REPLACEMENTS = 3;
+
+    private final RowStore mStore;
+    private final LongSupplier mEpochMillisClock;
+
+    /**
+     * Creates a store.
+     *
+     * @param epochMillisClock the time of day, which decides when turns are removed
+     */
+    ConversationStore(RowStore store, LongSupplier epochMillisClock) {
+        mStore = store;
+        mEpochMillisClock = epochMillisClock;
+    }
+
+    // Operations
+
+    /**
+     * Writes a turn. May be repeated after a failure. If the store has another conversation under
+     * the same id, from an earlier try of the turn, it is replaced.
+     */
+    CompletableFuture<Void> write(KeptTurn turn) {
+        List<String> values = ConversationCodec.encode(turn.conversation());
+        List<RowTransaction.Write> writes = new ArrayList<>();
+        for (int piece = 1; piece < values.size(); piece++) {
+            writes.add(
+                    new RowTransaction.Write(
+                            ConversationRows.turnRow(turn.turnId(), piece), values.get(piece)));
+        }
+        long dueMillis =
+                mEpochMillisClock.getAsLong() + turn.retentionMillis() + REMOVAL_DELAY_MILLIS;
+        writes.add(
+                new RowTransaction.Write(
+                        ConversationRows.dueRow(
+                                turn.turnId(), TimeUnit.MILLISECONDS.toSeconds(dueMillis)),
+                        Integer.toString(values.size())));
+        RowTransaction.Write first =
+                new RowTransaction.Write(
+                        ConversationRows.turnRow(turn.turnId(), 0), values.getFirst());
+        return writeAll(writes, first);
+    }
+
+    /**
+     * Reads a turn; empty if the store does not have it. The future fails with {@link
+     * IllegalArgumentException} if the rows cannot be decoded.
+     */
+    CompletableFuture<Optional<Conversation>> read(String turnId) {
+        return readPieces(turnId, 1)
+                .thenCompose(
+                        values -> {
+                            int pieces =
+                                    values.isEmpty()
+                                            ? 0
+                                            : ConversationCodec.pieceCount(values.getFirst());
+                            return pieces <= 1
+                                    ? CompletableFuture.completedFuture(values)
+                                    : readPieces(turnId, pieces);
+                        })
+                .thenApply(
+                        values ->
+                                values.isEmpty()
+                                        ? Optional.empty()
+                                        : Optional.of(ConversationCodec.decode(values)));
+    }
+
+    /** Removes expired turns of a part, up to a limit; returns their number. */
+    CompletableFuture<Integer> removeExpired(String part) {
+        long nowSeconds = TimeUnit.MILLISECONDS.toSeconds(mEpochMillisClock.getAsLong());
+        return mStore.read(ConversationRows.DUE_TABLE, part, Optional.empty(), REMOVAL_BATCH_TURNS)
+                .thenCompose(
+                        page ->
+                                remove(
+                                        page.rows().stream()
+                                                .filter(
+                                                        row ->
+                                                                ConversationRows.isDue(
+                                                                        row.id(), nowSeconds))
+                                                .toList()));
+    }
+
+    // Helpers
+
+    // The first row is written last: without it, the other rows are not visible to readers.
+    private CompletableFuture<Void> writeAll(
+            List<RowTransaction.Write> writes, RowTransaction.Write first) {
+        List<RowTransaction.Write> last = new ArrayList<>();
+        List<List<RowTransaction.Write>> earlier = new ArrayList<>();
+        int chars = first.value().length();
+        for (RowTransaction.Write write : writes) {
+            if (chars + write.value().length() > MAX_TRANSACTION_CHARS) {
+                earlier.add(last);
+                last = new ArrayList<>();
+                chars = first.value().length();
+            }
+            last.add(write);
+            chars += write.value().length();
+        }
+        CompletableFuture<Void> done = CompletableFuture.completedFuture(null);
+        for (List<RowTransaction.Write> batch : earlier) {
+            done =
+                    done.thenCompose(
+                                    previous ->
+                                            mStore.apply(
+                                                    new RowTransaction(
+                                                            List.of(), batch, List.of())))
+                            .thenAccept(result -> {});
+        }
+        last.add(first);
+        List<RowTransaction.Write> finalBatch = last;
+        return done.thenCompose(previous -> commit(finalBatch, first, 0, 0));
+    }
+
+    private CompletableFuture<Void> commit(
+            List<RowTransaction.Write> writes,
+            RowTransaction.Write first,
+            long expectedVersion,
+            int replacements) {
+        RowTransaction transaction =
+                new RowTransaction(
+                        List.of(new RowTransaction.Condition(first.id(), expectedVersion)),
+                        writes,
+                        List.of());
+        return mStore.apply(transaction)
+                .thenCompose(
+                        result ->
+                                switch (result) {
+                                    case TransactionResult.Committed committed ->
+                                            CompletableFuture.completedFuture(null);
+                                    case TransactionResult.Rejected rejected ->
+                                            onRejected(rejected, writes, first, replacements);
+                                });
+    }
+
+    // The row may be the result of this write, whose answer was lost, or of another try.
+    private CompletableFuture<Void> onRejected(
+            TransactionResult.Rejected rejected,
+            List<RowTransaction.Write> writes,
+            RowTransaction.Write first,
+            int replacements) {
+        Optional<StoredRow> current =
+                rejected.current().stream().filter(row -> row.id().equals(first.id())).findFirst();
+        if (current.isPresent() && current.get().value().equals(first.value())) {
+            return CompletableFuture.completedFuture(null);
+        }
+        if (replacements >= MAX_REPLACEMENTS) {
+            return CompletableFuture.failedFuture(
+                    new IllegalStateException("turn " + first.id().key() + " is being replaced"));
+        }
+        long version = current.map(StoredRow::version).orElse(0L);
+        return commit(writes, first, version, replacements + 1);
+    }
+
+    private CompletableFuture<List<String>> readPieces(String turnId, int limit) {
+        RowId first = ConversationRows.turnRow(turnId, 0);
+        return mStore.read(first.table(), first.part(), Optional.of(first.key()), limit)
+                .thenApply(
+                        page -> {
+                            List<String> values = new ArrayList<>();
+                            for (StoredRow row : page.rows()) {
+                                RowId expected = ConversationRows.turnRow(turnId, values.size());
+                                if (!row.id().equals(expected)) {
+                                    break;
+                                }
+                                values.add(row.value());
+                            }
+                            return values;
+                        });
+    }
+
+    private CompletableFuture<Integer> remove(List<StoredRow> dueRows) {
+        if (dueRows.isEmpty()) {
+            return CompletableFuture.completedFuture(0);
+        }
+        List<RowId> removals = new ArrayList<>();
+        int turns = 0;
+        for (StoredRow row : dueRows) {
+            int pieces = pieceCount(row);
+            if (removals.size() + 1 + pieces > MAX_TRANSACTION_ROWS) {
+                break;
+            }
+            turns++;
+            removals.add(row.id());
+            for (int piece = 0; piece < pieces; piece++) {
+                removals.add(ConversationRows.turnRow(row.id(), piece));
+            }
+        }
+        int removedTurns = turns;
+        return mStore.apply(new RowTransaction(List.of(), List.of(), removals))
+                .thenApply(result -> removedTurns);
+    }
+
+    // A row of another writer may hold anything; it is removed with the first row of the turn.
+    private static int pieceCount(StoredRow dueRow) {
+        try {
+            return Math.clamp(Integer.parseInt(dueRow.value()), 1, MAX_TRANSACTION_ROWS - 1);
+        } catch (NumberFormatException e) {
+            return 1;
+        }
+    }
+}
--- a/coordination/src/main/java/org/oleandertrack/coordination/store/RowTransaction.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/store/RowTransaction.java
@@ -1,6 +1,7 @@
 package org.oleandertrack.coordination.store;
 
 import java.util.List;
+import java.util.Objects;
 
 /**
  * Changes that are applied together or not at all. All rows belong to one part of a table.
@@ -11,6 +12,13 @@
  */
 public record RowTransaction(List<Condition> conditions, List<Write> writes, List<RowId> removals) {
 
+    /** Rejects a message that lacks one of the lists. */
+    public RowTransaction {
+        Objects.requireNonNull(conditions, "conditions are missing");
+        Objects.requireNonNull(writes, "writes are missing");
+        Objects.requireNonNull(removals, "removals are missing");
+    }
+
     /**
      * The version that a row must have.
      *
--- /dev/null
+++ b/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationTest.java
@@ -0,0 +1,218 @@
+package org.oleandertrack.coordination.conversation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.oleandertrack.coordination.sim.VirtualTime;
+import org.oleandertrack.coordination.spending.FakeRowStore;
+import org.oleandertrack.coordination.spending.FakeRowStore.Fate;
+import org.oleandertrack.coordination.store.RowId;
+import org.oleandertrack.coordination.store.RowTransaction;
+
+/** Guards against turns that are lost, changed, kept too long, or called unknown by mistake. */
+final class ConversationTest {
+
+    private static final long RETENTION_MILLIS = 60_000;
+    private static final long BEYOND_RETENTION_NANOS = 130 * VirtualTime.SECOND;
+
+    private final VirtualTime mTime = new VirtualTime(1);
+    private final FakeRowStore mStore = new FakeRowStore();
+    private final ConversationCluster mCluster = new ConversationCluster(mTime, mStore);
+
+    private static KeptTurn turn(String id, String text) {
+        return new KeptTurn(
+                id, Conversation.of(text.getBytes(StandardCharsets.UTF_8)), RETENTION_MILLIS);
+    }
+
+    private KeepOutcome keep(ConversationCluster.Host host, KeptTurn turn) {
+        var outcome = host.service().keep(turn);
+        mTime.runFor(3 * VirtualTime.SECOND);
+        return outcome.join();
+    }
+
+    private TurnLookup find(ConversationCluster.Host host, String id) {
+        var lookup = host.service().find(id, RETENTION_MILLIS);
+        mTime.runFor(3 * VirtualTime.SECOND);
+        return lookup.join();
+    }
+
+    private static Optional<Conversation> conversation(TurnLookup lookup) {
+        return lookup instanceof TurnLookup.Found found
+                ? Optional.of(found.conversation())
+                : Optional.empty();
+    }
+
+    @Test
+    void anyHostFindsAStoredTurnAlsoAfterAllHostsWereLost() {
+        KeptTurn turn = turn("t1", "text");
+        assertEquals(KeepOutcome.STORED, keep(mCluster.host(0), turn));
+        assertEquals(Optional.of(turn.conversation()), conversation(find(mCluster.host(1), "t1")));
+        mCluster.restartAll();
+        assertEquals(Optional.of(turn.conversation()), conversation(find(mCluster.host(2), "t1")));
+    }
+
+    @Test
+    void aLostAnswerAndALateWriteDoNotLoseTheTurn() {
+        KeptTurn turn = turn("t1", "text");
+        mStore.setNextFates(Fate.ANSWER_LOST, Fate.LATE);
+        assertEquals(KeepOutcome.STORED, keep(mCluster.host(0), turn));
+        KeptTurn other = turn("t2", "other");
+        mStore.setNextFates(Fate.LATE);
+        assertEquals(KeepOutcome.STORED, keep(mCluster.host(0), other));
+        mStore.applyLate();
+        mCluster.restartAll();
+        assertEquals(Optional.of(turn.conversation()), conversation(find(mCluster.host(1), "t1")));
+        assertEquals(Optional.of(other.conversation()), conversation(find(mCluster.host(1), "t2")));
+    }
+
+    @Test
+    void duringAnOutageATurnSurvivesItsHostAndReachesTheStoreAfterwards() {
+        KeptTurn turn = turn("t1", "text");
+        mStore.setDown(true);
+        assertEquals(KeepOutcome.HELD, keep(mCluster.host(0), turn));
+        mCluster.restart(0);
+        assertEquals(Optional.of(turn.conversation()), conversation(find(mCluster.host(0), "t1")));
+        mStore.setDown(false);
+        mCluster.runMaintenance();
+        mTime.runFor(VirtualTime.SECOND);
+        mCluster.restartAll();
+        assertEquals(Optional.of(turn.conversation()), conversation(find(mCluster.host(0), "t1")));
+    }
+
+    @Test
+    void aHostWithoutStoreAndPeersDoesNotClaimToKeepATurn() {
+        mStore.setDown(true);
+        mCluster.setPeersReachable(false);
+        assertEquals(KeepOutcome.NOT_KEPT, keep(mCluster.host(0), turn("t1", "text")));
+        assertEquals(0, mCluster.host(0).service().heldCount());
+    }
+
+    @Test
+    void aTurnIsCalledUnknownOnlyIfNoHostCanHaveIt() {
+        assertInstanceOf(TurnLookup.Unavailable.class, find(mCluster.host(0), "none"));
+        mTime.runFor(BEYOND_RETENTION_NANOS);
+        assertEquals(new TurnLookup.NotFound(), find(mCluster.host(0), "none"));
+        mCluster.restart(1);
+        assertInstanceOf(TurnLookup.Unavailable.class, find(mCluster.host(0), "none"));
+        mTime.runFor(BEYOND_RETENTION_NANOS);
+        mStore.setDown(true);
+        assertInstanceOf(TurnLookup.Unavailable.class, find(mCluster.host(0), "none"));
+        mStore.setDown(false);
+        mCluster.setPeersReachable(false);
+        assertInstanceOf(TurnLookup.Unavailable.class, find(mCluster.host(0), "none"));
+    }
+
+    @Test
+    void theLastOfSeveralTriesOfATurnCounts() {
+        keep(mCluster.host(0), turn("t1", "first"));
+        mCluster.host(0).service().forget("t1");
+        KeptTurn second = turn("t1", "second");
+        assertEquals(KeepOutcome.STORED, keep(mCluster.host(1), second));
+        assertEquals(
+                Optional.of(second.conversation()), conversation(find(mCluster.host(0), "t1")));
+    }
+
+    @Test
+    void anUnreadableRowHarmsItsConversationAlone() {
+        KeptTurn good = turn("good", "text");
+        keep(mCluster.host(0), good);
+        for (String value : List.of("", "2 1 4 00000000\ntext", "1 1 9 00000000\ntext", "1 x\n")) {
+            RowId row = ConversationRows.turnRow("bad", 0);
+            mStore.apply(
+                            new RowTransaction(
+                                    List.of(),
+                                    List.of(new RowTransaction.Write(row, value)),
+                                    List.of()))
+                    .join();
+            assertInstanceOf(TurnLookup.Unavailable.class, find(mCluster.host(1), "bad"));
+        }
+        assertEquals(List.of("bad", "bad", "bad", "bad"), mCluster.unreadable());
+        assertEquals(
+                Optional.of(good.conversation()), conversation(find(mCluster.host(1), "good")));
+    }
+
+    @Test
+    void conversationsOfAllSizesAreReadBackUnchanged() {
+        Random random = new Random(7);
+        for (int size : new int[] {0, 1, 63_999, 64_001, 150_000, 1_500_000}) {
+            byte[] text = new byte[size];
+            random.nextBytes(text);
+            KeptTurn turn = new KeptTurn("s" + size, Conversation.of(text), RETENTION_MILLIS);
+            assertEquals(KeepOutcome.STORED, keep(mCluster.host(0), turn));
+            mCluster.restart(0);
+            assertEquals(
+                    Optional.of(turn.conversation()),
+                    conversation(find(mCluster.host(0), turn.turnId())));
+            assertTrue(
+                    ConversationCodec.encode(turn.conversation()).stream()
+                            .allMatch(v -> v.getBytes(StandardCharsets.UTF_8).length <= 65_536));
+        }
+    }
+
+    @Test
+    void idsThatAreNotKeysAndIdsThatArePrefixesOfOthersAreKeptApart() {
+        List<KeptTurn> turns = new ArrayList<>();
+        for (String id : List.of("a", "a 00001", "a-", "é", "x".repeat(500))) {
+            turns.add(turn(id, "text of " + id));
+        }
+        turns.forEach(turn -> keep(mCluster.host(0), turn));
+        mCluster.restartAll();
+        for (KeptTurn turn : turns) {
+            assertEquals(
+                    Optional.of(turn.conversation()),
+                    conversation(find(mCluster.host(1), turn.turnId())));
+        }
+    }
+
+    @Test
+    void expiredTurnsAreRemovedAndNoOthers() {
+        byte[] large = new byte[200_000];
+        for (int i = 0; i < 300; i++) {
+            keep(mCluster.host(0), new KeptTurn("old" + i, Conversation.of(large), 0));
+        }
+        mTime.runFor(61 * VirtualTime.SECOND);
+        KeptTurn young = turn("young", "text");
+        keep(mCluster.host(0), young);
+        for (int i = 0; i < 300; i++) {
+            mTime.runFor(VirtualTime.SECOND / 4);
+            mCluster.runMaintenance();
+        }
+        assertEquals(
+                List.of("young"),
+                mStore.rows(ConversationRows.TURN_TABLE).stream()
+                        .map(row -> row.id().key())
+                        .toList());
+        assertEquals(1, mStore.rows(ConversationRows.DUE_TABLE).size());
+    }
+
+    @Test
+    void theMemoryForTurnsIsBounded() {
+        HeldTurns held = new HeldTurns(1_000);
+        assertTrue(held.add(turn("t1", "x".repeat(900)), 0));
+        assertTrue(!held.add(turn("t2", "x".repeat(200)), 0));
+        assertTrue(held.get("t1").isPresent());
+        ConversationCache cache = new ConversationCache(1_000);
+        for (int i = 0; i < 100; i++) {
+            cache.put("t" + i, turn("t" + i, "x".repeat(300)).conversation());
+        }
+        assertTrue(cache.get("t99").isPresent());
+        assertTrue(cache.get("t0").isEmpty());
+        assertTrue(cache.sizeBytes() <= 1_000);
+    }
+
+    @Test
+    void aDecodedTextWithAWrongChecksumIsRejected() {
+        List<String> values =
+                new ArrayList<>(ConversationCodec.encode(Conversation.of(new byte[3])));
+        values.set(0, values.getFirst().substring(0, values.getFirst().length() - 1) + "x");
+        assertThrows(IllegalArgumentException.class, () -> ConversationCodec.decode(values));
+    }
+}
--- a/coordination/src/test/java/org/oleandertrack/coordination/spending/FakeRowStore.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/spending/FakeRowStore.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -62,6 +63,11 @@
         return mTransactions;
     }
 
+    /** Returns the rows of all parts of a table. */
+    public List<StoredRow> rows(String table) {
+        return mRows.values().stream().filter(row -> row.id().table().equals(table)).toList();
+    }
+
     /** Returns the value of a row. */
     public Optional<String> value(String key) {
         return mRows.values().stream()
@@ -81,6 +87,7 @@
                         .filter(row -> row.id().table().equals(table))
                         .filter(row -> row.id().part().equals(part))
                         .filter(row -> row.id().key().compareTo(fromKey.orElse("")) >= 0)
+                        .sorted(Comparator.comparing(row -> row.id().key()))
                         .toList();
         boolean hasMore = rows.size() > limit;
         return CompletableFuture.completedFuture(
--- a/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
+++ b/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
@@ -150,6 +150,24 @@
             RetryAdvice.NEVER,
             Execution.RUN,
             "The turn was committed, but its answer is too large to be kept for a replay."),
+    PREVIOUS_TURN_NOT_FOUND(
+            2014,
+            404,
+            RetryAdvice.NEVER,
+            Execution.NOT_RUN,
+            "No turn with the stated id has ended within its retention time."),
+    HISTORY_UNAVAILABLE(
+            2015,
+            503,
+            RetryAdvice.LATER,
+            Execution.NOT_RUN,
+            "The turn to continue from cannot be read now."),
+    TURN_NOT_KEPT(
+            2016,
+            502,
+            RetryAdvice.CALLER_DECIDES,
+            Execution.RUN,
+            "The turn ran, but neither the store nor a peer could keep it."),
     // Admission and limits.
     OVERLOADED(
             3001,
--- a/core/src/main/java/org/oleandertrack/core/traffic/Route.java
+++ b/core/src/main/java/org/oleandertrack/core/traffic/Route.java
@@ -17,8 +17,10 @@
  * @param resumable whether an interrupted stream may be resumed at another target
  * @param maxEventGapMillis longest pause between events of a stream that is on time, in
  *     milliseconds
+ * @param keepsHistory whether turns carry only their new input, and the system keeps the
+ *     conversation before it
  * @param retentionMillis time for which a program's token spending is remembered after its last
- *     turn, in milliseconds
+ *     turn, and for which a turn is kept on a route that keeps history, in milliseconds
  * @param shares services that serve the route; not empty
  */
 public record Route(
@@ -32,6 +34,7 @@
         int maxAttempts,
         boolean resumable,
         long maxEventGapMillis,
+        boolean keepsHistory,
         long retentionMillis,
         List<RouteShare> shares) {
 
--- a/core/src/test/java/org/oleandertrack/core/traffic/RouteTableTest.java
+++ b/core/src/test/java/org/oleandertrack/core/traffic/RouteTableTest.java
@@ -24,6 +24,7 @@
                 1,
                 false,
                 0,
+                false,
                 0,
                 List.of(shares));
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -147,7 +147,8 @@
                     return;
                 }
                 startEvents();
-                mCall.writer().end();
+                mCall.onStreamComplete(this, status);
+                return;
             }
         }
         mCall.onResponseForwarded(this, status);
@@ -213,7 +214,7 @@
         Optional<EventSplitter.Event> event = mSplitter.next();
         while (event.isPresent()) {
             startEvents();
-            mCall.progress().recordEvent(event.get().id(), System.nanoTime());
+            mCall.recordEvent(event.get());
             mCall.writer().write(event.get().bytes());
             event = mSplitter.next();
         }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -1,5 +1,6 @@
 package org.oleandertrack.gateway.call;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -13,12 +14,13 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.oleandertrack.coordination.conversation.KeepOutcome;
+import org.oleandertrack.coordination.conversation.TurnLookup;
 import org.oleandertrack.coordination.spending.SpendingResult;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
 import org.oleandertrack.core.traffic.EngineSpec;
-import org.oleandertrack.core.traffic.RequestKind;
 import org.oleandertrack.core.traffic.Route;
 import org.oleandertrack.core.traffic.ServiceSpec;
 import org.oleandertrack.core.traffic.TrafficConfig;
@@ -47,11 +49,8 @@
     private static final long STORE_RETRY_AFTER_MILLIS = 500;
     // With less time left, a resumed stream, which starts after tens of ms, would come too late.
     private static final long MIN_REMAINING_TO_RETRY_MILLIS = 50;
-    // After this, tokens of the outage allowance are taken. Even a slow store responds in 500 ms.
-    private static final long RESERVE_TIMEOUT_MILLIS = 700;
     // A stalled call is sent again. After this many stalls, its latest target is considered hung.
     private static final int MAX_STALLS = 2;
-    private static final int DEFAULT_EXPECTED_OUTPUT_TOKENS = 35;
 
     private final CallContext mContext;
     private final TrafficConfig mConfig;
@@ -62,6 +61,8 @@
     private final String mService;
     private final Optional<TurnRequest> mTurn;
     private final int mTokensPerEvent;
+    private final Optional<CallHistory> mHistory;
+    private final CallLog mLog;
     private final Set<String> mExcludedTargetIds = new HashSet<>();
     private final Set<String> mMayHaveRunTargetIds = new HashSet<>();
     private ScheduledFuture<?> mTimeoutTimer;
@@ -75,6 +76,7 @@
     private long mPredictedMillis;
     private long mSentNanos;
     private StreamProgress mProgress = new StreamProgress();
+    private ByteBuf mBody;
 
     Call(
             CallContext context,
@@ -92,8 +94,23 @@
         mService = route.serviceFor(routingKey(metadata));
         Optional<EngineSpec> engine =
                 Optional.ofNullable(config.services().get(mService)).flatMap(ServiceSpec::engine);
-        mTurn = engine.flatMap(spec -> metadata.turn()).map(turn -> toTurnRequest(turn, metadata));
+        mTurn =
+                engine.flatMap(spec -> metadata.turn())
+                        .map(turn -> turn.toTurnRequest(metadata.program()));
         mTokensPerEvent = engine.map(EngineSpec::tokensPerEvent).orElse(1);
+        mLog = new CallLog(context.log(), context.metrics(), route, metadata);
+        mHistory =
+                route.keepsHistory() && !metadata.requestId().isEmpty()
+                        ? Optional.of(
+                                new CallHistory(
+                                        context.conversations(),
+                                        metadata,
+                                        route.retentionMillis(),
+                                        request.body(),
+                                        writer.eventLoop(),
+                                        mLog))
+                        : Optional.empty();
+        mBody = request.body();
     }
 
     // Life-cycle
@@ -104,13 +121,11 @@
         mTimeoutTimer =
                 mWriter.eventLoop()
                         .schedule(this::onTimeout, remainingMillis(), TimeUnit.MILLISECONDS);
-        if (mMetadata.turn().isPresent()
-                && mMetadata.program().isPresent()
-                && mMetadata.turn().get().budgetTokens().isPresent()) {
-            reserve(mMetadata.program().get(), mMetadata.turn().get());
+        if (mHistory.isEmpty()) {
+            reserveOrDispatch();
             return;
         }
-        dispatch(Optional.empty());
+        mHistory.get().find(this::onHistory);
     }
 
     @Override
@@ -153,65 +168,75 @@
         return mMetadata.requestId();
     }
 
-    // Budget
+    // History
 
-    private void reserve(ProgramMetadata program, TurnMetadata turn) {
-        PendingReservation reservation = new PendingReservation(program);
-        var _ =
-                mWriter.eventLoop()
-                        .schedule(
-                                () -> reserveFromAllowance(reservation, turn),
-                                RESERVE_TIMEOUT_MILLIS,
-                                TimeUnit.MILLISECONDS);
-        var _ =
-                mContext.spending()
-                        .reserve(
-                                program.programId(),
-                                turn.budgetTokens().getAsLong(),
-                                turn.maxTokens())
-                        .thenAccept(
-                                result ->
-                                        mWriter.eventLoop()
-                                                .execute(() -> reservation.complete(result)));
-    }
-
-    // Runs when the store has not answered in time; waiting longer would use up the caller's time.
-    private void reserveFromAllowance(PendingReservation reservation, TurnMetadata turn) {
-        if (mEnded || reservation.mCompleted) {
+    private void onHistory(TurnLookup lookup) {
+        if (mEnded) {
             return;
         }
-        logEvent("reservation late", null, "the store has not answered in time");
-        var _ =
-                mContext.spending()
-                        .reserveFromAllowance(
-                                reservation.mProgram.programId(),
-                                turn.budgetTokens().getAsLong(),
-                                turn.maxTokens())
-                        .thenAccept(
-                                result ->
-                                        mWriter.eventLoop()
-                                                .execute(() -> reservation.complete(result)));
-    }
-
-    /** Accepts the first result, of the store or the allowance; gives back tokens of a second. */
-    private final class PendingReservation {
-        private final ProgramMetadata mProgram;
-        private boolean mCompleted;
-
-        private PendingReservation(ProgramMetadata program) {
-            mProgram = program;
+        switch (lookup) {
+            case TurnLookup.Found found -> {
+                mBody = mHistory.get().requestBody();
+                reserveOrDispatch();
+            }
+            case TurnLookup.NotFound notFound ->
+                    fail(
+                            ResultCode.PREVIOUS_TURN_NOT_FOUND,
+                            Execution.NOT_RUN,
+                            "no turn has the id " + mMetadata.previousTurnId().orElse(""),
+                            0);
+            case TurnLookup.Unavailable unavailable ->
+                    fail(
+                            ResultCode.HISTORY_UNAVAILABLE,
+                            Execution.NOT_RUN,
+                            unavailable.reason(),
+                            STORE_RETRY_AFTER_MILLIS);
         }
+    }
 
-        private void complete(SpendingResult result) {
-            if (!mCompleted) {
-                mCompleted = true;
-                onReservation(mProgram, result);
-                return;
-            }
-            if (result instanceof SpendingResult.Reserved second) {
-                mContext.spending().settle(mProgram.programId(), second, 0);
-            }
+    /** Records an event that is forwarded to the caller. */
+    void recordEvent(EventSplitter.Event event) {
+        mProgress.recordEvent(event.id(), System.nanoTime());
+        mHistory.ifPresent(history -> history.recordEvent(event));
+    }
+
+    private void onKept(KeepOutcome outcome, int status) {
+        if (mEnded) {
+            mHistory.get().forget();
+            return;
+        }
+        if (outcome == KeepOutcome.NOT_KEPT) {
+            end(ResultCode.TURN_NOT_KEPT.name(), "neither the store nor a peer answered");
+            mWriter.abort();
+            return;
         }
+        mWriter.end();
+        end("OK", "status " + status);
+    }
+
+    // Budget
+
+    private void reserveOrDispatch() {
+        Optional<TurnMetadata> turn =
+                mMetadata.turn().filter(metadata -> metadata.budgetTokens().isPresent());
+        if (turn.isEmpty() || mMetadata.program().isEmpty()) {
+            dispatch(Optional.empty());
+            return;
+        }
+        ProgramMetadata program = mMetadata.program().get();
+        new TokenReservation(
+                        mContext.spending(),
+                        mWriter.eventLoop(),
+                        program.programId(),
+                        turn.get().budgetTokens().getAsLong(),
+                        turn.get().maxTokens(),
+                        result -> onReservation(program, result))
+                .start(
+                        () ->
+                                logEvent(
+                                        "reservation late",
+                                        null,
+                                        "the store has not answered in time"));
     }
 
     private void onReservation(ProgramMetadata program, SpendingResult result) {
@@ -256,7 +281,13 @@
         }
         mSendCount++;
         TargetHandle handle = placed.get().handle();
-        logPlaced(handle, placed.get().choice(), target.isPresent());
+        mLog.placed(
+                handle,
+                placed.get().choice(),
+                target.isPresent(),
+                mSendCount,
+                remainingMillis(),
+                mTurn);
         Attempt attempt = new Attempt(this, handle);
         mCurrentAttempt = Optional.of(attempt);
         mSentNanos = System.nanoTime();
@@ -266,7 +297,7 @@
         if (mRoute.isRepeatable() && mStallCount < MAX_STALLS) {
             new StallDetector(this, attempt, mPredictedMillis).start();
         }
-        attempt.send(makeRequest(handle), mRequest.body().retainedDuplicate());
+        attempt.send(makeRequest(handle), mBody.retainedDuplicate());
     }
 
     private Optional<PlacedTarget> placeAt(TargetHandle handle) {
@@ -308,11 +339,12 @@
         DefaultHttpRequest head =
                 new DefaultHttpRequest(HttpVersion.HTTP_1_1, method(), mRequest.head().uri());
         ForwardedHeaders.copy(mRequest.head().headers(), head.headers());
-        boolean hadBody =
-                mRequest.head().headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+        boolean hasBody =
+                mBody.isReadable()
+                        || mRequest.head().headers().contains(HttpHeaderNames.CONTENT_LENGTH)
                         || mRequest.head().headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
-        if (hadBody) {
-            head.headers().set(HttpHeaderNames.CONTENT_LENGTH, mRequest.body().readableBytes());
+        if (hasBody) {
+            head.headers().set(HttpHeaderNames.CONTENT_LENGTH, mBody.readableBytes());
         }
         mContext.headerCodec()
                 .writeInstructions(
@@ -426,8 +458,27 @@
         retry(mayUseOtherTarget ? Optional.empty() : Optional.of(handle), failure.toString());
     }
 
+    /** Handles a stream whose last event was forwarded, before the response has ended. */
+    void onStreamComplete(Attempt attempt, int status) {
+        if (mHistory.isEmpty()) {
+            mWriter.end();
+            onResponseForwarded(attempt, status);
+            return;
+        }
+        recordOutcome(attempt, status);
+        // The target's connection may be in use by another call from now on.
+        mCurrentAttempt = Optional.empty();
+        // A turn counts for the caller from the end of its response, so it is kept before.
+        mHistory.get().keep(outcome -> onKept(outcome, status));
+    }
+
     /** Handles a response that was forwarded completely, whatever its status code. */
     void onResponseForwarded(Attempt attempt, int status) {
+        recordOutcome(attempt, status);
+        end("OK", "status " + status);
+    }
+
+    private void recordOutcome(Attempt attempt, int status) {
         attempt.removeFromLoad();
         long nowNanos = System.nanoTime();
         if (status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
@@ -435,7 +486,6 @@
         } else {
             mContext.targets().recordSuccess(attempt.handle(), nowNanos - mSentNanos, nowNanos);
         }
-        end("OK", "status " + status);
     }
 
     private void retry(Optional<TargetHandle> sameTarget, String reason) {
@@ -505,31 +555,17 @@
                                         mProgress.eventCount() * mTokensPerEvent));
         long durationNanos = System.nanoTime() - mRequest.firstByteNanos();
         mContext.metrics().recordEnd(mRoute.kind(), result, durationNanos);
-        var line =
-                mContext.log()
-                        .info("answered")
-                        .text("request", mMetadata.requestId())
-                        .text("route", mRoute.name())
-                        .text("result", result)
-                        .text("reason", reason)
-                        .number("configVersion", mConfig.version())
-                        .number("durationMs", TimeUnit.NANOSECONDS.toMillis(durationNanos))
-                        .number("sends", mSendCount)
-                        .number("refusals", mRefusalCount);
-        // For a call that was never placed, no other log line names the program.
-        mMetadata.program().ifPresent(program -> line.text("program", program.programId()));
-        if (mRoute.kind() == RequestKind.STREAMING) {
-            line.number("firstEventMs", mProgress.firstEventMillis(mRequest.firstByteNanos()))
-                    .number("longestGapMs", mProgress.longestGapMillis())
-                    .number("events", mProgress.eventCount())
-                    .number(
-                            "reservedTokens",
-                            mReservation.map(SpendingResult.Reserved::tokens).orElse(0L))
-                    .flag(
-                            "outageAllowance",
-                            mReservation.map(SpendingResult.Reserved::fromAllowance).orElse(false));
-        }
-        line.write();
+        mLog.answered(
+                new CallLog.Summary(
+                        result,
+                        reason,
+                        mConfig.version(),
+                        durationNanos,
+                        mSendCount,
+                        mRefusalCount,
+                        mProgress,
+                        mRequest.firstByteNanos(),
+                        mReservation));
     }
 
     // Helpers
@@ -547,54 +583,13 @@
         return metadata.program().map(ProgramMetadata::programId).orElse(metadata.requestId());
     }
 
-    private static TurnRequest toTurnRequest(TurnMetadata turn, CallMetadata metadata) {
-        long expected = turn.expectedTokens().orElse(DEFAULT_EXPECTED_OUTPUT_TOKENS);
-        return new TurnRequest(
-                turn.promptTokens(),
-                turn.promptParts(),
-                Math.clamp(expected, 1, Math.max(1, turn.maxTokens())),
-                metadata.program().map(ProgramMetadata::programId).orElse(""));
-    }
-
-    private void logPlaced(TargetHandle handle, PlacementChoice choice, boolean sameTarget) {
-        mContext.metrics().recordDecision("placement", sameTarget ? "same target" : "least cost");
-        var line =
-                mContext.log()
-                        .info("placed")
-                        .text("request", mMetadata.requestId())
-                        .text("route", mRoute.name())
-                        .text("target", handle.id())
-                        .text("zone", handle.record().zone())
-                        .number("send", mSendCount)
-                        .flag("sameTarget", sameTarget)
-                        .decimal("cost", choice.predictedCost())
-                        .decimal("requests", choice.requests())
-                        .decimal("slowness", choice.slowness())
-                        .number("missingTokens", choice.missingTokens())
-                        .number("ageMs", Math.min(choice.slownessAgeMillis(), 1_000_000))
-                        .number("remainingMs", remainingMillis());
-        mTurn.ifPresent(
-                turn ->
-                        line.number("promptTokens", turn.promptTokens())
-                                .number("promptParts", turn.parts().size()));
-        mMetadata
-                .program()
-                .ifPresent(
-                        program ->
-                                line.text("program", program.programId())
-                                        .text("session", program.sessionId()));
-        line.write();
-    }
-
     private void logEvent(String event, TargetHandle handle, String reason) {
-        var line = mContext.log().info(event).text("request", mMetadata.requestId());
-        if (handle != null) {
-            line.text("target", handle.id());
-        }
-        line.text("reason", reason)
-                .number("send", mSendCount)
-                .number("events", mProgress.eventCount())
-                .number("remainingMs", remainingMillis())
-                .write();
+        mLog.event(
+                event,
+                Optional.ofNullable(handle),
+                reason,
+                mSendCount,
+                mProgress.eventCount(),
+                remainingMillis());
     }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
@@ -1,5 +1,6 @@
 package org.oleandertrack.gateway.call;
 
+import org.oleandertrack.coordination.conversation.ConversationService;
 import org.oleandertrack.coordination.spending.SpendingService;
 import org.oleandertrack.gateway.targets.TargetRegistry;
 import org.oleandertrack.telemetry.logging.EventLog;
@@ -11,6 +12,7 @@
  * @param gatewayResponses creates the responses that do not come from a target
  * @param targets places calls on targets
  * @param spending reserves tokens of the programs' budgets
+ * @param conversations keeps and finds the turns of routes that keep history
  * @param log receives one line for each decision
  * @param metrics counts calls and decisions
  */
@@ -19,5 +21,6 @@
         GatewayResponses gatewayResponses,
         TargetRegistry targets,
         SpendingService spending,
+        ConversationService conversations,
         EventLog log,
         CallMetrics metrics) {}
--- /dev/null
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallHistory.java
@@ -0,0 +1,126 @@
+package org.oleandertrack.gateway.call;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import java.util.function.Consumer;
+import org.oleandertrack.coordination.conversation.Conversation;
+import org.oleandertrack.coordination.conversation.ConversationService;
+import org.oleandertrack.coordination.conversation.KeepOutcome;
+import org.oleandertrack.coordination.conversation.KeptTurn;
+import org.oleandertrack.coordination.conversation.TurnLookup;
+
+/**
+ * The conversation of one turn: the turns before it, its input, and the data of the events that the
+ * caller was sent. Confined to the call's event loop.
+ */
+final class CallHistory {
+
+    private final ConversationService mConversations;
+    private final CallMetadata mMetadata;
+    private final long mRetentionMillis;
+    private final byte[] mInput;
+    private final EventLoop mLoop;
+    private final CallLog mLog;
+    private final ByteBuf mOutput = Unpooled.buffer(0);
+    private Conversation mPrevious = Conversation.EMPTY;
+
+    /**
+     * Creates the history of a turn.
+     *
+     * @param input body of the caller's request
+     */
+    CallHistory(
+            ConversationService conversations,
+            CallMetadata metadata,
+            long retentionMillis,
+            ByteBuf input,
+            EventLoop loop,
+            CallLog log) {
+        mConversations = conversations;
+        mMetadata = metadata;
+        mRetentionMillis = retentionMillis;
+        mInput = ByteBufUtil.getBytes(input);
+        mLoop = loop;
+        mLog = log;
+    }
+
+    /** Finds the turns before this one. The first turn of a conversation has none. */
+    void find(Consumer<TurnLookup> onResult) {
+        if (mMetadata.previousTurnId().isEmpty()) {
+            onResult.accept(new TurnLookup.Found(mPrevious, TurnLookup.Source.LOCAL));
+            return;
+        }
+        String previousTurnId = mMetadata.previousTurnId().get();
+        long startNanos = System.nanoTime();
+        var _ =
+                mConversations
+                        .find(previousTurnId, mRetentionMillis)
+                        .thenAccept(
+                                lookup ->
+                                        runOnLoop(
+                                                () -> {
+                                                    mLog.previousTurn(
+                                                            previousTurnId,
+                                                            lookup,
+                                                            System.nanoTime() - startNanos);
+                                                    onFound(lookup, onResult);
+                                                }));
+    }
+
+    /** Returns the body that the target receives: the conversation so far and the new input. */
+    ByteBuf requestBody() {
+        return Unpooled.wrappedBuffer(mPrevious.text(), mInput);
+    }
+
+    /** Records an event that was forwarded to the caller. */
+    void recordEvent(EventSplitter.Event event) {
+        if (event.appendData(mOutput)) {
+            mOutput.writeByte('\n');
+        }
+    }
+
+    /** Keeps the turn, whose last event was forwarded. */
+    void keep(Consumer<KeepOutcome> onResult) {
+        KeptTurn turn =
+                new KeptTurn(
+                        mMetadata.requestId(),
+                        mPrevious.append(mInput, ByteBufUtil.getBytes(mOutput)),
+                        mRetentionMillis);
+        long startNanos = System.nanoTime();
+        var _ =
+                mConversations
+                        .keep(turn)
+                        .thenAccept(
+                                outcome ->
+                                        runOnLoop(
+                                                () -> {
+                                                    mLog.turnKept(
+                                                            outcome,
+                                                            System.nanoTime() - startNanos);
+                                                    onResult.accept(outcome);
+                                                }));
+    }
+
+    /** Forgets the turn, because the caller did not get its whole response. */
+    void forget() {
+        mConversations.forget(mMetadata.requestId());
+    }
+
+    private void onFound(TurnLookup lookup, Consumer<TurnLookup> onResult) {
+        if (lookup instanceof TurnLookup.Found found) {
+            mPrevious = found.conversation();
+        }
+        onResult.accept(lookup);
+    }
+
+    // Runs at once on the event loop, so that a turn in this host's memory waits for nothing.
+    private void runOnLoop(Runnable task) {
+        if (mLoop.inEventLoop()) {
+            task.run();
+            return;
+        }
+        mLoop.execute(task);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
@@ -0,0 +1,167 @@
+package org.oleandertrack.gateway.call;
+
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.oleandertrack.coordination.conversation.KeepOutcome;
+import org.oleandertrack.coordination.conversation.TurnLookup;
+import org.oleandertrack.coordination.spending.SpendingResult;
+import org.oleandertrack.core.traffic.RequestKind;
+import org.oleandertrack.core.traffic.Route;
+import org.oleandertrack.core.turn.PlacementChoice;
+import org.oleandertrack.core.turn.TurnRequest;
+import org.oleandertrack.gateway.targets.TargetHandle;
+import org.oleandertrack.telemetry.logging.EventLog;
+
+/** Writes the log lines and the decision metrics of one call. */
+final class CallLog {
+
+    private static final long MAX_LOGGED_AGE_MILLIS = 1_000_000;
+
+    private final EventLog mLog;
+    private final CallMetrics mMetrics;
+    private final Route mRoute;
+    private final CallMetadata mMetadata;
+
+    CallLog(EventLog log, CallMetrics metrics, Route route, CallMetadata metadata) {
+        mLog = log;
+        mMetrics = metrics;
+        mRoute = route;
+        mMetadata = metadata;
+    }
+
+    /**
+     * What a call has come to.
+     *
+     * @param result name of the result code; OK for success
+     * @param firstByteNanos arrival of the request's first byte, as {@link System#nanoTime}
+     * @param reservation the reserved tokens, if the call needed any and got them
+     */
+    record Summary(
+            String result,
+            String reason,
+            long configVersion,
+            long durationNanos,
+            int sends,
+            int refusals,
+            StreamProgress progress,
+            long firstByteNanos,
+            Optional<SpendingResult.Reserved> reservation) {}
+
+    void placed(
+            TargetHandle handle,
+            PlacementChoice choice,
+            boolean sameTarget,
+            int send,
+            long remainingMillis,
+            Optional<TurnRequest> turn) {
+        mMetrics.recordDecision("placement", sameTarget ? "same target" : "least cost");
+        var line =
+                mLog.info("placed")
+                        .text("request", mMetadata.requestId())
+                        .text("route", mRoute.name())
+                        .text("target", handle.id())
+                        .text("zone", handle.record().zone())
+                        .number("send", send)
+                        .flag("sameTarget", sameTarget)
+                        .decimal("cost", choice.predictedCost())
+                        .decimal("requests", choice.requests())
+                        .decimal("slowness", choice.slowness())
+                        .number("missingTokens", choice.missingTokens())
+                        .number(
+                                "ageMs",
+                                Math.min(choice.slownessAgeMillis(), MAX_LOGGED_AGE_MILLIS))
+                        .number("remainingMs", remainingMillis);
+        turn.ifPresent(
+                request ->
+                        line.number("promptTokens", request.promptTokens())
+                                .number("promptParts", request.parts().size()));
+        mMetadata
+                .program()
+                .ifPresent(
+                        program ->
+                                line.text("program", program.programId())
+                                        .text("session", program.sessionId()));
+        line.write();
+    }
+
+    void event(
+            String event,
+            Optional<TargetHandle> handle,
+            String reason,
+            int send,
+            long events,
+            long remainingMillis) {
+        var line = mLog.info(event).text("request", mMetadata.requestId());
+        handle.ifPresent(target -> line.text("target", target.id()));
+        line.text("reason", reason)
+                .number("send", send)
+                .number("events", events)
+                .number("remainingMs", remainingMillis)
+                .write();
+    }
+
+    void previousTurn(String previousTurnId, TurnLookup lookup, long durationNanos) {
+        String result =
+                switch (lookup) {
+                    case TurnLookup.Found found -> found.source().name().toLowerCase(Locale.ROOT);
+                    case TurnLookup.NotFound notFound -> "not found";
+                    case TurnLookup.Unavailable unavailable -> "unavailable";
+                };
+        mMetrics.recordLookup(result, durationNanos);
+        var line =
+                mLog.info("previous turn")
+                        .text("request", mMetadata.requestId())
+                        .text("turn", previousTurnId)
+                        .text("source", result)
+                        .number("durationMs", TimeUnit.NANOSECONDS.toMillis(durationNanos));
+        switch (lookup) {
+            case TurnLookup.Found found -> line.number("bytes", found.conversation().sizeBytes());
+            case TurnLookup.NotFound notFound -> line.text("reason", "no row and no host has it");
+            case TurnLookup.Unavailable unavailable -> line.text("reason", unavailable.reason());
+        }
+        line.write();
+    }
+
+    void turnKept(KeepOutcome outcome, long durationNanos) {
+        String result = outcome.name().toLowerCase(Locale.ROOT);
+        mMetrics.recordKept(result, durationNanos);
+        mLog.info("turn kept")
+                .text("turn", mMetadata.requestId())
+                .text("outcome", result)
+                .number("durationMs", TimeUnit.NANOSECONDS.toMillis(durationNanos))
+                .write();
+    }
+
+    void answered(Summary summary) {
+        var line =
+                mLog.info("answered")
+                        .text("request", mMetadata.requestId())
+                        .text("route", mRoute.name())
+                        .text("result", summary.result())
+                        .text("reason", summary.reason())
+                        .number("configVersion", summary.configVersion())
+                        .number(
+                                "durationMs",
+                                TimeUnit.NANOSECONDS.toMillis(summary.durationNanos()))
+                        .number("sends", summary.sends())
+                        .number("refusals", summary.refusals());
+        // For a call that was never placed, no other log line names the program.
+        mMetadata.program().ifPresent(program -> line.text("program", program.programId()));
+        if (mRoute.kind() == RequestKind.STREAMING) {
+            StreamProgress progress = summary.progress();
+            line.number("firstEventMs", progress.firstEventMillis(summary.firstByteNanos()))
+                    .number("longestGapMs", progress.longestGapMillis())
+                    .number("events", progress.eventCount())
+                    .number(
+                            "reservedTokens",
+                            summary.reservation().map(SpendingResult.Reserved::tokens).orElse(0L))
+                    .flag(
+                            "outageAllowance",
+                            summary.reservation()
+                                    .map(SpendingResult.Reserved::fromAllowance)
+                                    .orElse(false));
+        }
+        line.write();
+    }
+}
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallMetadata.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallMetadata.java
@@ -11,9 +11,11 @@
  *     if it states none
  * @param program the program to which the request belongs; empty if it belongs to none
  * @param turn the turn that a model engine is asked to run; empty for other requests
+ * @param previousTurnId id of the turn that this one continues; empty if it begins a conversation
  */
 public record CallMetadata(
         String requestId,
         OptionalLong timeoutMillis,
         Optional<ProgramMetadata> program,
-        Optional<TurnMetadata> turn) {}
+        Optional<TurnMetadata> turn,
+        Optional<String> previousTurnId) {}
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallMetrics.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallMetrics.java
@@ -18,6 +18,8 @@
     private final Gauge mCallsUnderWay;
     private final Histogram mDuration;
     private final Counter mDecisions;
+    private final Histogram mLookupDuration;
+    private final Histogram mKeepDuration;
 
     /** Creates the metrics in a registry. */
     public CallMetrics(MetricsRegistry registry) {
@@ -25,6 +27,8 @@
         mCallsUnderWay = registry.gauge(Metric.CALLS_UNDER_WAY);
         mDuration = registry.histogram(Metric.CALL_DURATION);
         mDecisions = registry.counter(Metric.DECISIONS);
+        mLookupDuration = registry.histogram(Metric.TURN_LOOKUP_DURATION);
+        mKeepDuration = registry.histogram(Metric.TURN_KEEP_DURATION);
     }
 
     void recordStart() {
@@ -41,4 +45,12 @@
     void recordDecision(String decision, String reason) {
         mDecisions.labelValues(decision, reason).inc();
     }
+
+    void recordLookup(String source, long durationNanos) {
+        mLookupDuration.labelValues(source).observe(durationNanos / NANOS_PER_SECOND);
+    }
+
+    void recordKept(String outcome, long durationNanos) {
+        mKeepDuration.labelValues(outcome).observe(durationNanos / NANOS_PER_SECOND);
+    }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/EventSplitter.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/EventSplitter.java
@@ -21,6 +21,50 @@
      */
     record Event(ByteBuf bytes, Optional<String> id) {
 
+        /**
+         * Appends the event's data to a buffer: the values of its data fields, with a line feed
+         * between them, as bytes.
+         *
+         * @return whether the event has data
+         */
+        boolean appendData(ByteBuf target) {
+            boolean hasData = false;
+            int lineStart = bytes.readerIndex();
+            while (lineStart < bytes.writerIndex()) {
+                int lineFeed = bytes.indexOf(lineStart, bytes.writerIndex(), (byte) '\n');
+                int next = lineFeed < 0 ? bytes.writerIndex() : lineFeed + 1;
+                int end = lineFeed < 0 ? next : lineFeed;
+                if (end > lineStart && bytes.getByte(end - 1) == '\r') {
+                    end--;
+                }
+                if (startsWithDataField(lineStart, end)) {
+                    int valueStart = lineStart + DATA_FIELD.length;
+                    if (valueStart < end && bytes.getByte(valueStart) == ' ') {
+                        valueStart++;
+                    }
+                    if (hasData) {
+                        target.writeByte('\n');
+                    }
+                    target.writeBytes(bytes, valueStart, end - valueStart);
+                    hasData = true;
+                }
+                lineStart = next;
+            }
+            return hasData;
+        }
+
+        private boolean startsWithDataField(int lineStart, int end) {
+            if (end - lineStart < DATA_FIELD.length) {
+                return false;
+            }
+            for (int i = 0; i < DATA_FIELD.length; i++) {
+                if (bytes.getByte(lineStart + i) != DATA_FIELD[i]) {
+                    return false;
+                }
+            }
+            return true;
+        }
+
         /** Returns the id as a number; empty if it is absent or not a number. */
         OptionalLong number() {
             try {
@@ -34,6 +78,7 @@
     }
 
     private static final String ID_FIELD = "id:";
+    private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.US_ASCII);
 
     private final ByteBuf mBuffer = Unpooled.buffer();
     private int mNextLineStart;
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/TurnMetadata.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/TurnMetadata.java
@@ -1,8 +1,10 @@
 package org.oleandertrack.gateway.call;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.oleandertrack.core.turn.PromptPart;
+import org.oleandertrack.core.turn.TurnRequest;
 
 /**
  * The work that a turn, which is one model call of a program, requires of a model engine.
@@ -20,4 +22,17 @@
         int maxTokens,
         List<PromptPart> promptParts,
         OptionalLong expectedTokens,
-        OptionalLong budgetTokens) {}
+        OptionalLong budgetTokens) {
+
+    private static final int DEFAULT_EXPECTED_OUTPUT_TOKENS = 35;
+
+    /** Returns the turn as placement needs it. */
+    TurnRequest toTurnRequest(Optional<ProgramMetadata> program) {
+        long expected = expectedTokens.orElse(DEFAULT_EXPECTED_OUTPUT_TOKENS);
+        return new TurnRequest(
+                promptTokens,
+                promptParts,
+                Math.clamp(expected, 1, Math.max(1, maxTokens)),
+                program.map(ProgramMetadata::programId).orElse(""));
+    }
+}
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.prometheus.metrics.core.metrics.Gauge;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -14,6 +15,8 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.oleandertrack.coordination.conversation.ConversationLimits;
+import org.oleandertrack.coordination.conversation.ConversationService;
 import org.oleandertrack.coordination.feed.TableFollower;
 import org.oleandertrack.coordination.relay.RelayingRowStore;
 import org.oleandertrack.coordination.schedule.Scheduler;
@@ -36,6 +39,7 @@
 import org.oleandertrack.gateway.call.GatewayResponses;
 import org.oleandertrack.gateway.call.HeaderCodec;
 import org.oleandertrack.gateway.peer.PeerAllowanceIssuer;
+import org.oleandertrack.gateway.peer.PeerConversations;
 import org.oleandertrack.gateway.peer.PeerDirectory;
 import org.oleandertrack.gateway.peer.PeerHandler;
 import org.oleandertrack.gateway.targets.TargetRegistry;
@@ -45,6 +49,7 @@
 import org.oleandertrack.http.InboundRequest;
 import org.oleandertrack.http.ResponseWriter;
 import org.oleandertrack.telemetry.logging.EventLog;
+import org.oleandertrack.telemetry.metrics.Metric;
 import org.oleandertrack.telemetry.metrics.MetricsRegistry;
 
 /** Builds the components of a gateway process, and starts and stops them. */
@@ -56,9 +61,10 @@
     private static final InboundLimits INTERNAL_LIMITS =
             new InboundLimits(8_192, 8_192, 2_000, 60_000);
 
-    // The largest request of a peer is a transaction of a few rows, to be relayed to the store.
+    // The largest request of a peer is a transaction with the rows of a turn, to be relayed to the
+    // store, or such a turn to be held.
     private static final InboundLimits PEER_LIMITS =
-            new InboundLimits(8_192, 1024 * 1024, 2_000, 60_000);
+            new InboundLimits(8_192, 2 * 1024 * 1024, 2_000, 60_000);
 
     private final EventLog mLog;
     private final MetricsRegistry mMetrics;
@@ -66,6 +72,8 @@
     private final TargetDirectory mTargetDirectory;
     private final OutageAllowances mOwnAllowances = new OutageAllowances(System::nanoTime);
     private final SpendingService mSpending;
+    private final ConversationService mConversations;
+    private final Gauge mHeldTurns;
     private final CallHandler mCallHandler;
     private final TargetFeed mTargetFeed;
     private final TableFollower mConfigFollower;
@@ -115,12 +123,9 @@
                         TimeUnit.MILLISECONDS.toNanos(settings.entryRenewalMillis()),
                         mTargets,
                         System.nanoTime());
-        mSpending =
-                new SpendingService(
-                        mStore,
-                        new PeerAllowanceIssuer(mPeers, mOwnAllowances, log),
-                        new WriteIds(random),
-                        System::nanoTime);
+        mSpending = makeSpending(random);
+        mConversations = makeConversations();
+        mHeldTurns = metrics.gauge(Metric.TURNS_HELD);
         GatewayResponses gatewayResponses = new GatewayResponses(headerCodec);
         mCallHandler =
                 new CallHandler(
@@ -129,6 +134,7 @@
                                 gatewayResponses,
                                 mTargets,
                                 mSpending,
+                                mConversations,
                                 log,
                                 new CallMetrics(metrics)));
         mTargetFeed = new TargetFeed(tables, mTargetDirectory, System::nanoTime, log);
@@ -155,7 +161,8 @@
                 new HttpServer(
                         loops,
                         () -> PEER_LIMITS,
-                        new PeerHandler(store, mStore::isDirectFailing, mOwnAllowances),
+                        new PeerHandler(
+                                store, mStore::isDirectFailing, mOwnAllowances, mConversations),
                         HttpResponses::empty);
         mCallerServer =
                 new HttpServer(
@@ -210,7 +217,7 @@
         mCallerServer.drain();
         new GracefulStop(
                         mSettings.graceMillis(),
-                        mCallerServer::busyConnectionCount,
+                        () -> mCallerServer.busyConnectionCount() + mConversations.heldCount(),
                         this::refuseNewCalls)
                 .awaitCompletion();
         int interruptedConnectionCount = mCallerServer.busyConnectionCount();
@@ -254,6 +261,25 @@
 
     // Helpers
 
+    private SpendingService makeSpending(Random random) {
+        return new SpendingService(
+                mStore,
+                new PeerAllowanceIssuer(mPeers, mOwnAllowances, mLog),
+                new WriteIds(random),
+                System::nanoTime);
+    }
+
+    private ConversationService makeConversations() {
+        return new ConversationService(
+                mStore,
+                new PeerConversations(mPeers, mLog),
+                mScheduler,
+                System::nanoTime,
+                System::currentTimeMillis,
+                new ConversationLog(mLog),
+                ConversationLimits.DEFAULT);
+    }
+
     private void refuseNewCalls() {
         mCallHandler.refuseNewCalls();
         mCallerServer.closeIdle();
@@ -286,6 +312,8 @@
         mTargetDirectory.dropExpired(System.nanoTime());
         mSpending.runMaintenance();
         mOwnAllowances.dropIdle();
+        mConversations.runMaintenance();
+        mHeldTurns.set(mConversations.heldCount());
         mScheduler.schedule(MAINTENANCE_INTERVAL_NANOS, this::runMaintenance);
     }
 
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
@@ -37,6 +37,8 @@
     private final PooledHttpClient mHttpClient;
     private final AtomicLong mUnresponsiveUntilNanos;
     private final AtomicLong mStoreUnreachableUntilNanos;
+    // When the first of the latest calls failed without an answer; 0 if the last one was answered.
+    private final AtomicLong mSilentSinceNanos = new AtomicLong();
 
     PeerClient(PooledHttpClient httpClient) {
         long nowNanos = System.nanoTime();
@@ -59,6 +61,13 @@
         return isResponsive(nowNanos) && nowNanos - mStoreUnreachableUntilNanos.get() >= 0;
     }
 
+    /** Returns whether the peer has answered no call for longer than the given time. */
+    boolean isSilentFor(long millis, long nowNanos) {
+        long silentSinceNanos = mSilentSinceNanos.get();
+        return silentSinceNanos != 0
+                && nowNanos - silentSinceNanos > TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
     // Operations
 
     @Override
@@ -110,6 +119,23 @@
                 .thenApply(PeerMessages.AllowanceResult::taken);
     }
 
+    CompletableFuture<Boolean> holdTurn(PeerMessages.HoldTurn message) {
+        return call(
+                        PeerMessages.HOLD_TURN_PATH,
+                        message,
+                        PeerMessages.TurnHeld.class,
+                        CALL_TIMEOUT_MILLIS)
+                .thenApply(PeerMessages.TurnHeld::held);
+    }
+
+    CompletableFuture<PeerMessages.FoundTurn> findTurn(PeerMessages.FindTurn message) {
+        return call(
+                PeerMessages.FIND_TURN_PATH,
+                message,
+                PeerMessages.FoundTurn.class,
+                CALL_TIMEOUT_MILLIS);
+    }
+
     void close() {
         mHttpClient.close();
     }
@@ -122,9 +148,12 @@
                 .handle(
                         (response, failure) -> {
                             if (failure != null) {
-                                mUnresponsiveUntilNanos.set(System.nanoTime() + UNRESPONSIVE_NANOS);
+                                long nowNanos = System.nanoTime();
+                                mUnresponsiveUntilNanos.set(nowNanos + UNRESPONSIVE_NANOS);
+                                mSilentSinceNanos.compareAndSet(0, nowNanos);
                                 throw new CompletionException(asStoreException(failure));
                             }
+                            mSilentSinceNanos.set(0);
                             if (response.status() == SERVICE_UNAVAILABLE) {
                                 mStoreUnreachableUntilNanos.set(
                                         System.nanoTime() + STORE_UNREACHABLE_NANOS);
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerDirectory.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerDirectory.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -101,6 +102,42 @@
                 : Optional.ofNullable(mClients.get(mAnnouncedAddresses.get(selected)));
     }
 
+    /**
+     * Returns the responsive peers that rendezvous hashing ranks first for a key, among all
+     * announced ones; those of the settings if none has been announced.
+     */
+    synchronized List<PeerClient> selectedPeersFor(String key, int limit) {
+        long nowNanos = System.nanoTime();
+        List<PeerClient> selected =
+                mAnnouncedAddresses.entrySet().stream()
+                        .sorted(
+                                Comparator.comparingLong(
+                                                (Map.Entry<String, InetSocketAddress> entry) ->
+                                                        RendezvousHash.score(key, entry.getKey()))
+                                        .reversed())
+                        .map(entry -> mClients.get(entry.getValue()))
+                        .filter(peer -> peer != null && peer.isResponsive(nowNanos))
+                        .limit(limit)
+                        .toList();
+        return selected.isEmpty()
+                ? mClients.values().stream()
+                        .filter(peer -> peer.isResponsive(nowNanos))
+                        .limit(limit)
+                        .toList()
+                : selected;
+    }
+
+    /**
+     * Returns the peers without those that have been silent for longer than the given time, because
+     * nothing that they hold is still needed.
+     */
+    synchronized List<PeerClient> peersRemembering(long retentionMillis) {
+        long nowNanos = System.nanoTime();
+        return mClients.values().stream()
+                .filter(peer -> !peer.isSilentFor(retentionMillis, nowNanos))
+                .toList();
+    }
+
     // Operations
 
     /** Adds addresses of other gateways, which may be out of date. */
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import org.oleandertrack.coordination.conversation.Conversation;
+import org.oleandertrack.coordination.conversation.ConversationService;
 import org.oleandertrack.coordination.spending.OutageAllowances;
 import org.oleandertrack.coordination.store.RowJson;
 import org.oleandertrack.coordination.store.RowStore;
@@ -16,6 +18,7 @@
 import org.oleandertrack.http.InboundHandler;
 import org.oleandertrack.http.InboundRequest;
 import org.oleandertrack.http.ResponseWriter;
+import org.tinylog.Logger;
 
 /**
  * Serves calls of peers. Calls to the store are relayed over this host's direct connection only,
@@ -28,6 +31,7 @@
     private final RowStore mDirectStore;
     private final BooleanSupplier mDirectStoreFails;
     private final OutageAllowances mOwnAllowances;
+    private final ConversationService mConversations;
 
     /**
      * Creates a handler.
@@ -39,10 +43,12 @@
     public PeerHandler(
             RowStore directStore,
             BooleanSupplier directStoreFails,
-            OutageAllowances ownAllowances) {
+            OutageAllowances ownAllowances,
+            ConversationService conversations) {
         mDirectStore = directStore;
         mDirectStoreFails = directStoreFails;
         mOwnAllowances = ownAllowances;
+        mConversations = conversations;
     }
 
     @Override
@@ -51,10 +57,14 @@
         CompletableFuture<?> result;
         try {
             result = call(request.head().uri(), body);
-        } catch (IllegalStateException e) {
+        } catch (RuntimeException e) {
+            // A message with missing or foreign values can fail anywhere; it harms only this call.
+            Logger.warn("call {} of a peer rejected: {}", request.head().uri(), e.toString());
             writer.respond(
                     HttpResponses.text(
-                            HttpResponseStatus.BAD_REQUEST, "text/plain", e.getMessage()));
+                            HttpResponseStatus.BAD_REQUEST,
+                            "text/plain",
+                            String.valueOf(e.getMessage())));
             return;
         }
         var _ =
@@ -78,6 +88,22 @@
                 mOwnAllowances.returnTokens(returned.program(), returned.tokens());
                 yield CompletableFuture.completedFuture(new PeerMessages.AllowanceResult(false));
             }
+            case PeerMessages.HOLD_TURN_PATH -> {
+                PeerMessages.HoldTurn hold =
+                        RowJson.decode(path, body, PeerMessages.HoldTurn.class);
+                yield CompletableFuture.completedFuture(
+                        new PeerMessages.TurnHeld(mConversations.holdForPeer(hold.toKeptTurn())));
+            }
+            case PeerMessages.FIND_TURN_PATH -> {
+                PeerMessages.FindTurn find =
+                        RowJson.decode(path, body, PeerMessages.FindTurn.class);
+                Optional<Conversation> found = mConversations.findLocally(find.turnId());
+                yield CompletableFuture.completedFuture(
+                        new PeerMessages.FoundTurn(
+                                found.isPresent(),
+                                found.orElse(Conversation.EMPTY).toCharacters(),
+                                mConversations.remembersSince(find.retentionMillis())));
+            }
             default -> callStore(path, body);
         };
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
@@ -1,6 +1,9 @@
 package org.oleandertrack.gateway.peer;
 
 import java.util.List;
+import java.util.Objects;
+import org.oleandertrack.coordination.conversation.Conversation;
+import org.oleandertrack.coordination.conversation.KeptTurn;
 import org.oleandertrack.coordination.store.RowChange;
 import org.oleandertrack.coordination.store.RowChanges;
 import org.oleandertrack.coordination.store.RowId;
@@ -17,10 +20,60 @@
     static final String TAKE_ALLOWANCE_PATH = "/peer/allowance-take";
     static final String RETURN_ALLOWANCE_PATH = "/peer/allowance-return";
 
+    static final String HOLD_TURN_PATH = "/peer/turn-hold";
+    static final String FIND_TURN_PATH = "/peer/turn-find";
+
     private PeerMessages() {}
 
+    /**
+     * Request to hold a turn until the store has it.
+     *
+     * @param text the conversation, with one character for each byte
+     */
+    record HoldTurn(String turnId, String text, long retentionMillis) {
+
+        HoldTurn {
+            Objects.requireNonNull(turnId, "turnId is missing");
+            Objects.requireNonNull(text, "text is missing");
+        }
+
+        static HoldTurn of(KeptTurn turn) {
+            return new HoldTurn(
+                    turn.turnId(), turn.conversation().toCharacters(), turn.retentionMillis());
+        }
+
+        KeptTurn toKeptTurn() {
+            return new KeptTurn(turnId, Conversation.ofCharacters(text), retentionMillis);
+        }
+    }
+
+    /** Response to a {@link HoldTurn}. */
+    record TurnHeld(boolean held) {}
+
+    /** Request for a turn that a peer has in memory. */
+    record FindTurn(String turnId, long retentionMillis) {
+
+        FindTurn {
+            Objects.requireNonNull(turnId, "turnId is missing");
+        }
+    }
+
+    /**
+     * Response to a {@link FindTurn}.
+     *
+     * @param text the conversation, with one character for each byte; empty if it was not found
+     * @param remembers whether the peer would know the turn if it had held it within the retention
+     *     time
+     */
+    record FoundTurn(boolean found, String text, boolean remembers) {}
+
     /** Request to take tokens of a program's outage allowance. */
-    record TakeAllowance(String program, long budgetTokens, long maxTokens) {}
+    record TakeAllowance(String program, long budgetTokens, long maxTokens) {
+
+        TakeAllowance {
+            Objects.requireNonNull(program, "program is missing");
+        }
+    }
 
     /**
      * Response to a request to take or give back tokens.
@@ -30,13 +83,30 @@
     record AllowanceResult(boolean taken) {}
 
     /** Request to give back tokens of a program's outage allowance. */
-    record ReturnAllowance(String program, long tokens) {}
+    record ReturnAllowance(String program, long tokens) {
+
+        ReturnAllowance {
+            Objects.requireNonNull(program, "program is missing");
+        }
+    }
 
     /** Request to read rows of a part; an empty {@code fromKey} starts at its first row. */
-    record Read(String table, String part, String fromKey, int limit) {}
+    record Read(String table, String part, String fromKey, int limit) {
+
+        Read {
+            Objects.requireNonNull(table, "table is missing");
+            Objects.requireNonNull(part, "part is missing");
+            Objects.requireNonNull(fromKey, "fromKey is missing");
+        }
+    }
 
     /** Request to wait for changes of a table. */
-    record AwaitChanges(String table, long afterVersion, long waitMillis) {}
+    record AwaitChanges(String table, long afterVersion, long waitMillis) {
+
+        AwaitChanges {
+            Objects.requireNonNull(table, "table is missing");
+        }
+    }
 
     /** Response to a transaction: the new version, or the rows that violated its conditions. */
     record Applied(boolean committed, long version, List<StoredRow> current) {
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/MemoryRowStore.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/MemoryRowStore.java
@@ -65,6 +65,7 @@
                         .filter(row -> row.id().table().equals(table))
                         .filter(row -> row.id().part().equals(part))
                         .filter(row -> row.id().key().compareTo(fromKey.orElse("")) >= 0)
+                        .sorted(java.util.Comparator.comparing(row -> row.id().key()))
                         .limit(limit)
                         .toList();
         return CompletableFuture.completedFuture(new RowPage(rows, false, mVersion));
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/ScriptedTarget.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/ScriptedTarget.java
@@ -29,6 +29,7 @@
     private final ServerSocket mServer;
     private final Script mScript;
     private final List<String> mRequests = new CopyOnWriteArrayList<>();
+    private final List<String> mBodies = new CopyOnWriteArrayList<>();
     private final List<String> mClosedByPeer = new CopyOnWriteArrayList<>();
 
     ScriptedTarget(Script script) throws IOException {
@@ -46,6 +47,11 @@
         return mRequests;
     }
 
+    /** Returns the bodies of the requests received so far. */
+    List<String> bodies() {
+        return mBodies;
+    }
+
     /** Returns the heads of the requests for which {@link Exchange#awaitPeerClose} saw a close. */
     List<String> closedByPeer() {
         return mClosedByPeer;
@@ -75,11 +81,12 @@
                 if (head.isEmpty()) {
                     return;
                 }
-                socket.getInputStream().readNBytes(contentLength(head));
+                byte[] body = socket.getInputStream().readNBytes(contentLength(head));
                 int number;
                 synchronized (mRequests) {
                     number = mRequests.size();
                     mRequests.add(head);
+                    mBodies.add(new String(body, StandardCharsets.UTF_8));
                 }
                 mScript.handle(new Exchange(this, socket, head), number);
             }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestClient.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestClient.java
@@ -29,7 +29,11 @@
                         + id
                         + "\r\n"
                         + headers
-                        + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n")
+                        + (body.isEmpty()
+                                ? ""
+                                : "Content-Length: "
+                                        + body.getBytes(StandardCharsets.UTF_8).length
+                                        + "\r\n")
                         + "\r\n"
                         + body);
     }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.awaitility.Awaitility;
@@ -24,12 +25,22 @@
     private final EventLoopGroup mLoops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final ByteArrayOutputStream mLines = new ByteArrayOutputStream();
-    private final MemoryRowStore mStore = new MemoryRowStore(mExecutor);
+    private final MemoryRowStore mStore;
     private final GatewaySettings mSettings;
     private final GatewayHost mHost;
     private final InetSocketAddress mAddress;
 
     TestGateway(long graceMillis) {
+        this(graceMillis, Optional.empty());
+    }
+
+    /** Creates a gateway that shares the store of another one. */
+    TestGateway(MemoryRowStore store) {
+        this(1_000, Optional.of(store));
+    }
+
+    private TestGateway(long graceMillis, Optional<MemoryRowStore> store) {
+        mStore = store.orElseGet(() -> new MemoryRowStore(mExecutor));
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         mSettings =
                 new GatewaySettings(
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestHeaderCodec.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestHeaderCodec.java
@@ -28,7 +28,8 @@
                 OptionalLong.empty(),
                 program,
                 program.map(
-                        id -> new TurnMetadata(10, 20, List.of(), OptionalLong.empty(), budget)));
+                        id -> new TurnMetadata(10, 20, List.of(), OptionalLong.empty(), budget)),
+                Optional.ofNullable(headers.get("Previous")));
     }
 
     @Override
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestTables.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestTables.java
@@ -49,6 +49,8 @@
                         version,
                         List.of(
                                 route("turn", RequestKind.STREAMING, "engine"),
+                                route("talk", RequestKind.STREAMING, "engine"),
+                                route("kept", RequestKind.STREAMING, "engine"),
                                 route("safe", RequestKind.SAFE, "tool"),
                                 route("unsafe", RequestKind.UNSAFE, "tool"),
                                 route(
@@ -75,8 +77,9 @@
                 200,
                 0,
                 1,
-                true,
+                !name.equals("talk"),
                 300,
+                name.equals("talk") || name.equals("kept"),
                 60_000,
                 List.of(new RouteShare(service, 1)));
     }
--- a/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
@@ -2,16 +2,19 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.util.List;
 import java.util.Optional;
@@ -21,6 +24,13 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.oleandertrack.coordination.conversation.Conversation;
+import org.oleandertrack.coordination.conversation.ConversationLimits;
+import org.oleandertrack.coordination.conversation.ConversationListener;
+import org.oleandertrack.coordination.conversation.ConversationService;
+import org.oleandertrack.coordination.conversation.KeptTurn;
+import org.oleandertrack.coordination.conversation.TurnLookup;
+import org.oleandertrack.coordination.schedule.ExecutorScheduler;
 import org.oleandertrack.coordination.spending.OutageAllowances;
 import org.oleandertrack.coordination.store.RowChange;
 import org.oleandertrack.coordination.store.RowChanges;
@@ -78,7 +88,11 @@
             new HttpServer(
                     mLoops,
                     () -> new InboundLimits(8_192, 65_536, 2_000, 60_000),
-                    new PeerHandler(mStore, () -> mStoreUnreachable, new OutageAllowances(() -> 0)),
+                    new PeerHandler(
+                            mStore,
+                            () -> mStoreUnreachable,
+                            new OutageAllowances(() -> 0),
+                            conversations()),
                     HttpResponses::empty);
     private final InetSocketAddress mAddress =
             mServer.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -175,12 +189,93 @@
         Awaitility.await().until(() -> peers.relayStores().size() == 1);
     }
 
-    private PeerDirectory directory(InetSocketAddress peer) {
+    @Test
+    void aTurnThatAPeerHoldsIsFoundThereUnchanged() {
+        byte[] text = new byte[256];
+        for (int i = 0; i < text.length; i++) {
+            text[i] = (byte) i;
+        }
+        PeerConversations peers = new PeerConversations(directory(mAddress), log());
+        KeptTurn turn = new KeptTurn("held", Conversation.of(text), 60_000);
+        assertEquals(1, peers.hold(turn).join());
+        assertEquals(
+                new TurnLookup.Found(turn.conversation(), TurnLookup.Source.PEER),
+                peers.find("held", 60_000).join());
+    }
+
+    /** Guards against a turn that is called unknown although a peer may have held it. */
+    @Test
+    void aPeerThatStartedRecentlyOrDoesNotAnswerLeavesDoubt() throws IOException {
+        PeerConversations young = new PeerConversations(directory(mAddress), log());
+        assertInstanceOf(TurnLookup.Unavailable.class, young.find("none", 60_000).join());
+        assertEquals(new TurnLookup.NotFound(), young.find("none", 0).join());
+        try (ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            PeerConversations unanswered =
+                    new PeerConversations(
+                            directory((InetSocketAddress) silent.getLocalSocketAddress()), log());
+            assertInstanceOf(TurnLookup.Unavailable.class, unanswered.find("none", 60_000).join());
+        }
+    }
+
+    /** Guards against a malformed call that ends the connection or the process. */
+    @Test
+    void aMalformedCallIsRejectedAndTheNextOneIsAnswered() {
+        PooledHttpClient client = new PooledHttpClient(mLoops.next(), mAddress);
+        for (String path :
+                List.of("read", "apply", "changes", "allowance-take", "turn-hold", "turn-find")) {
+            for (String body : List.of("", "{}", "[]", "null", "{\"turnId\":1", "\u0000")) {
+                assertEquals(
+                        400,
+                        client.call(
+                                        HttpMethod.POST,
+                                        "/peer/" + path,
+                                        "application/json",
+                                        body.getBytes(StandardCharsets.UTF_8),
+                                        5_000)
+                                .join()
+                                .status(),
+                        path + " " + body);
+            }
+        }
+        assertEquals(mResult, mPeer.apply(WRITE).join());
+    }
+
+    private ConversationService conversations() {
+        return new ConversationService(
+                mStore,
+                new PeerConversations(directory(), log()),
+                new ExecutorScheduler(mLoops),
+                System::nanoTime,
+                System::currentTimeMillis,
+                new ConversationListener() {
+                    @Override
+                    public void onHandedOver(String turnId) {}
+
+                    @Override
+                    public void onUnreadable(String turnId, String reason) {}
+
+                    @Override
+                    public void onRemoved(String part, int turns) {}
+
+                    @Override
+                    public void onRemovalFailed(String part, String reason) {}
+
+                    @Override
+                    public void onHeldTurnExpired(String turnId) {}
+                },
+                ConversationLimits.DEFAULT);
+    }
+
+    private static EventLog log() {
+        return new EventLog(line -> {}, Clock.systemUTC(), 1);
+    }
+
+    private PeerDirectory directory(InetSocketAddress... peers) {
         return new PeerDirectory(
                 mLoops.next(),
                 "own",
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
-                List.of(peer),
+                List.of(peers),
                 new EventLog(line -> {}, Clock.systemUTC(), 1));
     }
 }
--- a/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
@@ -52,6 +52,24 @@
             "connections",
             "Open connections of the inner protocol, by the peer's role.",
             "role"),
+    // Conversations.
+    TURN_LOOKUP_DURATION(
+            "oleandertrack_turn_lookup_duration_seconds",
+            MetricKind.HISTOGRAM,
+            "seconds",
+            "Time to find the turn that another one continues, by where it was found.",
+            "source"),
+    TURN_KEEP_DURATION(
+            "oleandertrack_turn_keep_duration_seconds",
+            MetricKind.HISTOGRAM,
+            "seconds",
+            "Time to keep a turn before its response ends, by outcome.",
+            "outcome"),
+    TURNS_HELD(
+            "oleandertrack_turns_held",
+            MetricKind.GAUGE,
+            "turns",
+            "Turns that this host holds because the store does not have them yet."),
     // Ownership and commit.
     SHARDS_HELD(
             "oleandertrack_shards_held",
