Bound what a target may send outside of a response

A late second copy of a refusal without an id was taken as the refusal of the next request on the connection: the caller was told that a request had not run, or it was sent to another target, while it ran. A refusal whose body never ended was waited for until the deadline and answered 504. An event without end was buffered without limit. Change: a connection is not used again after a refusal without id; the body of a refusal counts up to 16 KB, an event up to 256 KB, a response of the store or of a peer up to 4 MB. Unexpected errors of a handler are logged as errors, no longer at level debug. Before, without the change: two of seven tests of GatewayHostileTargetTest failed (late copy, refusal without end). After: all seven pass. Conclusion: endless heads and trickling streams were bounded already.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -29,6 +29,8 @@
 
     // Responses up to this size are buffered until they are complete.
     private static final int MAX_BUFFERED_BYTES = 256 * 1024;
+    // A refusal whose body is longer counts without its end, and its connection is closed.
+    private static final int MAX_REFUSAL_BYTES = 16 * 1024;
     private static final String EVENT_STREAM = "text/event-stream";
 
     /** How the body of a response is handled. */
@@ -52,6 +54,8 @@
     private BodyMode mBodyMode = BodyMode.BUFFER;
     private final ByteBuf mBody = Unpooled.buffer(0);
     private boolean mRemovedFromLoad;
+    private boolean mRefusalHasId;
+    private int mRefusalBytes;
 
     Attempt(Call call, TargetHandle handle) {
         mCall = call;
@@ -110,6 +114,7 @@
                                         .targets()
                                         .recordLoad(mHandle, load, System.nanoTime()));
         mHead = head;
+        mRefusalHasId = metadata.requestId().isPresent();
         mBodyMode = refused ? BodyMode.REFUSAL : bodyModeOf(head);
         return true;
     }
@@ -117,22 +122,29 @@
     @Override
     public void onContent(ByteBuf part) {
         switch (mBodyMode) {
-            case REFUSAL -> {
-                return;
-            }
+            case REFUSAL -> skipRefusalBody(part);
             case BUFFER -> bufferOrForward(part);
             case FORWARD -> mCall.writer().write(part.retainedDuplicate());
             case EVENTS -> {
                 mSplitter.add(part);
                 forwardEvents();
+                if (mSplitter.isOversized()) {
+                    mConnection.close();
+                    mCall.onFailed(this, OutboundFailure.MALFORMED);
+                }
             }
         }
     }
 
     @Override
     public void onEnd() {
-        mHandle.connections().release(mLoop, mConnection);
         int status = mHead.status().code();
+        // A late copy of a refusal without an id could not be told from the refusal of a later
+        // request, which may run.
+        if (mBodyMode == BodyMode.REFUSAL && !mRefusalHasId) {
+            mConnection.close();
+        }
+        mHandle.connections().release(mLoop, mConnection);
         switch (mBodyMode) {
             case REFUSAL -> {
                 mCall.onRefused(this, status);
@@ -170,6 +182,14 @@
         return events ? BodyMode.EVENTS : BodyMode.BUFFER;
     }
 
+    private void skipRefusalBody(ByteBuf part) {
+        mRefusalBytes += part.readableBytes();
+        if (mRefusalBytes > MAX_REFUSAL_BYTES) {
+            mConnection.close();
+            mCall.onRefused(this, mHead.status().code());
+        }
+    }
+
     private void bufferOrForward(ByteBuf part) {
         if (mBody.readableBytes() + part.readableBytes() <= MAX_BUFFERED_BYTES) {
             mBody.writeBytes(part);
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/EventSplitter.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/EventSplitter.java
@@ -80,6 +80,9 @@
     private static final String ID_FIELD = "id:";
     private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.US_ASCII);
 
+    // An event holds a few tokens; a larger one is not an event of an engine.
+    private static final int MAX_EVENT_BYTES = 256 * 1024;
+
     private final ByteBuf mBuffer = Unpooled.buffer();
     private int mNextLineStart;
 
@@ -100,6 +103,11 @@
         return Optional.of(new Event(bytes, parseId(bytes)));
     }
 
+    /** Returns whether the incomplete event that is buffered exceeds the size of an event. */
+    boolean isOversized() {
+        return mBuffer.readableBytes() > MAX_EVENT_BYTES;
+    }
+
     /** Returns whether bytes of an incomplete event are buffered. */
     boolean hasPartialEvent() {
         return mBuffer.isReadable();
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/ScriptedTarget.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/ScriptedTarget.java
@@ -76,6 +76,7 @@
     private void serve(Socket socket) {
         try (socket) {
             socket.setTcpNoDelay(true);
+            boolean later = false;
             while (true) {
                 String head = readHead(socket.getInputStream());
                 if (head.isEmpty()) {
@@ -88,7 +89,8 @@
                     mRequests.add(head);
                     mBodies.add(new String(body, StandardCharsets.UTF_8));
                 }
-                mScript.handle(new Exchange(this, socket, head), number);
+                mScript.handle(new Exchange(this, socket, head, later), number);
+                later = true;
             }
         } catch (IOException e) {
             // The script or the peer closed the connection.
@@ -123,8 +125,13 @@
         return length.isEmpty() ? 0 : Integer.parseInt(length);
     }
 
-    /** A request and the connection on which it arrived. */
-    record Exchange(ScriptedTarget target, Socket socket, String head) {
+    /**
+     * A request and the connection on which it arrived.
+     *
+     * @param isLaterOnConnection whether the connection has carried another request before
+     */
+    record Exchange(
+            ScriptedTarget target, Socket socket, String head, boolean isLaterOnConnection) {
 
         String id() {
             return header(head, "Id");
--- a/http/src/main/java/org/oleandertrack/http/InboundConnection.java
+++ b/http/src/main/java/org/oleandertrack/http/InboundConnection.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
@@ -162,9 +163,12 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        // Logged at debug level, because resets by clients are common. channelInactive notifies the
-        // exchange.
-        Logger.debug("client connection failed: {}", cause.toString());
+        // Resets by clients are common. channelInactive notifies the exchange.
+        if (cause instanceof IOException) {
+            Logger.debug("client connection failed: {}", cause.toString());
+        } else {
+            Logger.error(cause, "request failed unexpectedly; its connection is closed");
+        }
         var _ = context.close();
     }
 
--- a/http/src/main/java/org/oleandertrack/http/PooledHttpClient.java
+++ b/http/src/main/java/org/oleandertrack/http/PooledHttpClient.java
@@ -26,6 +26,9 @@
     // in this way while calls are rare.
     private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(4);
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    // The largest response is a page of 1 MB of rows, encoded as Base64 in JSON, or a turn of a
+    // peer.
+    private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
     private final EventLoop mLoop;
     private final InetSocketAddress mRemote;
@@ -143,6 +146,11 @@
 
         @Override
         public void onContent(ByteBuf part) {
+            if (mBody.readableBytes() + part.readableBytes() > MAX_RESPONSE_BYTES) {
+                mConnection.close();
+                onFailure(OutboundFailure.MALFORMED);
+                return;
+            }
             mBody.writeBytes(part);
         }
 
