Repeat a store call for a turn whose answer is late

Cause: a call whose answer is lost stays open until its timeout, so the end of a response waited 700 ms for peers, and a lookup 300 ms. Change: the write and the read of a turn are made once more after 80 ms. Test: aWriteWithoutAnAnswerIsRepeatedSoon, which failed before.

--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
@@ -23,6 +23,10 @@
 
     // A slow store answers within 500 ms. After this time, peers hold the turn as well.
     private static final long STORE_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+    // The store answers in 10 to 20 ms. A call whose answer is lost stays open until its timeout,
+    // so
+    // it is made once more after this time; both may be executed.
+    private static final long REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
     // A caller's next turn should not wait for a store that is away if a peer has the turn.
     private static final long READ_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     private static final long WRITE_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
@@ -208,6 +212,7 @@
         }
 
         private void start() {
+            mScheduler.schedule(REPEAT_NANOS, this::writeUnlessEnded);
             mScheduler.schedule(STORE_PATIENCE_NANOS, this::holdUnlessEnded);
             write();
         }
@@ -289,7 +294,18 @@
         }
 
         private void start() {
+            mScheduler.schedule(REPEAT_NANOS, this::readUnlessEnded);
             mScheduler.schedule(READ_PATIENCE_NANOS, this::askPeersEarly);
+            read();
+        }
+
+        private void readUnlessEnded() {
+            if (!mResult.isDone()) {
+                read();
+            }
+        }
+
+        private void read() {
             var _ =
                     mStore.read(mTurnId)
                             .whenComplete(
--- a/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationTest.java
@@ -73,6 +73,15 @@
         assertEquals(Optional.of(other.conversation()), conversation(find(mCluster.host(1), "t2")));
     }
 
+    /** Guards against responses that end only when a call without an answer times out. */
+    @Test
+    void aWriteWithoutAnAnswerIsRepeatedSoon() {
+        mStore.setNextFates(Fate.UNANSWERED);
+        var outcome = mCluster.host(0).service().keep(turn("t1", "text"));
+        mTime.runFor(100 * VirtualTime.MILLI);
+        assertEquals(KeepOutcome.STORED, outcome.getNow(KeepOutcome.NOT_KEPT));
+    }
+
     @Test
     void duringAnOutageATurnSurvivesItsHostAndReachesTheStoreAfterwards() {
         KeptTurn turn = turn("t1", "text");
--- a/coordination/src/test/java/org/oleandertrack/coordination/spending/FakeRowStore.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/spending/FakeRowStore.java
@@ -29,6 +29,8 @@
         REFUSED,
         /** The transaction is applied, but its future fails with an unknown outcome. */
         ANSWER_LOST,
+        /** The transaction is applied, and its future never completes. */
+        UNANSWERED,
         /**
          * The future fails with an unknown outcome, and {@link #applyLate} applies the transaction.
          */
@@ -108,6 +110,10 @@
                 execute(transaction);
                 yield failed(Execution.UNKNOWN);
             }
+            case UNANSWERED -> {
+                execute(transaction);
+                yield new CompletableFuture<>();
+            }
             case LATE -> {
                 mLate.add(transaction);
                 yield failed(Execution.UNKNOWN);
