--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationPeers.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationPeers.java
@@ -18,7 +18,4 @@
      *     know the turn if it held it
      */
     CompletableFuture<TurnLookup> find(String turnId, long retentionMillis);
-
-    /** Returns whether this host, rather than a peer, removes the expired turns of a part. */
-    boolean isSelectedFor(String part);
 }
--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
@@ -1,6 +1,6 @@
 package org.oleandertrack.coordination.conversation;
 
-import java.util.Iterator;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
 import org.oleandertrack.coordination.schedule.Scheduler;
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.StoreFailures;
@@ -33,7 +34,7 @@
     // Callers give up a stream after two seconds without an event.
     private static final long KEEP_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
     private static final int MAX_HAND_OVERS_IN_FLIGHT = 8;
-    // Each part is searched for expired turns once in this time.
+    // Each part is searched for expired turns about once in this time, by any host.
     private static final long REMOVAL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(60);
 
     private final ConversationStore mStore;
@@ -45,7 +46,8 @@
     private final HeldTurns mHeldTurns;
     private final Set<String> mHandOversInFlight = ConcurrentHashMap.newKeySet();
     private final long mStartNanos;
-    private Iterator<String> mPartsToSearch = ConversationRows.parts().iterator();
+    private final RandomGenerator mRandom;
+    private final List<String> mParts = ConversationRows.parts().toList();
     private long mLastSearchNanos;
 
     /**
@@ -53,6 +55,7 @@
      *
      * @param nanoClock monotonic time, in nanoseconds
      * @param epochMillisClock time of day, in milliseconds since the epoch
+     * @param random chooses the parts of the store that are searched for expired turns
      */
     public ConversationService(
             RowStore store,
@@ -60,12 +63,14 @@
             Scheduler scheduler,
             LongSupplier nanoClock,
             LongSupplier epochMillisClock,
+            RandomGenerator random,
             ConversationListener listener,
             ConversationLimits limits) {
         mStore = new ConversationStore(store, epochMillisClock);
         mPeers = peers;
         mScheduler = scheduler;
         mNanoClock = nanoClock;
+        mRandom = random;
         mListener = listener;
         mCache = new ConversationCache(limits.cacheBytes());
         mHeldTurns = new HeldTurns(limits.heldBytes());
@@ -165,20 +170,17 @@
         }
     }
 
+    // Hosts choose parts at random and need not agree: a removal may be repeated, and the parts of
+    // a
+    // host that is gone are searched by the others.
     private synchronized void searchNextPart() {
         long nowNanos = mNanoClock.getAsLong();
-        long parts = ConversationRows.parts().count();
-        if (nowNanos - mLastSearchNanos < REMOVAL_INTERVAL_NANOS / parts) {
+        long intervalNanos = REMOVAL_INTERVAL_NANOS * (1 + mPeers.peerCount()) / mParts.size();
+        if (nowNanos - mLastSearchNanos < intervalNanos) {
             return;
         }
         mLastSearchNanos = nowNanos;
-        if (!mPartsToSearch.hasNext()) {
-            mPartsToSearch = ConversationRows.parts().iterator();
-        }
-        String part = mPartsToSearch.next();
-        if (mPeers.isSelectedFor(part)) {
-            removeExpired(part);
-        }
+        removeExpired(mParts.get(mRandom.nextInt(mParts.size())));
     }
 
     private void removeExpired(String part) {
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -124,7 +124,7 @@
                         mTargets,
                         System.nanoTime());
         mSpending = makeSpending(random);
-        mConversations = makeConversations();
+        mConversations = makeConversations(random);
         mHeldTurns = metrics.gauge(Metric.TURNS_HELD);
         GatewayResponses gatewayResponses = new GatewayResponses(headerCodec);
         mCallHandler =
@@ -269,13 +269,14 @@
                 System::nanoTime);
     }
 
-    private ConversationService makeConversations() {
+    private ConversationService makeConversations(Random random) {
         return new ConversationService(
                 mStore,
                 new PeerConversations(mPeers, mLog),
                 mScheduler,
                 System::nanoTime,
                 System::currentTimeMillis,
+                random,
                 new ConversationLog(mLog),
                 ConversationLimits.DEFAULT);
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerConversations.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerConversations.java
@@ -69,11 +69,6 @@
         return search.mResult;
     }
 
-    @Override
-    public boolean isSelectedFor(String part) {
-        return mPeers.selectedPeerFor("expiry of " + part).isEmpty();
-    }
-
     private boolean logFailure(String turnId, String operation, Throwable failure) {
         mLog.info("peer failed")
                 .text("turn", turnId)
--- a/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
@@ -18,6 +18,7 @@
 import java.time.Clock;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.awaitility.Awaitility;
@@ -247,6 +248,7 @@
                 new ExecutorScheduler(mLoops),
                 System::nanoTime,
                 System::currentTimeMillis,
+                new Random(1),
                 new ConversationListener() {
                     @Override
                     public void onHandedOver(String turnId) {}
--- a/soak/src/main/java/org/oleandertrack/soak/GuaranteeChecker.java
+++ b/soak/src/main/java/org/oleandertrack/soak/GuaranteeChecker.java
@@ -3,11 +3,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
 import org.oleandertrack.standins.published.ExecutionLog;
 import org.oleandertrack.standins.published.PublishedClient;
 import org.oleandertrack.standins.published.PublishedServer;
@@ -24,13 +26,23 @@
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(402, 408, 421, 429, 503);
     private static final int OK_STATUS = 200;
     private static final int BUDGET_SPENT_STATUS = 402;
+    private static final int NOT_FOUND_STATUS = 404;
+    private static final String DATA_FIELD = "data: ";
+    // No body begins with this text, so any run of a turn without predecessor is a violation.
+    private static final String NEVER_TO_RUN = "must not run: ";
+
+    /** Id of a turn that does not exist. */
+    static final String FORGED_TURN_ID = "forged";
 
     private record Refusal(String requestId, int status) {}
 
     private final ExecutionLog mExecutionLog;
     private final Queue<String> mViolations = new ConcurrentLinkedQueue<>();
     private final Queue<Refusal> mRefusals = new ConcurrentLinkedQueue<>();
-    private final Set<String> mSentRequestIds = ConcurrentHashMap.newKeySet();
+    // By request id: the body that a server must receive.
+    private final Map<String, String> mExpectedBodies = new ConcurrentHashMap<>();
+    // By the id of a turn that was answered whole: inputs and event data up to its end.
+    private final Map<String, String> mConversations = new ConcurrentHashMap<>();
     private final Set<String> mAtMostOnceRequestIds = ConcurrentHashMap.newKeySet();
     private final Map<String, AtomicLong> mTokensByProgram = new ConcurrentHashMap<>();
     private final Map<String, AtomicLong> mOutcomeCounts = new ConcurrentHashMap<>();
@@ -56,13 +68,17 @@
     /**
      * Records a request before it is sent.
      *
-     * @param atMostOnce whether the request must not run more than once
+     * @param turn the turn; empty for an order, which must not run more than once
      */
-    void recordRequest(String requestId, boolean atMostOnce) {
-        mSentRequestIds.add(requestId);
-        if (atMostOnce) {
+    void recordRequest(String requestId, Optional<PublishedClient.Turn> turn) {
+        if (turn.isEmpty()) {
             mAtMostOnceRequestIds.add(requestId);
         }
+        String conversation =
+                turn.flatMap(PublishedClient.Turn::previousTurnId)
+                        .map(previous -> mConversations.getOrDefault(previous, NEVER_TO_RUN))
+                        .orElse("");
+        mExpectedBodies.put(requestId, conversation + PublishedClient.bodyOf(requestId));
     }
 
     void reportViolation(String violation) {
@@ -75,7 +91,7 @@
      */
     void recordResponse(
             String requestId,
-            java.util.Optional<PublishedClient.Turn> turn,
+            Optional<PublishedClient.Turn> turn,
             PublishedClient.Response response) {
         String outcome =
                 response.status()
@@ -85,6 +101,22 @@
                 response.complete() || response.status().isEmpty() ? outcome : outcome + " cut");
         String expected = PublishedServer.expectedBody(requestId, turn.isPresent());
         int status = response.status().orElse(0);
+        if (status == NOT_FOUND_STATUS
+                && turn.flatMap(PublishedClient.Turn::previousTurnId)
+                        .filter(mConversations::containsKey)
+                        .isPresent()) {
+            reportViolation("LOST: " + requestId + " got " + response);
+        }
+        if (status == OK_STATUS && response.complete() && turn.isPresent()) {
+            mConversations.put(
+                    requestId,
+                    mExpectedBodies.get(requestId)
+                            + response.body()
+                                    .lines()
+                                    .filter(line -> line.startsWith(DATA_FIELD))
+                                    .map(line -> line.substring(DATA_FIELD.length()) + "\n")
+                                    .collect(Collectors.joining()));
+        }
         if (status == OK_STATUS) {
             boolean signed = response.signature().equals(PublishedServer.signatureOf(requestId));
             boolean matches =
@@ -119,7 +151,7 @@
             }
         }
         for (ExecutionLog.Execution execution : mExecutionLog.all()) {
-            if (!mSentRequestIds.contains(execution.requestId())) {
+            if (!execution.body().equals(mExpectedBodies.get(execution.requestId()))) {
                 reportViolation("UNASKED: " + execution);
             }
         }
@@ -132,7 +164,7 @@
     }
 
     private void countTokens(PublishedClient.Turn turn, String body) {
-        long events = body.lines().filter(line -> line.startsWith("data: ")).count();
+        long events = body.lines().filter(line -> line.startsWith(DATA_FIELD)).count();
         long total =
                 mTokensByProgram
                         .computeIfAbsent(turn.program(), key -> new AtomicLong())
--- a/standins/src/main/java/org/oleandertrack/standins/published/ExecutionLog.java
+++ b/standins/src/main/java/org/oleandertrack/standins/published/ExecutionLog.java
@@ -8,8 +8,12 @@
 /** Records which server executed which request. Thread-safe. */
 public final class ExecutionLog {
 
-    /** One execution of a request by a server. */
-    public record Execution(String requestId, String serverId, long startNanos) {}
+    /**
+     * One execution of a request by a server.
+     *
+     * @param body the body that the server received
+     */
+    public record Execution(String requestId, String serverId, String body, long startNanos) {}
 
     private final Map<String, List<Execution>> mExecutions = new ConcurrentHashMap<>();
 
--- a/standins/src/main/java/org/oleandertrack/standins/published/PublishedClient.java
+++ b/standins/src/main/java/org/oleandertrack/standins/published/PublishedClient.java
@@ -38,8 +38,10 @@
      *
      * @param budgetTokens number of tokens that the whole program may generate
      * @param maxTokens number of tokens that this turn may generate
+     * @param previousTurnId id of the turn that this one continues; empty for the first one
      */
-    public record Turn(String program, long budgetTokens, int maxTokens) {}
+    public record Turn(
+            String program, long budgetTokens, int maxTokens, Optional<String> previousTurnId) {}
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final long DEADLINE_MILLIS = 4_000;
@@ -72,7 +74,7 @@
                         .header("Host", PublishedStore.httpHost())
                         .header("X-Request-Id", requestId)
                         .header("X-Deadline-Milliseconds", Long.toString(DEADLINE_MILLIS))
-                        .POST(HttpRequest.BodyPublishers.ofString("body of " + requestId));
+                        .POST(HttpRequest.BodyPublishers.ofString(bodyOf(requestId)));
         turn.ifPresent(
                 t ->
                         request.header("X-Program-Id", t.program())
@@ -81,6 +83,7 @@
                                 .header("X-Token-Budget", Long.toString(t.budgetTokens()))
                                 .header("X-Token-Counts", "600," + t.maxTokens())
                                 .header("X-Prompt-Prefix", "aa:500," + t.program() + ":100"));
+        turn.flatMap(Turn::previousTurnId).ifPresent(id -> request.header("X-Previous-Turn", id));
         long startNanos = System.nanoTime();
         StringBuilder body = new StringBuilder();
         HttpResponse<java.io.InputStream> response;
@@ -106,6 +109,11 @@
                 System.nanoTime() - startNanos);
     }
 
+    /** Returns the body of the request with the given id. */
+    public static String bodyOf(String requestId) {
+        return "body of " + requestId;
+    }
+
     private static boolean readBody(
             HttpResponse<java.io.InputStream> response, StringBuilder body) {
         try (BufferedReader reader =
--- a/standins/src/main/java/org/oleandertrack/standins/published/PublishedServer.java
+++ b/standins/src/main/java/org/oleandertrack/standins/published/PublishedServer.java
@@ -122,7 +122,8 @@
     }
 
     private void executeRequest(Request request, String requestId) throws IOException {
-        mExecutionLog.add(new ExecutionLog.Execution(requestId, mId, System.nanoTime()));
+        String body = new String(request.body(), StandardCharsets.UTF_8);
+        mExecutionLog.add(new ExecutionLog.Execution(requestId, mId, body, System.nanoTime()));
         request.exchange().getResponseHeaders().set("X-Response-Signature", signatureOf(requestId));
         if (mMode == Mode.FAILING) {
             request.sendError(500, "a simulated fault fails the request");
