--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
@@ -24,9 +24,8 @@
 
     // A slow store answers within 500 ms. After this time, peers hold the turn as well.
     private static final long STORE_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
-    // The store answers in 10 to 20 ms. A call whose answer is lost stays open until its timeout,
-    // so
-    // it is made once more after this time; both may be executed.
+    // The store answers in 10 to 20 ms. A call whose answer is lost stays open until its timeout;
+    // after this time it is made again, and both may be executed.
     private static final long REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
     // A caller's next turn should not wait for a store that is away if a peer has the turn.
     private static final long READ_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
@@ -170,9 +169,8 @@
         }
     }
 
-    // Hosts choose parts at random and need not agree: a removal may be repeated, and the parts of
-    // a
-    // host that is gone are searched by the others.
+    // Hosts choose parts at random and need not agree: a removal may be repeated, and other hosts
+    // search the parts of a host that is gone.
     private synchronized void searchNextPart() {
         long nowNanos = mNanoClock.getAsLong();
         long intervalNanos = REMOVAL_INTERVAL_NANOS * (1 + mPeers.peerCount()) / mParts.size();
@@ -234,9 +232,8 @@
                                     });
         }
 
-        // A write of unknown outcome may be repeated. A store that refuses two writes is away. A
-        // turn
-        // that peers hold is written by them.
+        // A write of unknown outcome may be repeated. A store that refuses two writes is away, and
+        // peers then hold and write the turn.
         private void onWriteFailed(Throwable failure) {
             boolean refused = StoreFailures.executionOf(failure) == Execution.NOT_RUN;
             if (refused && mRefusedWrites.incrementAndGet() > 1) {
