Search more peers for the store, and do not call a store away that serves some hosts

Tests: aSinglePeerThatReachesTheStoreIsFound, aRefusedWriteIsRepeatedWhileTheStoreServesOtherWrites.

--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -36,6 +37,9 @@
     private static final long WRITE_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     // Callers give up a stream after two seconds without an event.
     private static final long KEEP_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
+    // While writes of this host have succeeded within this time, the store is not away: it refuses
+    // some calls or some hosts, and a refused write is repeated rather than held by hosts alone.
+    private static final long STORE_AWAY_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final int MAX_HAND_OVERS_IN_FLIGHT = 8;
     // Each part is searched for expired turns about once in this time, by any host.
     private static final long REMOVAL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(60);
@@ -49,6 +53,7 @@
     private final HeldTurns mHeldTurns;
     private final Set<String> mHandOversInFlight = ConcurrentHashMap.newKeySet();
     private final long mStartNanos;
+    private final AtomicLong mLastWriteNanos;
     private final RandomGenerator mRandom;
     private final List<String> mParts = ConversationRows.parts().toList();
     private long mLastSearchNanos;
@@ -78,6 +83,7 @@
         mCache = new ConversationCache(limits.cacheBytes());
         mHeldTurns = new HeldTurns(limits.heldBytes());
         mStartNanos = nanoClock.getAsLong();
+        mLastWriteNanos = new AtomicLong(mStartNanos);
         mLastSearchNanos = mStartNanos;
     }
 
@@ -168,6 +174,7 @@
     }
 
     private void onStored(KeptTurn turn) {
+        mLastWriteNanos.set(mNanoClock.getAsLong());
         if (mHeldTurns.remove(turn.turnId())) {
             mListener.onHandedOver(turn.turnId());
         }
@@ -238,11 +245,12 @@
                                     });
         }
 
-        // A write of unknown outcome may be repeated. A store that refuses two writes is away, and
+        // A write of unknown outcome may be repeated. A store that refuses all writes is away, and
         // peers then hold and write the turn.
         private void onWriteFailed(Throwable failure) {
             boolean refused = StoreFailures.executionOf(failure) == Execution.NOT_RUN;
-            if (refused && mRefusedWrites.incrementAndGet() > 1) {
+            boolean away = mNanoClock.getAsLong() - mLastWriteNanos.get() >= STORE_AWAY_NANOS;
+            if (refused && mRefusedWrites.incrementAndGet() > 1 && away) {
                 holdUnlessEnded();
             }
             if (mOutcome.isDone()) {
--- a/coordination/src/main/java/org/oleandertrack/coordination/relay/RelayingRowStore.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/relay/RelayingRowStore.java
@@ -27,8 +27,12 @@
  */
 public final class RelayingRowStore implements RowStore {
 
-    // A second peer is tried, because the first may be unable to reach the store too.
-    private static final int MAX_PEERS_TRIED = 2;
+    // Further peers are tried, because the first ones may be unable to reach the store too; they
+    // say
+    // so within a few milliseconds.
+    private static final int MAX_PEERS_TRIED = 6;
+    // A peer that does not answer at all costs the timeout of a call.
+    private static final int MAX_UNANSWERED = 2;
     private static final String PROBE_TABLE = "probe";
 
     private final RowStore mDirect;
@@ -110,15 +114,16 @@
             Function<RowStore, CompletableFuture<T>> call, boolean repeatable) {
         List<RowStore> peers = new ArrayList<>(mPeers.get());
         Collections.shuffle(peers, mRandom);
-        return callPeer(peers, 0, call, repeatable);
+        return callPeer(peers, 0, 0, call, repeatable);
     }
 
     private static <T> CompletableFuture<T> callPeer(
             List<RowStore> peers,
             int index,
+            int unanswered,
             Function<RowStore, CompletableFuture<T>> call,
             boolean repeatable) {
-        if (index >= Math.min(MAX_PEERS_TRIED, peers.size())) {
+        if (index >= Math.min(MAX_PEERS_TRIED, peers.size()) || unanswered >= MAX_UNANSWERED) {
             return CompletableFuture.failedFuture(
                     new StoreException(
                             Execution.NOT_RUN,
@@ -129,12 +134,21 @@
                 .exceptionallyCompose(
                         failure ->
                                 mayTryAgain(failure, repeatable)
-                                        ? callPeer(peers, index + 1, call, repeatable)
+                                        ? callPeer(
+                                                peers,
+                                                index + 1,
+                                                unanswered + (isRefusal(failure) ? 0 : 1),
+                                                call,
+                                                repeatable)
                                         : CompletableFuture.failedFuture(
                                                 new CompletionException(failure)));
     }
 
     private static boolean mayTryAgain(Throwable failure, boolean repeatable) {
-        return repeatable || StoreFailures.executionOf(failure) == Execution.NOT_RUN;
+        return repeatable || isRefusal(failure);
+    }
+
+    private static boolean isRefusal(Throwable failure) {
+        return StoreFailures.executionOf(failure) == Execution.NOT_RUN;
     }
 }
--- a/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationTest.java
@@ -95,6 +95,16 @@
         assertEquals(Optional.of(turn.conversation()), conversation(find(mCluster.host(1), "t1")));
     }
 
+    /** Guards against turns that hosts alone hold while the store refuses only some calls. */
+    @Test
+    void aRefusedWriteIsRepeatedWhileTheStoreServesOtherWrites() {
+        mCluster.host(0).service().keep(turn("t0", "text")).join();
+        mStore.setNextFates(Fate.REFUSED, Fate.REFUSED, Fate.REFUSED, Fate.REFUSED);
+        var outcome = mCluster.host(0).service().keep(turn("t1", "text"));
+        mTime.runFor(VirtualTime.SECOND);
+        assertEquals(KeepOutcome.STORED, outcome.join());
+    }
+
     @Test
     void duringAnOutageATurnSurvivesItsHostAndReachesTheStoreAfterwards() {
         KeptTurn turn = turn("t1", "text");
--- a/coordination/src/test/java/org/oleandertrack/coordination/relay/RelayingRowStoreTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/relay/RelayingRowStoreTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletionException;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.oleandertrack.coordination.spending.FakeRowStore;
 import org.oleandertrack.coordination.spending.FakeRowStore.Fate;
@@ -64,6 +65,20 @@
         assertInstanceOf(TransactionResult.Committed.class, mStore.apply(WRITE).join());
     }
 
+    /** Guards against writes that fail while the store turns most hosts away. */
+    @Test
+    void aSinglePeerThatReachesTheStoreIsFound() {
+        List<FakeRowStore> peers = Stream.generate(FakeRowStore::new).limit(6).toList();
+        peers.subList(1, 6).forEach(peer -> peer.setDown(true));
+        RelayingRowStore store =
+                new RelayingRowStore(mDirect, () -> List.copyOf(peers), new Random(1));
+        mDirect.setDown(true);
+        for (int i = 0; i < 10; i++) {
+            RowTransaction write = RowTransaction.replace(new RowId("t", "p", "k" + i), 0, "v");
+            assertInstanceOf(TransactionResult.Committed.class, store.apply(write).join());
+        }
+    }
+
     @Test
     void theStoreIsCalledDirectlyAgainAfterASuccessfulProbe() {
         mDirect.setDown(true);
