Log the rate limits that targets state

A target can state in its responses how many requests a second it takes from all hosts together. The gateway ignored the header, so neither the log nor a metric could tell whether a host had seen a limit when it sent a request. It is now read and logged when it appears, changes or ends. Requests are placed as before.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -113,6 +113,7 @@
                                 mCall.context()
                                         .targets()
                                         .recordLoad(mHandle, load, System.nanoTime()));
+        mCall.context().targets().recordRateLimit(mHandle, metadata.requestsPerSecond());
         mHead = head;
         mRefusalHasId = metadata.requestId().isPresent();
         mBodyMode = refused ? BodyMode.REFUSAL : bodyModeOf(head);
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetHandle.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetHandle.java
@@ -1,5 +1,7 @@
 package org.oleandertrack.gateway.targets;
 
+import java.util.OptionalDouble;
+import java.util.concurrent.atomic.AtomicReference;
 import org.oleandertrack.core.discovery.TargetRecord;
 import org.oleandertrack.core.turn.TargetState;
 
@@ -12,6 +14,8 @@
     private final TargetRecord mRecord;
     private final TargetState mState;
     private final TargetConnections mConnections;
+    private final AtomicReference<OptionalDouble> mRequestsPerSecond =
+            new AtomicReference<>(OptionalDouble.empty());
     private volatile boolean mRemoved;
     private boolean mHasResponded;
     private long mLastResponseNanos;
@@ -39,6 +43,15 @@
         return mRemoved;
     }
 
+    /** Returns the rate to which the target limits all hosts; empty if it states no limit. */
+    public OptionalDouble rateLimit() {
+        return mRequestsPerSecond.get();
+    }
+
+    OptionalDouble replaceRateLimit(OptionalDouble requestsPerSecond) {
+        return mRequestsPerSecond.getAndSet(requestsPerSecond);
+    }
+
     TargetState state() {
         return mState;
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -112,6 +113,23 @@
         targetsOf(handle.record().service()).recordLoad(handle, reportedLoad, nowNanos);
     }
 
+    /**
+     * Records the limit on the requests of all hosts that a target states in a response, or that it
+     * states none.
+     */
+    public void recordRateLimit(TargetHandle handle, OptionalDouble requestsPerSecond) {
+        OptionalDouble previous = handle.replaceRateLimit(requestsPerSecond);
+        if (previous.equals(requestsPerSecond)) {
+            return;
+        }
+        mLog.notice(requestsPerSecond.isPresent() ? "target limited" : "target limit lifted")
+                .text("target", handle.id())
+                .text("service", handle.record().service())
+                .decimal("requestsPerSecond", requestsPerSecond.orElse(0))
+                .decimal("previousRequestsPerSecond", previous.orElse(0))
+                .write();
+    }
+
     /** Returns whether a target has free slots according to this host's estimate of its load. */
     public boolean hasRoom(TargetHandle handle, long nowNanos) {
         return targetsOf(handle.record().service()).hasRoom(handle, nowNanos);
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestHeaderCodec.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestHeaderCodec.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.oleandertrack.gateway.call.CallMetadata;
 import org.oleandertrack.gateway.call.HeaderCodec;
@@ -44,7 +45,10 @@
         return new ResponseMetadata(
                 Optional.ofNullable(headers.get("Id")),
                 headers.contains("Not-Executed"),
-                Optional.empty());
+                Optional.empty(),
+                headers.contains("Rate")
+                        ? OptionalDouble.of(Double.parseDouble(headers.get("Rate")))
+                        : OptionalDouble.empty());
     }
 
     @Override
