Keep to the rates that targets state to all hosts together

Callers noticed nothing.

The log lines added before show that the hosts that exceeded a limit had read it, and that they placed requests there as before. A limit that each host keeps by itself would be exceeded too, by the number of hosts.

A host that has read a limit now sends to the target only with a permit. One host for each target, by rendezvous hashing, issues the permits of all hosts and assigns each request the earliest free time; the second host in the order replaces it if it does not answer, and a host that reaches neither uses its even share. The wait counts in the placement, and a request that no target permits soon enough is refused at once as not run (4009). The sum over all hosts keeps to the rate because one pacer hands out every permit.

TargetPacersTest and PeerCallsTest cover the rate, the change of the pacing host and hosts that know no other.

--- a/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
+++ b/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
@@ -254,6 +254,12 @@
             RetryAdvice.CALLER_DECIDES,
             Execution.UNKNOWN,
             "The answer stopped arriving for longer than the stall timeout."),
+    TARGETS_RATE_LIMITED(
+            4009,
+            503,
+            RetryAdvice.LATER,
+            Execution.NOT_RUN,
+            "The targets limit the rate of their requests, and none takes the call soon enough."),
     // Ownership and platform.
     NOT_SHARD_HOLDER(
             5001,
--- a/core/src/main/java/org/oleandertrack/core/turn/CallPlacement.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/CallPlacement.java
@@ -27,6 +27,8 @@
     // Added for targets in other zones: the round trip adds about 2 ms to calls of 80 ms and more.
     private static final double OTHER_ZONE_COST = 0.02;
 
+    // Usual duration of a call, which relates a wait in milliseconds to the relative costs.
+    private static final double USUAL_CALL_MILLIS = 200;
     // Exceeds every other cost, so that an avoided target is chosen only if no other is left.
     private static final double AVOIDED_COST = 1e6;
 
@@ -76,6 +78,7 @@
         return target.load().slowness(nowNanos)
                         * (1 + OCCUPANCY_WEIGHT * occupiedFraction + QUEUE_WEIGHT * waitingPerSlot)
                 + zoneCost
+                + target.permitWaitMillis(nowNanos) / USUAL_CALL_MILLIS
                 + (target.isAvoided(nowNanos) ? AVOIDED_COST : 0);
     }
 
--- a/core/src/main/java/org/oleandertrack/core/turn/TargetState.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/TargetState.java
@@ -1,5 +1,6 @@
 package org.oleandertrack.core.turn;
 
+import java.util.concurrent.TimeUnit;
 import org.oleandertrack.core.placement.HealthView;
 import org.oleandertrack.core.placement.TargetAssessment;
 
@@ -17,6 +18,8 @@
     private final HealthView mHealth;
     private long mAvoidedUntilNanos;
     private boolean mAvoided;
+    private long mPermittedNanos;
+    private boolean mRateLimited;
 
     /**
      * Creates an idle target.
@@ -69,8 +72,29 @@
                 || mHealth.assess(mId, nowNanos).use() == TargetAssessment.Use.LAST_RESORT;
     }
 
+    /**
+     * Returns the expected wait until the target's rate permits a request, in milliseconds; 0 if
+     * the target does not limit its rate.
+     */
+    public long permitWaitMillis(long nowNanos) {
+        return mRateLimited
+                ? Math.max(0, TimeUnit.NANOSECONDS.toMillis(mPermittedNanos - nowNanos))
+                : 0;
+    }
+
     // Operations
 
+    /** Records that the target's rate permits the next request at the given time. */
+    public void recordPermittedAt(long permittedNanos) {
+        mRateLimited = true;
+        mPermittedNanos = permittedNanos;
+    }
+
+    /** Records that the target does not limit its rate any more. */
+    public void clearRateLimit() {
+        mRateLimited = false;
+    }
+
     /** Avoids the target until the given time or until {@link #clearAvoidance}. */
     public void avoid(long untilNanos) {
         mAvoided = true;
--- a/core/src/main/java/org/oleandertrack/core/turn/TurnPlacement.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/TurnPlacement.java
@@ -7,9 +7,9 @@
 
 /**
  * Chooses the engine of a turn: the one with the lowest sum of the predicted time to the turn's
- * completion and the delay that the turn causes to the other requests of the engine's batch. It is
- * meant for workloads in which short turns share batches, hosts slow down for short periods and
- * prompts repeat earlier prompts. Immutable.
+ * completion and the delay that the turn causes to the other requests of the engine's batch, plus
+ * the wait for an engine that limits its rate. It is meant for workloads in which short turns share
+ * batches, hosts slow down for short periods and prompts repeat earlier prompts. Immutable.
  */
 public final class TurnPlacement {
 
@@ -97,7 +97,8 @@
         return predictedMillis(engine, turn, missingTokens, nowNanos)
                 + BATCH_DELAY_WEIGHT * batchDelayMillis
                 + zoneCostMillis
-                + avoidedCostMillis;
+                + avoidedCostMillis
+                + engine.permitWaitMillis(nowNanos);
     }
 
     private PlacementChoice describe(
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -113,7 +113,9 @@
                                 mCall.context()
                                         .targets()
                                         .recordLoad(mHandle, load, System.nanoTime()));
-        mCall.context().targets().recordRateLimit(mHandle, metadata.requestsPerSecond());
+        mCall.context()
+                .targets()
+                .recordRateLimit(mHandle, metadata.requestsPerSecond(), System.nanoTime());
         mHead = head;
         mRefusalHasId = metadata.requestId().isPresent();
         mBodyMode = refused ? BodyMode.REFUSAL : bodyModeOf(head);
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -1,12 +1,8 @@
 package org.oleandertrack.gateway.call;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.Locale;
@@ -17,6 +13,7 @@
 import org.oleandertrack.coordination.conversation.KeepOutcome;
 import org.oleandertrack.coordination.conversation.TurnLookup;
 import org.oleandertrack.coordination.spending.SpendingResult;
+import org.oleandertrack.core.rate.PermitPatience;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
@@ -24,7 +21,6 @@
 import org.oleandertrack.core.traffic.Route;
 import org.oleandertrack.core.traffic.ServiceSpec;
 import org.oleandertrack.core.traffic.TrafficConfig;
-import org.oleandertrack.core.turn.PlacementChoice;
 import org.oleandertrack.core.turn.TurnRequest;
 import org.oleandertrack.gateway.targets.PlacedTarget;
 import org.oleandertrack.gateway.targets.TargetHandle;
@@ -44,8 +40,6 @@
     private static final long AVOID_NANOS = TimeUnit.SECONDS.toNanos(1);
     // How long to avoid a target with a full queue; the target ends several requests in 100 ms.
     private static final long FULL_AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-    // Retry-After when no target takes the call; full queues become clearly shorter in this time.
-    private static final long RETRY_AFTER_MILLIS = 150;
     private static final long STORE_RETRY_AFTER_MILLIS = 500;
     // With less time left, a resumed stream, which starts after tens of ms, would come too late.
     private static final long MIN_REMAINING_TO_RETRY_MILLIS = 50;
@@ -63,6 +57,7 @@
     private final int mTokensPerEvent;
     private final Optional<CallHistory> mHistory;
     private final CallLog mLog;
+    private final TargetSelection mSelection;
     private final Set<String> mExcludedTargetIds = new HashSet<>();
     private final Set<String> mMayHaveRunTargetIds = new HashSet<>();
     private ScheduledFuture<?> mTimeoutTimer;
@@ -111,6 +106,15 @@
                                         mLog))
                         : Optional.empty();
         mBody = request.body();
+        mSelection =
+                new TargetSelection(
+                        context,
+                        writer.eventLoop(),
+                        mService,
+                        mTurn,
+                        route.isRepeatable(),
+                        () -> mEnded,
+                        mLog);
     }
 
     // Life-cycle
@@ -253,14 +257,8 @@
             }
             case SpendingResult.Exhausted exhausted ->
                     fail(
-                            ResultCode.BUDGET_EXHAUSTED,
-                            Execution.NOT_RUN,
-                            "the turn exceeds the remaining budget: the program was granted "
-                                    + exhausted.grantedTokens()
-                                    + " of "
-                                    + mMetadata.turn().get().budgetTokens().getAsLong()
-                                    + " tokens",
-                            0);
+                            CallFailures.budgetExhausted(
+                                    exhausted, mMetadata.turn().get().budgetTokens().getAsLong()));
             case SpendingResult.Unavailable unavailable ->
                     fail(
                             ResultCode.STORE_UNAVAILABLE,
@@ -274,87 +272,89 @@
 
     /** Sends the request to the given target again, or to a target that placement chooses. */
     private void dispatch(Optional<TargetHandle> target) {
-        Optional<PlacedTarget> placed = target.isPresent() ? placeAt(target.get()) : place();
-        if (placed.isEmpty()) {
-            failWithoutTarget();
-            return;
+        long maxPermitWaitMillis =
+                mMayHaveRun
+                        ? PermitPatience.maxWaitMillisOfStarted(remainingMillis())
+                        : PermitPatience.maxWaitMillis(
+                                mRoute.latencyObjectiveMillis(),
+                                mRoute.priority(),
+                                remainingMillis());
+        mSelection.select(
+                target,
+                mExcludedTargetIds,
+                maxPermitWaitMillis,
+                result -> onSelection(result, target.isPresent()));
+    }
+
+    private void onSelection(TargetSelection.Result result, boolean sameTarget) {
+        switch (result) {
+            case TargetSelection.Result.Selected selected -> send(selected, sameTarget);
+            case TargetSelection.Result.NoTarget noTarget -> failWithoutTarget();
+            case TargetSelection.Result.RateLimited limited ->
+                    failWithoutPermit(limited.waitMillis());
         }
+    }
+
+    private void send(TargetSelection.Result.Selected selected, boolean sameTarget) {
+        PlacedTarget placed = selected.target();
         mSendCount++;
-        TargetHandle handle = placed.get().handle();
+        TargetHandle handle = placed.handle();
         mLog.placed(
                 handle,
-                placed.get().choice(),
-                target.isPresent(),
+                placed.choice(),
+                sameTarget,
+                selected.permitWaitMillis(),
                 mSendCount,
                 remainingMillis(),
                 mTurn);
         Attempt attempt = new Attempt(this, handle);
         mCurrentAttempt = Optional.of(attempt);
         mSentNanos = System.nanoTime();
-        if (mTurn.isPresent() && target.isEmpty()) {
-            mPredictedMillis = (long) placed.get().choice().predictedCost();
+        if (mTurn.isPresent() && !sameTarget) {
+            mPredictedMillis = (long) placed.choice().predictedCost();
         }
         if (mRoute.isRepeatable() && mStallCount < MAX_STALLS) {
             new StallDetector(this, attempt, mPredictedMillis).start();
         }
-        attempt.send(makeRequest(handle), mBody.retainedDuplicate());
+        attempt.send(
+                TargetRequestHead.of(
+                        mRequest.head(),
+                        mBody.readableBytes(),
+                        mContext.headerCodec(),
+                        new TargetInstructions(
+                                handle.id(),
+                                Math.max(1, remainingMillis()),
+                                OptionalInt.empty(),
+                                mProgress.lastEventId())),
+                mBody.retainedDuplicate());
     }
 
-    private Optional<PlacedTarget> placeAt(TargetHandle handle) {
-        mContext.targets().recordResend(handle);
-        return Optional.of(
-                new PlacedTarget(handle, new PlacementChoice(handle.id(), 0, 0, 0, 0, 0)));
+    private void failWithoutTarget() {
+        if (mMayHaveRun || mProgress.isStarted()) {
+            failAfterStart();
+            return;
+        }
+        fail(
+                CallFailures.noTarget(
+                        mService,
+                        mContext.targets().targetCount(mService),
+                        mExcludedTargetIds.size()));
     }
 
-    private Optional<PlacedTarget> place() {
-        long nowNanos = System.nanoTime();
-        return mTurn.isPresent()
-                ? mContext.targets().placeTurn(mService, mTurn.get(), mExcludedTargetIds, nowNanos)
-                : mContext.targets()
-                        .placeCall(mService, mExcludedTargetIds, mRoute.isRepeatable(), nowNanos);
+    private void failWithoutPermit(long waitMillis) {
+        if (mMayHaveRun || mProgress.isStarted()) {
+            failAfterStart();
+            return;
+        }
+        fail(CallFailures.rateLimited(mService, waitMillis, remainingMillis()));
     }
 
-    private void failWithoutTarget() {
+    private void failAfterStart() {
         if (mProgress.isStarted()) {
             abort("no other target can resume the stream");
             return;
         }
-        if (mMayHaveRun) {
-            fail(ResultCode.TARGET_FAILED, Execution.UNKNOWN, "no other target can be tried", 0);
-            return;
-        }
-        fail(
-                ResultCode.NO_TARGET_AVAILABLE,
-                Execution.NOT_RUN,
-                mContext.targets().targetCount(mService)
-                        + " targets of "
-                        + mService
-                        + ", "
-                        + mExcludedTargetIds.size()
-                        + " tried",
-                RETRY_AFTER_MILLIS);
-    }
-
-    private HttpRequest makeRequest(TargetHandle handle) {
-        DefaultHttpRequest head =
-                new DefaultHttpRequest(HttpVersion.HTTP_1_1, method(), mRequest.head().uri());
-        ForwardedHeaders.copy(mRequest.head().headers(), head.headers());
-        boolean hasBody =
-                mBody.isReadable()
-                        || mRequest.head().headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                        || mRequest.head().headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
-        if (hasBody) {
-            head.headers().set(HttpHeaderNames.CONTENT_LENGTH, mBody.readableBytes());
-        }
-        mContext.headerCodec()
-                .writeInstructions(
-                        head.headers(),
-                        new TargetInstructions(
-                                handle.id(),
-                                Math.max(1, remainingMillis()),
-                                OptionalInt.empty(),
-                                mProgress.lastEventId()));
-        return head;
+        fail(ResultCode.TARGET_FAILED, Execution.UNKNOWN, "no other target can be tried", 0);
     }
 
     // Stalls
@@ -515,23 +515,20 @@
             fail(ResultCode.TARGET_TIMEOUT, Execution.UNKNOWN, "no response by the deadline", 0);
             return;
         }
-        fail(
-                ResultCode.OVERLOADED,
-                Execution.NOT_RUN,
-                "the deadline passed before the request was sent",
-                RETRY_AFTER_MILLIS);
+        fail(CallFailures.overloaded());
     }
 
     private void fail(ResultCode code, Execution execution, String message, long retryAfterMillis) {
+        fail(new ResultException(code, execution, message, retryAfterMillis));
+    }
+
+    private void fail(ResultException failure) {
         if (mEnded) {
             return;
         }
-        end(code.name(), message);
+        end(failure.code().name(), failure.getMessage());
         mWriter.respond(
-                mContext.gatewayResponses()
-                        .makeErrorResponse(
-                                new ResultException(code, execution, message, retryAfterMillis),
-                                mMetadata.requestId()));
+                mContext.gatewayResponses().makeErrorResponse(failure, mMetadata.requestId()));
     }
 
     private void abort(String reason) {
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
@@ -2,6 +2,7 @@
 
 import org.oleandertrack.coordination.conversation.ConversationService;
 import org.oleandertrack.coordination.spending.SpendingService;
+import org.oleandertrack.gateway.targets.PermitIssuer;
 import org.oleandertrack.gateway.targets.TargetRegistry;
 import org.oleandertrack.telemetry.logging.EventLog;
 
@@ -11,6 +12,7 @@
  * @param headerCodec decodes headers of callers and targets, and encodes headers for them
  * @param gatewayResponses creates the responses that do not come from a target
  * @param targets places calls on targets
+ * @param permits issues permits for requests to targets that limit their rate
  * @param spending reserves tokens of the programs' budgets
  * @param conversations keeps and finds the turns of routes that keep history
  * @param log receives one line for each decision
@@ -20,6 +22,7 @@
         HeaderCodec headerCodec,
         GatewayResponses gatewayResponses,
         TargetRegistry targets,
+        PermitIssuer permits,
         SpendingService spending,
         ConversationService conversations,
         EventLog log,
--- /dev/null
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallFailures.java
@@ -0,0 +1,55 @@
+package org.oleandertrack.gateway.call;
+
+import org.oleandertrack.coordination.spending.SpendingResult;
+import org.oleandertrack.core.result.Execution;
+import org.oleandertrack.core.result.ResultCode;
+import org.oleandertrack.core.result.ResultException;
+
+/** Creates the results of calls that are refused before a target runs them. */
+final class CallFailures {
+
+    // Full queues become clearly shorter in this time.
+    private static final long RETRY_AFTER_MILLIS = 150;
+    // Largest Retry-After relative to the remaining time, so that another try can still succeed.
+    private static final long RETRY_REMAINING_DIVISOR = 3;
+
+    private CallFailures() {}
+
+    static ResultException budgetExhausted(SpendingResult.Exhausted result, long budgetTokens) {
+        return new ResultException(
+                ResultCode.BUDGET_EXHAUSTED,
+                Execution.NOT_RUN,
+                "the turn exceeds the remaining budget: the program was granted "
+                        + result.grantedTokens()
+                        + " of "
+                        + budgetTokens
+                        + " tokens",
+                0);
+    }
+
+    static ResultException noTarget(String service, int targetCount, int triedCount) {
+        return new ResultException(
+                ResultCode.NO_TARGET_AVAILABLE,
+                Execution.NOT_RUN,
+                targetCount + " targets of " + service + ", " + triedCount + " tried",
+                RETRY_AFTER_MILLIS);
+    }
+
+    static ResultException rateLimited(String service, long waitMillis, long remainingMillis) {
+        long maxRetryAfterMillis =
+                Math.max(RETRY_AFTER_MILLIS, remainingMillis / RETRY_REMAINING_DIVISOR);
+        return new ResultException(
+                ResultCode.TARGETS_RATE_LIMITED,
+                Execution.NOT_RUN,
+                "the targets of " + service + " take no more requests for " + waitMillis + " ms",
+                Math.clamp(waitMillis, RETRY_AFTER_MILLIS, maxRetryAfterMillis));
+    }
+
+    static ResultException overloaded() {
+        return new ResultException(
+                ResultCode.OVERLOADED,
+                Execution.NOT_RUN,
+                "the deadline passed before the request was sent",
+                RETRY_AFTER_MILLIS);
+    }
+}
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.oleandertrack.coordination.conversation.KeepOutcome;
 import org.oleandertrack.coordination.conversation.TurnLookup;
@@ -52,6 +53,7 @@
             TargetHandle handle,
             PlacementChoice choice,
             boolean sameTarget,
+            OptionalLong permitWaitMillis,
             int send,
             long remainingMillis,
             Optional<TurnRequest> turn) {
@@ -72,6 +74,11 @@
                                 "ageMs",
                                 Math.min(choice.slownessAgeMillis(), MAX_LOGGED_AGE_MILLIS))
                         .number("remainingMs", remainingMillis);
+        permitWaitMillis.ifPresent(
+                waitMillis -> {
+                    mMetrics.recordDecision("permit", "granted");
+                    line.number("permitWaitMs", waitMillis);
+                });
         turn.ifPresent(
                 request ->
                         line.number("promptTokens", request.promptTokens())
@@ -85,6 +92,15 @@
         line.write();
     }
 
+    void permitDenied(TargetHandle handle, long waitMillis) {
+        mMetrics.recordDecision("permit", "denied");
+        mLog.info("permit denied")
+                .text("request", mMetadata.requestId())
+                .text("target", handle.id())
+                .number("waitMs", waitMillis)
+                .write();
+    }
+
     void event(
             String event,
             Optional<TargetHandle> handle,
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -26,6 +26,7 @@
 import org.oleandertrack.coordination.store.RowTransaction;
 import org.oleandertrack.coordination.store.WriteIds;
 import org.oleandertrack.core.discovery.TargetDirectory;
+import org.oleandertrack.core.rate.TargetPacers;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
 import org.oleandertrack.core.traffic.CallerLimits;
@@ -42,6 +43,7 @@
 import org.oleandertrack.gateway.peer.PeerConversations;
 import org.oleandertrack.gateway.peer.PeerDirectory;
 import org.oleandertrack.gateway.peer.PeerHandler;
+import org.oleandertrack.gateway.peer.PeerPermitIssuer;
 import org.oleandertrack.gateway.targets.TargetRegistry;
 import org.oleandertrack.http.HttpResponses;
 import org.oleandertrack.http.HttpServer;
@@ -71,6 +73,8 @@
     private final Scheduler mScheduler;
     private final TargetDirectory mTargetDirectory;
     private final OutageAllowances mOwnAllowances = new OutageAllowances(System::nanoTime);
+    private final TargetPacers mOwnPacers;
+    private final PeerPermitIssuer mPermits;
     private final SpendingService mSpending;
     private final ConversationService mConversations;
     private final Gauge mHeldTurns;
@@ -112,6 +116,8 @@
                         settings.peerAddress(),
                         settings.seedAddresses(),
                         log);
+        mOwnPacers = new TargetPacers(random);
+        mPermits = new PeerPermitIssuer(mPeers, mOwnPacers, random, log);
         mStore = new RelayingRowStore(store, mPeers::relayStores, random);
         mTargets =
                 new TargetRegistry(
@@ -133,6 +139,7 @@
                                 headerCodec,
                                 gatewayResponses,
                                 mTargets,
+                                mPermits,
                                 mSpending,
                                 mConversations,
                                 log,
@@ -157,13 +164,7 @@
         mPeerFollower =
                 new TableFollower(
                         mStore, PeerDirectory.TABLE, mScheduler, System::nanoTime, random, mPeers);
-        mPeerServer =
-                new HttpServer(
-                        loops,
-                        () -> PEER_LIMITS,
-                        new PeerHandler(
-                                store, mStore::isDirectFailing, mOwnAllowances, mConversations),
-                        HttpResponses::empty);
+        mPeerServer = makePeerServer(loops, store);
         mCallerServer =
                 new HttpServer(
                         loops,
@@ -261,6 +262,19 @@
 
     // Helpers
 
+    private HttpServer makePeerServer(EventLoopGroup loops, RowStore directStore) {
+        return new HttpServer(
+                loops,
+                () -> PEER_LIMITS,
+                new PeerHandler(
+                        directStore,
+                        mStore::isDirectFailing,
+                        mOwnAllowances,
+                        mConversations,
+                        mOwnPacers),
+                HttpResponses::empty);
+    }
+
     private SpendingService makeSpending(Random random) {
         return new SpendingService(
                 mStore,
@@ -313,6 +327,7 @@
         mTargetDirectory.dropExpired(System.nanoTime());
         mSpending.runMaintenance();
         mOwnAllowances.dropIdle();
+        mPermits.dropIdle(System.nanoTime());
         mConversations.runMaintenance();
         mHeldTurns.set(mConversations.heldCount());
         mScheduler.schedule(MAINTENANCE_INTERVAL_NANOS, this::runMaintenance);
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
@@ -14,6 +14,7 @@
 import org.oleandertrack.coordination.store.RowTransaction;
 import org.oleandertrack.coordination.store.StoreException;
 import org.oleandertrack.coordination.store.TransactionResult;
+import org.oleandertrack.core.rate.PermitResult;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.http.HttpCallException;
 import org.oleandertrack.http.PooledHttpClient;
@@ -34,7 +35,11 @@
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final String JSON = "application/json";
 
+    // A permit delays a caller's request, so it is requested from another host soon.
+    private static final long PERMIT_TIMEOUT_MILLIS = 150;
+
     private final PooledHttpClient mHttpClient;
+    private final PermitBackoff mPermitBackoff = new PermitBackoff();
     private final AtomicLong mUnresponsiveUntilNanos;
     private final AtomicLong mStoreUnreachableUntilNanos;
     // When the first of the latest calls failed without an answer; 0 if the last one was answered.
@@ -61,6 +66,11 @@
         return isResponsive(nowNanos) && nowNanos - mStoreUnreachableUntilNanos.get() >= 0;
     }
 
+    /** Returns whether permits may be requested from this peer. */
+    boolean mayIssuePermits(long nowNanos) {
+        return mPermitBackoff.hasEnded(nowNanos);
+    }
+
     /** Returns whether the peer has answered no call for longer than the given time. */
     boolean isSilentFor(long millis, long nowNanos) {
         long silentSinceNanos = mSilentSinceNanos.get();
@@ -136,6 +146,27 @@
                 CALL_TIMEOUT_MILLIS);
     }
 
+    /** Takes a permit for a request to a target that the peer paces. */
+    CompletableFuture<PermitResult> takePermit(PeerMessages.TakePermit message) {
+        byte[] body = RowJson.encode(message).getBytes(StandardCharsets.UTF_8);
+        return mHttpClient
+                .call(
+                        HttpMethod.POST,
+                        PeerMessages.TAKE_PERMIT_PATH,
+                        JSON,
+                        body,
+                        PERMIT_TIMEOUT_MILLIS)
+                .thenApply(
+                        response ->
+                                decode(
+                                                PeerMessages.TAKE_PERMIT_PATH,
+                                                response,
+                                                PeerMessages.Permit.class)
+                                        .toPermitResult())
+                .whenComplete(
+                        (result, failure) -> mPermitBackoff.record(failure, System.nanoTime()));
+    }
+
     void close() {
         mHttpClient.close();
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerDirectory.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerDirectory.java
@@ -102,6 +102,30 @@
                 : Optional.ofNullable(mClients.get(mAnnouncedAddresses.get(selected)));
     }
 
+    /**
+     * Returns the hosts that may pace a target for all hosts, in the order in which they are to be
+     * asked: the first ones by rendezvous hashing among all announced hosts, without those that did
+     * not respond recently. Empty if no host has been announced.
+     */
+    synchronized List<PacingHost> pacingHostsFor(String targetId, int limit) {
+        long nowNanos = System.nanoTime();
+        List<PacingHost> hosts = new ArrayList<>();
+        mAnnouncedAddresses.entrySet().stream()
+                .sorted(byScore(targetId))
+                .limit(limit)
+                .forEach(
+                        entry -> {
+                            if (entry.getKey().equals(mOwnNodeName)) {
+                                hosts.add(new PacingHost.Own());
+                                return;
+                            }
+                            Optional.ofNullable(mClients.get(entry.getValue()))
+                                    .filter(peer -> peer.mayIssuePermits(nowNanos))
+                                    .ifPresent(peer -> hosts.add(new PacingHost.Peer(peer)));
+                        });
+        return hosts;
+    }
+
     /**
      * Returns the responsive peers that rendezvous hashing ranks first for a key, among all
      * announced ones; those of the settings if none has been announced.
@@ -110,11 +134,7 @@
         long nowNanos = System.nanoTime();
         List<PeerClient> selected =
                 mAnnouncedAddresses.entrySet().stream()
-                        .sorted(
-                                Comparator.comparingLong(
-                                                (Map.Entry<String, InetSocketAddress> entry) ->
-                                                        RendezvousHash.score(key, entry.getKey()))
-                                        .reversed())
+                        .sorted(byScore(key))
                         .map(entry -> mClients.get(entry.getValue()))
                         .filter(peer -> peer != null && peer.isResponsive(nowNanos))
                         .limit(limit)
@@ -172,6 +192,13 @@
 
     // Helpers
 
+    private static Comparator<Map.Entry<String, InetSocketAddress>> byScore(String key) {
+        return Comparator.comparingLong(
+                        (Map.Entry<String, InetSocketAddress> entry) ->
+                                RendezvousHash.score(key, entry.getKey()))
+                .reversed();
+    }
+
     private void applyAnnouncement(StoredRow row) {
         Announcement announcement;
         try {
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
@@ -13,6 +13,7 @@
 import org.oleandertrack.coordination.store.RowTransaction;
 import org.oleandertrack.coordination.store.StoreException;
 import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.core.rate.TargetPacers;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.http.HttpResponses;
 import org.oleandertrack.http.InboundHandler;
@@ -32,6 +33,7 @@
     private final BooleanSupplier mDirectStoreFails;
     private final OutageAllowances mOwnAllowances;
     private final ConversationService mConversations;
+    private final TargetPacers mOwnPacers;
 
     /**
      * Creates a handler.
@@ -39,16 +41,19 @@
      * @param directStore the store, reached without relaying through peers
      * @param directStoreFails returns whether direct calls to the store currently fail
      * @param ownAllowances outage allowances of the programs for which this host is the issuer
+     * @param ownPacers pacers of the targets that this host paces for all hosts
      */
     public PeerHandler(
             RowStore directStore,
             BooleanSupplier directStoreFails,
             OutageAllowances ownAllowances,
-            ConversationService conversations) {
+            ConversationService conversations,
+            TargetPacers ownPacers) {
         mDirectStore = directStore;
         mDirectStoreFails = directStoreFails;
         mOwnAllowances = ownAllowances;
         mConversations = conversations;
+        mOwnPacers = ownPacers;
     }
 
     @Override
@@ -88,6 +93,13 @@
                 mOwnAllowances.returnTokens(returned.program(), returned.tokens());
                 yield CompletableFuture.completedFuture(new PeerMessages.AllowanceResult(false));
             }
+            case PeerMessages.TAKE_PERMIT_PATH -> {
+                PeerMessages.TakePermit take =
+                        RowJson.decode(path, body, PeerMessages.TakePermit.class);
+                yield CompletableFuture.completedFuture(
+                        PeerMessages.Permit.of(
+                                mOwnPacers.take(take.toPermitRequest(), System.nanoTime())));
+            }
             case PeerMessages.HOLD_TURN_PATH -> {
                 PeerMessages.HoldTurn hold =
                         RowJson.decode(path, body, PeerMessages.HoldTurn.class);
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
@@ -9,6 +9,8 @@
 import org.oleandertrack.coordination.store.RowId;
 import org.oleandertrack.coordination.store.StoredRow;
 import org.oleandertrack.coordination.store.TransactionResult;
+import org.oleandertrack.core.rate.PermitRequest;
+import org.oleandertrack.core.rate.PermitResult;
 
 /** Paths of the calls between peers, and their bodies, which are encoded as JSON. */
 final class PeerMessages {
@@ -23,8 +25,52 @@
     static final String HOLD_TURN_PATH = "/peer/turn-hold";
     static final String FIND_TURN_PATH = "/peer/turn-find";
 
+    static final String TAKE_PERMIT_PATH = "/peer/permit-take";
+
     private PeerMessages() {}
 
+    /** Request for a permit to send a request to a target that limits its rate. */
+    record TakePermit(
+            String targetId, double requestsPerSecond, long statedAgeMillis, long maxWaitMillis) {
+
+        TakePermit {
+            Objects.requireNonNull(targetId, "targetId is missing");
+            if (!(requestsPerSecond >= 0) || Double.isInfinite(requestsPerSecond)) {
+                throw new IllegalArgumentException(
+                        "requestsPerSecond is not a rate: " + requestsPerSecond);
+            }
+        }
+
+        static TakePermit of(PermitRequest request) {
+            return new TakePermit(
+                    request.targetId(),
+                    request.requestsPerSecond(),
+                    request.statedAgeMillis(),
+                    request.maxWaitMillis());
+        }
+
+        PermitRequest toPermitRequest() {
+            return new PermitRequest(targetId, requestsPerSecond, statedAgeMillis, maxWaitMillis);
+        }
+    }
+
+    /** Response to a {@link TakePermit}. */
+    record Permit(boolean granted, long waitMillis) {
+
+        static Permit of(PermitResult result) {
+            return switch (result) {
+                case PermitResult.Granted permitted -> new Permit(true, permitted.waitMillis());
+                case PermitResult.Denied denied -> new Permit(false, denied.waitMillis());
+            };
+        }
+
+        PermitResult toPermitResult() {
+            return granted
+                    ? new PermitResult.Granted(waitMillis)
+                    : new PermitResult.Denied(waitMillis);
+        }
+    }
+
     /**
      * Request to hold a turn until the store has it.
      *
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +15,7 @@
 import org.oleandertrack.core.health.HealthConfig;
 import org.oleandertrack.core.health.HealthTracker;
 import org.oleandertrack.core.placement.TargetAssessment;
+import org.oleandertrack.core.rate.PermitRequest;
 import org.oleandertrack.core.turn.CallPlacement;
 import org.oleandertrack.core.turn.PlacementChoice;
 import org.oleandertrack.core.turn.ReportedLoad;
@@ -43,6 +45,8 @@
     private static final long FIRST_PROBE_DELAY_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long MAX_PROBE_DELAY_NANOS = TimeUnit.SECONDS.toNanos(8);
 
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private final Map<String, TargetHandle> mHandles = new LinkedHashMap<>();
     private final List<TargetState> mStates = new ArrayList<>();
     private final ServiceLoad mLoad = new ServiceLoad();
@@ -98,14 +102,16 @@
 
     synchronized Optional<PlacedTarget> placeTurn(
             TurnPlacement placement, TurnRequest turn, Set<String> excluded, long nowNanos) {
-        return placement
-                .choose(mStates, turn, excluded, nowNanos)
-                .map(
-                        choice -> {
-                            PlacedTarget placed = recordSend(choice);
-                            placed.handle().state().prefixCache().recordPrefill(turn.parts());
-                            return placed;
-                        });
+        return placement.choose(mStates, turn, excluded, nowNanos).map(this::recordSend);
+    }
+
+    synchronized void recordPrefill(TargetHandle handle, TurnRequest turn) {
+        handle.state().prefixCache().recordPrefill(turn.parts());
+    }
+
+    synchronized void withdraw(TargetHandle handle) {
+        handle.state().load().recordEnded();
+        mHealth.recordAbandoned(handle.id());
     }
 
     synchronized Optional<PlacedTarget> placeCall(
@@ -131,6 +137,57 @@
         handle.state().clearAvoidance();
     }
 
+    /** Returns the previously stated rate. */
+    synchronized OptionalDouble replaceRateLimit(
+            TargetHandle handle, OptionalDouble requestsPerSecond, long nowNanos) {
+        Optional<StatedRate> previous = handle.statedRate();
+        if (requestsPerSecond.isPresent()) {
+            handle.setStatedRate(
+                    Optional.of(new StatedRate(requestsPerSecond.getAsDouble(), nowNanos)));
+        } else if (previous.isPresent()) {
+            handle.setStatedRate(Optional.empty());
+            handle.state().clearRateLimit();
+        }
+        return previous.map(rate -> OptionalDouble.of(rate.requestsPerSecond()))
+                .orElse(OptionalDouble.empty());
+    }
+
+    synchronized Optional<PermitRequest> makePermitRequest(
+            TargetHandle handle, long maxWaitMillis, long nowNanos) {
+        return handle.statedRate()
+                .map(
+                        rate ->
+                                new PermitRequest(
+                                        handle.id(),
+                                        rate.requestsPerSecond(),
+                                        TimeUnit.NANOSECONDS.toMillis(
+                                                nowNanos - rate.statedNanos()),
+                                        maxWaitMillis));
+    }
+
+    synchronized long permitWaitMillis(TargetHandle handle, long nowNanos) {
+        return handle.state().permitWaitMillis(nowNanos);
+    }
+
+    synchronized void recordPermit(TargetHandle handle, long waitMillis, long nowNanos) {
+        if (waitMillis == 0 || handle.statedRate().isEmpty()) {
+            return;
+        }
+        double intervalMillis =
+                MILLIS_PER_SECOND / Math.max(1, handle.statedRate().get().requestsPerSecond());
+        handle.state()
+                .recordPermittedAt(
+                        nowNanos
+                                + TimeUnit.MILLISECONDS.toNanos(
+                                        waitMillis + (long) intervalMillis));
+    }
+
+    synchronized void recordDeniedPermit(TargetHandle handle, long waitMillis, long nowNanos) {
+        if (handle.statedRate().isPresent()) {
+            handle.state().recordPermittedAt(nowNanos + TimeUnit.MILLISECONDS.toNanos(waitMillis));
+        }
+    }
+
     synchronized void recordSlowness(TargetHandle handle, double slowness, long nowNanos) {
         handle.state().load().recordSlowness(slowness, nowNanos);
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetHandle.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetHandle.java
@@ -1,21 +1,19 @@
 package org.oleandertrack.gateway.targets;
 
-import java.util.OptionalDouble;
-import java.util.concurrent.atomic.AtomicReference;
+import java.util.Optional;
 import org.oleandertrack.core.discovery.TargetRecord;
 import org.oleandertrack.core.turn.TargetState;
 
 /**
- * One incarnation of a target, that is one run of its process. The state and the time of the last
- * response are guarded by the lock of the service's {@link ServiceTargets}.
+ * One incarnation of a target, that is one run of its process. The state, the stated rate and the
+ * time of the last response are guarded by the lock of the service's {@link ServiceTargets}.
  */
 public final class TargetHandle {
 
     private final TargetRecord mRecord;
     private final TargetState mState;
     private final TargetConnections mConnections;
-    private final AtomicReference<OptionalDouble> mRequestsPerSecond =
-            new AtomicReference<>(OptionalDouble.empty());
+    private Optional<StatedRate> mStatedRate = Optional.empty();
     private volatile boolean mRemoved;
     private boolean mHasResponded;
     private long mLastResponseNanos;
@@ -43,13 +41,12 @@
         return mRemoved;
     }
 
-    /** Returns the rate to which the target limits all hosts; empty if it states no limit. */
-    public OptionalDouble rateLimit() {
-        return mRequestsPerSecond.get();
+    Optional<StatedRate> statedRate() {
+        return mStatedRate;
     }
 
-    OptionalDouble replaceRateLimit(OptionalDouble requestsPerSecond) {
-        return mRequestsPerSecond.getAndSet(requestsPerSecond);
+    void setStatedRate(Optional<StatedRate> statedRate) {
+        mStatedRate = statedRate;
     }
 
     TargetState state() {
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.oleandertrack.core.discovery.TargetListener;
 import org.oleandertrack.core.discovery.TargetRecord;
+import org.oleandertrack.core.rate.PermitRequest;
 import org.oleandertrack.core.traffic.EngineSpec;
 import org.oleandertrack.core.traffic.ServiceSpec;
 import org.oleandertrack.core.traffic.TrafficConfig;
@@ -98,6 +99,43 @@
         return targetsOf(service).placeCall(mCallPlacement, excluded, repeatable, nowNanos);
     }
 
+    /** Takes back a placement, because the request is not sent to the target. */
+    public void withdraw(TargetHandle handle) {
+        targetsOf(handle.record().service()).withdraw(handle);
+    }
+
+    /**
+     * Records that the turn's prompt will be cached by a target, because the turn is sent to it.
+     */
+    public void recordPrefill(TargetHandle handle, TurnRequest turn) {
+        targetsOf(handle.record().service()).recordPrefill(handle, turn);
+    }
+
+    /**
+     * Returns the request for a permit to send to a target; empty if the target does not limit its
+     * rate.
+     */
+    public Optional<PermitRequest> makePermitRequest(
+            TargetHandle handle, long maxWaitMillis, long nowNanos) {
+        return targetsOf(handle.record().service())
+                .makePermitRequest(handle, maxWaitMillis, nowNanos);
+    }
+
+    /** Returns the expected wait for a permit to send to a target, in milliseconds. */
+    public long permitWaitMillis(TargetHandle handle, long nowNanos) {
+        return targetsOf(handle.record().service()).permitWaitMillis(handle, nowNanos);
+    }
+
+    /** Records that a request was permitted to be sent to a target after the given wait. */
+    public void recordPermit(TargetHandle handle, long waitMillis, long nowNanos) {
+        targetsOf(handle.record().service()).recordPermit(handle, waitMillis, nowNanos);
+    }
+
+    /** Records that a request would have had to wait for the given time to be permitted. */
+    public void recordDeniedPermit(TargetHandle handle, long waitMillis, long nowNanos) {
+        targetsOf(handle.record().service()).recordDeniedPermit(handle, waitMillis, nowNanos);
+    }
+
     /** Counts a request that is sent to the same target again. */
     public void recordResend(TargetHandle handle) {
         targetsOf(handle.record().service()).recordResend(handle);
@@ -117,8 +155,11 @@
      * Records the limit on the requests of all hosts that a target states in a response, or that it
      * states none.
      */
-    public void recordRateLimit(TargetHandle handle, OptionalDouble requestsPerSecond) {
-        OptionalDouble previous = handle.replaceRateLimit(requestsPerSecond);
+    public void recordRateLimit(
+            TargetHandle handle, OptionalDouble requestsPerSecond, long nowNanos) {
+        OptionalDouble previous =
+                targetsOf(handle.record().service())
+                        .replaceRateLimit(handle, requestsPerSecond, nowNanos);
         if (previous.equals(requestsPerSecond)) {
             return;
         }
--- a/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
@@ -36,12 +36,16 @@
 import org.oleandertrack.coordination.store.RowChange;
 import org.oleandertrack.coordination.store.RowChanges;
 import org.oleandertrack.coordination.store.RowId;
+import org.oleandertrack.coordination.store.RowJson;
 import org.oleandertrack.coordination.store.RowPage;
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.RowTransaction;
 import org.oleandertrack.coordination.store.StoreFailures;
 import org.oleandertrack.coordination.store.StoredRow;
 import org.oleandertrack.coordination.store.TransactionResult;
+import org.oleandertrack.core.rate.PermitRequest;
+import org.oleandertrack.core.rate.PermitResult;
+import org.oleandertrack.core.rate.TargetPacers;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.http.HttpResponses;
 import org.oleandertrack.http.HttpServer;
@@ -85,6 +89,8 @@
                 }
             };
 
+    private final TargetPacers mPacers = new TargetPacers(new Random(1));
+
     private final HttpServer mServer =
             new HttpServer(
                     mLoops,
@@ -93,7 +99,8 @@
                             mStore,
                             () -> mStoreUnreachable,
                             new OutageAllowances(() -> 0),
-                            conversations()),
+                            conversations(),
+                            mPacers),
                     HttpResponses::empty);
     private final InetSocketAddress mAddress =
             mServer.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -223,7 +230,14 @@
     void aMalformedCallIsRejectedAndTheNextOneIsAnswered() {
         PooledHttpClient client = new PooledHttpClient(mLoops.next(), mAddress);
         for (String path :
-                List.of("read", "apply", "changes", "allowance-take", "turn-hold", "turn-find")) {
+                List.of(
+                        "read",
+                        "apply",
+                        "changes",
+                        "allowance-take",
+                        "turn-hold",
+                        "turn-find",
+                        "permit-take")) {
             for (String body : List.of("", "{}", "[]", "null", "{\"turnId\":1", "\u0000")) {
                 assertEquals(
                         400,
@@ -241,6 +255,69 @@
         assertEquals(mResult, mPeer.apply(WRITE).join());
     }
 
+    /** Guards against hosts that each use the whole rate of a target. */
+    @Test
+    void hostsTogetherTakeTheRateOfATargetFromOnePacer() {
+        PeerDirectory peers = announced(mAddress);
+        PeerPermitIssuer issuer = issuer(peers);
+        PermitRequest request = new PermitRequest(pacedByPeer(peers), 0.2, 0, 0);
+        PermitRequest patient = new PermitRequest(request.targetId(), 0.2, 0, 10_000);
+        assertInstanceOf(PermitResult.Granted.class, mPacers.take(patient, System.nanoTime()));
+        assertInstanceOf(PermitResult.Denied.class, issuer.take(request).join());
+        assertInstanceOf(PermitResult.Granted.class, issuer.take(patient).join());
+    }
+
+    /** Guards against calls that wait for a pacing host that does not respond. */
+    @Test
+    void aPacingHostThatDoesNotAnswerIsReplacedByTheNextOne() throws IOException {
+        try (ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            PeerDirectory peers = announced((InetSocketAddress) silent.getLocalSocketAddress());
+            String targetId = pacedByPeer(peers);
+            PermitRequest request = new PermitRequest(targetId, 50, 0, 1_000);
+            assertInstanceOf(PermitResult.Granted.class, issuer(peers).take(request).join());
+            assertEquals(List.of(new PacingHost.Own()), peers.pacingHostsFor(targetId, 2));
+        }
+    }
+
+    /** Guards against a host that uses the whole rate of a target because it knows no other. */
+    @Test
+    void aHostThatKnowsNoPacingHostUsesItsShareOfTheRate() {
+        PeerPermitIssuer issuer = issuer(directory(mAddress));
+        PermitRequest request = new PermitRequest("t", 2, 0, 60_000);
+        PermitResult.Granted first =
+                assertInstanceOf(PermitResult.Granted.class, issuer.take(request).join());
+        PermitResult.Granted second =
+                assertInstanceOf(PermitResult.Granted.class, issuer.take(request).join());
+        assertTrue(second.waitMillis() - first.waitMillis() > 500, first + " " + second);
+    }
+
+    private static PeerPermitIssuer issuer(PeerDirectory peers) {
+        return new PeerPermitIssuer(peers, new TargetPacers(new Random(1)), new Random(1), log());
+    }
+
+    private PeerDirectory announced(InetSocketAddress peer) {
+        PeerDirectory peers = directory();
+        peers.onTableRead(
+                List.of(
+                        new StoredRow(peers.announcementRowId(), peers.announcementValue(), 1),
+                        new StoredRow(
+                                new RowId(PeerDirectory.TABLE, "", "peer"),
+                                RowJson.encode(
+                                        new PeerDirectory.Announcement(
+                                                peer.getAddress().getHostAddress(),
+                                                peer.getPort())),
+                                2)));
+        return peers;
+    }
+
+    private static String pacedByPeer(PeerDirectory peers) {
+        int number = 0;
+        while (!(peers.pacingHostsFor("t" + number, 2).getFirst() instanceof PacingHost.Peer)) {
+            number++;
+        }
+        return "t" + number;
+    }
+
     private ConversationService conversations() {
         return new ConversationService(
                 mStore,
