Log which request content a target was about to run when it went down

A request that crashes targets returns under new ids at other hosts, and a closed connection did not tell a crash from a lost answer. After the connection of a request breaks before or just after its first event, the target is probed with a connection; if it accepts none, or is replaced within two seconds without having drained, "target down" names it with a digest of method, host, path and body. Nothing is decided by it yet.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -14,6 +14,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import org.oleandertrack.core.traffic.RequestKind;
 import org.oleandertrack.gateway.targets.TargetHandle;
 import org.oleandertrack.http.OutboundConnection;
@@ -31,6 +33,8 @@
     private static final int MAX_BUFFERED_BYTES = 256 * 1024;
     // A refusal whose body is longer counts without its end, and its connection is closed.
     private static final int MAX_REFUSAL_BYTES = 16 * 1024;
+    // A stream counts as beginning for this time after its first event.
+    private static final long BEGINNING_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final String EVENT_STREAM = "text/event-stream";
 
     /** How the body of a response is handled. */
@@ -56,6 +60,7 @@
     private boolean mRemovedFromLoad;
     private boolean mRefusalHasId;
     private int mRefusalBytes;
+    private OptionalLong mFirstEventNanos = OptionalLong.empty();
 
     Attempt(Call call, TargetHandle handle) {
         mCall = call;
@@ -70,6 +75,12 @@
         return mHandle;
     }
 
+    /** Returns whether the target may have just begun to run the request at the given time. */
+    boolean isBeginning(long nowNanos) {
+        return mFirstEventNanos.isEmpty()
+                || nowNanos - mFirstEventNanos.getAsLong() < BEGINNING_NANOS;
+    }
+
     // Operations
 
     void send(HttpRequest head, ByteBuf body) {
@@ -237,6 +248,9 @@
         Optional<EventSplitter.Event> event = mSplitter.next();
         while (event.isPresent()) {
             startEvents();
+            if (mFirstEventNanos.isEmpty()) {
+                mFirstEventNanos = OptionalLong.of(System.nanoTime());
+            }
             mCall.recordEvent(event.get());
             mCall.writer().write(event.get().bytes());
             event = mSplitter.next();
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -40,7 +40,6 @@
     private static final long AVOID_NANOS = TimeUnit.SECONDS.toNanos(1);
     // How long to avoid a target with a full queue; the target ends several requests in 100 ms.
     private static final long FULL_AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-    private static final long STORE_RETRY_AFTER_MILLIS = 500;
     // With less time left, a resumed stream, which starts after tens of ms, would come too late.
     private static final long MIN_REMAINING_TO_RETRY_MILLIS = 50;
     // A stalled call is sent again. After this many stalls, its latest target is considered hung.
@@ -58,6 +57,7 @@
     private final Optional<CallHistory> mHistory;
     private final CallLog mLog;
     private final TargetSelection mSelection;
+    private final ContentGuard mContent;
     private final Set<String> mExcludedTargetIds = new HashSet<>();
     private final Set<String> mMayHaveRunTargetIds = new HashSet<>();
     private ScheduledFuture<?> mTimeoutTimer;
@@ -86,7 +86,7 @@
         mMetadata = metadata;
         mRequest = request;
         mWriter = writer;
-        mService = route.serviceFor(routingKey(metadata));
+        mService = route.serviceFor(metadata.routingKey());
         Optional<EngineSpec> engine =
                 Optional.ofNullable(config.services().get(mService)).flatMap(ServiceSpec::engine);
         mTurn =
@@ -106,6 +106,7 @@
                                         mLog))
                         : Optional.empty();
         mBody = request.body();
+        mContent = new ContentGuard(request, metadata.previousTurnId(), writer.eventLoop(), mLog);
         mSelection =
                 new TargetSelection(
                         context,
@@ -184,17 +185,9 @@
                 reserveOrDispatch();
             }
             case TurnLookup.NotFound notFound ->
-                    fail(
-                            ResultCode.PREVIOUS_TURN_NOT_FOUND,
-                            Execution.NOT_RUN,
-                            "no turn has the id " + mMetadata.previousTurnId().orElse(""),
-                            0);
+                    fail(CallFailures.previousTurnNotFound(mMetadata.previousTurnId().orElse("")));
             case TurnLookup.Unavailable unavailable ->
-                    fail(
-                            ResultCode.HISTORY_UNAVAILABLE,
-                            Execution.NOT_RUN,
-                            unavailable.reason(),
-                            STORE_RETRY_AFTER_MILLIS);
+                    fail(CallFailures.historyUnavailable(unavailable.reason()));
         }
     }
 
@@ -260,11 +253,7 @@
                             CallFailures.budgetExhausted(
                                     exhausted, mMetadata.turn().get().budgetTokens().getAsLong()));
             case SpendingResult.Unavailable unavailable ->
-                    fail(
-                            ResultCode.STORE_UNAVAILABLE,
-                            Execution.NOT_RUN,
-                            unavailable.reason(),
-                            STORE_RETRY_AFTER_MILLIS);
+                    fail(CallFailures.storeUnavailable(unavailable.reason()));
         }
     }
 
@@ -443,6 +432,7 @@
         }
         mMayHaveRun = true;
         mMayHaveRunTargetIds.add(handle.id());
+        mContent.watch(attempt);
         if (!mRoute.isRepeatable()) {
             if (mProgress.isStarted()) {
                 abort("the target's stream failed: " + failure);
@@ -576,10 +566,6 @@
         return limitMillis - TimeUnit.NANOSECONDS.toMillis(elapsedNanos);
     }
 
-    private static String routingKey(CallMetadata metadata) {
-        return metadata.program().map(ProgramMetadata::programId).orElse(metadata.requestId());
-    }
-
     private void logEvent(String event, TargetHandle handle, String reason) {
         mLog.event(
                 event,
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallFailures.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallFailures.java
@@ -10,6 +10,7 @@
 
     // Full queues become clearly shorter in this time.
     private static final long RETRY_AFTER_MILLIS = 150;
+    private static final long STORE_RETRY_AFTER_MILLIS = 500;
     // Largest Retry-After relative to the remaining time, so that another try can still succeed.
     private static final long RETRY_REMAINING_DIVISOR = 3;
 
@@ -27,6 +28,27 @@
                 0);
     }
 
+    static ResultException previousTurnNotFound(String previousTurnId) {
+        return new ResultException(
+                ResultCode.PREVIOUS_TURN_NOT_FOUND,
+                Execution.NOT_RUN,
+                "no turn has the id " + previousTurnId,
+                0);
+    }
+
+    static ResultException historyUnavailable(String reason) {
+        return new ResultException(
+                ResultCode.HISTORY_UNAVAILABLE,
+                Execution.NOT_RUN,
+                reason,
+                STORE_RETRY_AFTER_MILLIS);
+    }
+
+    static ResultException storeUnavailable(String reason) {
+        return new ResultException(
+                ResultCode.STORE_UNAVAILABLE, Execution.NOT_RUN, reason, STORE_RETRY_AFTER_MILLIS);
+    }
+
     static ResultException noTarget(String service, int targetCount, int triedCount) {
         return new ResultException(
                 ResultCode.NO_TARGET_AVAILABLE,
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
@@ -92,6 +92,14 @@
         line.write();
     }
 
+    void targetDown(TargetHandle handle, String content) {
+        mLog.info("target down")
+                .text("request", mMetadata.requestId())
+                .text("content", content)
+                .text("target", handle.incarnationId())
+                .write();
+    }
+
     void permitDenied(TargetHandle handle, long waitMillis) {
         mMetrics.recordDecision("permit", "denied");
         mLog.info("permit denied")
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallMetadata.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallMetadata.java
@@ -18,4 +18,10 @@
         OptionalLong timeoutMillis,
         Optional<ProgramMetadata> program,
         Optional<TurnMetadata> turn,
-        Optional<String> previousTurnId) {}
+        Optional<String> previousTurnId) {
+
+    /** Returns the key that selects one of several services of a route. */
+    String routingKey() {
+        return program.map(ProgramMetadata::programId).orElse(requestId);
+    }
+}
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
@@ -70,7 +70,7 @@
         TargetHandle replaced = mHandles.put(record.id(), handle);
         if (replaced != null) {
             mStates.remove(replaced.state());
-            replaced.markRemoved();
+            replaced.markRemoved(false);
             replaced.connections().closeIdle();
         }
         mStates.add(state);
@@ -78,12 +78,12 @@
         mHealth.add(record.id());
     }
 
-    synchronized void remove(String id) {
+    synchronized void remove(String id, boolean drained) {
         TargetHandle handle = mHandles.remove(id);
         if (handle != null) {
             mStates.remove(handle.state());
             mHealth.remove(id);
-            handle.markRemoved();
+            handle.markRemoved(drained);
             handle.connections().closeIdle();
         }
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetConnections.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetConnections.java
@@ -38,6 +38,11 @@
         mRemote = remote;
     }
 
+    /** Returns the address of the target. */
+    public InetSocketAddress remote() {
+        return mRemote;
+    }
+
     /** Returns the number of connections that are open or being opened. */
     public int openCount() {
         return mOpenCount.get();
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetHandle.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetHandle.java
@@ -15,6 +15,7 @@
     private final TargetConnections mConnections;
     private Optional<StatedRate> mStatedRate = Optional.empty();
     private volatile boolean mRemoved;
+    private volatile boolean mLost;
     private boolean mHasResponded;
     private long mLastResponseNanos;
 
@@ -41,6 +42,19 @@
         return mRemoved;
     }
 
+    /** Returns whether the target was removed without having drained. */
+    public boolean isLost() {
+        return mLost;
+    }
+
+    /** Returns the id of the incarnation, which differs between runs of a target's process. */
+    public String incarnationId() {
+        return mRecord.id()
+                + (mRecord.startedAtMillis().isPresent()
+                        ? "@" + mRecord.startedAtMillis().getAsLong()
+                        : "");
+    }
+
     Optional<StatedRate> statedRate() {
         return mStatedRate;
     }
@@ -62,7 +76,8 @@
         mLastResponseNanos = nowNanos;
     }
 
-    void markRemoved() {
+    void markRemoved(boolean drained) {
+        mLost = !drained;
         mRemoved = true;
     }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
@@ -78,7 +78,7 @@
 
     @Override
     public void onRemoved(TargetRecord target, String reason) {
-        targetsOf(target.service()).remove(target.id());
+        targetsOf(target.service()).remove(target.id(), reason.equals("draining"));
         logTarget("target removed", target, reason);
     }
 
