Quarantine requests that crash the targets that run them

Cause: a closed connection was taken for a lost answer, and the request was sent to the next target by the same call, by the caller's next try at another host, and by the program. Failures were remembered per target, never per request. "target down" lines show one content in 23 of 36 crashes, others in at most five.

A host now probes a target whose connection broke before or just after the first event. If it is down, the requests that it had just begun are suspects, shared by all hosts in a table of the store, or directly while the store does not take them. A request with three crashes that no other suspect explains better is refused as not run (4010, 429) at all hosts. The count follows the content, not the id, host or process, so no try escapes it.

Tests: DeadlyRequestTest against the code before: 502 instead of 429 for the fourth try, and the other host never learns of the request. CrashExplanationTest and QuarantineServiceTest cover requests that ran beside the cause, restarts, lost answers of the store and outages.

--- /dev/null
+++ b/core/src/main/java/org/oleandertrack/core/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Requests that crash the targets that run them. */
+package org.oleandertrack.core.quarantine;
--- a/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
+++ b/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
@@ -260,6 +260,12 @@
             RetryAdvice.LATER,
             Execution.NOT_RUN,
             "The targets limit the rate of their requests, and none takes the call soon enough."),
+    REQUEST_QUARANTINED(
+            4010,
+            429,
+            RetryAdvice.NEVER,
+            Execution.NOT_RUN,
+            "Earlier requests with the same content crashed the targets that ran them."),
     // Ownership and platform.
     NOT_SHARD_HOLDER(
             5001,
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -57,7 +57,7 @@
     private final Optional<CallHistory> mHistory;
     private final CallLog mLog;
     private final TargetSelection mSelection;
-    private final ContentGuard mContent;
+    private final CrashGuard mCrashGuard;
     private final Set<String> mExcludedTargetIds = new HashSet<>();
     private final Set<String> mMayHaveRunTargetIds = new HashSet<>();
     private ScheduledFuture<?> mTimeoutTimer;
@@ -106,7 +106,9 @@
                                         mLog))
                         : Optional.empty();
         mBody = request.body();
-        mContent = new ContentGuard(request, metadata.previousTurnId(), writer.eventLoop(), mLog);
+        mCrashGuard =
+                new CrashGuard(
+                        context, request, metadata.previousTurnId(), writer.eventLoop(), mLog);
         mSelection =
                 new TargetSelection(
                         context,
@@ -126,6 +128,10 @@
         mTimeoutTimer =
                 mWriter.eventLoop()
                         .schedule(this::onTimeout, remainingMillis(), TimeUnit.MILLISECONDS);
+        if (mCrashGuard.isQuarantined()) {
+            fail(CallFailures.quarantined());
+            return;
+        }
         if (mHistory.isEmpty()) {
             reserveOrDispatch();
             return;
@@ -432,7 +438,7 @@
         }
         mMayHaveRun = true;
         mMayHaveRunTargetIds.add(handle.id());
-        mContent.watch(attempt);
+        mCrashGuard.watch(attempt);
         if (!mRoute.isRepeatable()) {
             if (mProgress.isStarted()) {
                 abort("the target's stream failed: " + failure);
@@ -469,6 +475,7 @@
     }
 
     private void recordOutcome(Attempt attempt, int status) {
+        mCrashGuard.recordAnswer();
         attempt.removeFromLoad();
         long nowNanos = System.nanoTime();
         if (status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
@@ -479,7 +486,9 @@
     }
 
     private void retry(Optional<TargetHandle> sameTarget, String reason) {
-        if (mSendCount >= MAX_SENDS || remainingMillis() < MIN_REMAINING_TO_RETRY_MILLIS) {
+        if (mSendCount >= MAX_SENDS
+                || remainingMillis() < MIN_REMAINING_TO_RETRY_MILLIS
+                || mCrashGuard.isQuarantined()) {
             failWithoutTarget();
             return;
         }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
@@ -1,7 +1,9 @@
 package org.oleandertrack.gateway.call;
 
 import org.oleandertrack.coordination.conversation.ConversationService;
+import org.oleandertrack.coordination.quarantine.QuarantineService;
 import org.oleandertrack.coordination.spending.SpendingService;
+import org.oleandertrack.core.quarantine.AnsweredPaths;
 import org.oleandertrack.gateway.targets.PermitIssuer;
 import org.oleandertrack.gateway.targets.TargetRegistry;
 import org.oleandertrack.telemetry.logging.EventLog;
@@ -14,6 +16,8 @@
  * @param targets places calls on targets
  * @param permits issues permits for requests to targets that limit their rate
  * @param spending reserves tokens of the programs' budgets
+ * @param quarantine knows the requests that crash targets
+ * @param answeredPaths paths whose requests targets have answered
  * @param conversations keeps and finds the turns of routes that keep history
  * @param log receives one line for each decision
  * @param metrics counts calls and decisions
@@ -24,6 +28,8 @@
         TargetRegistry targets,
         PermitIssuer permits,
         SpendingService spending,
+        QuarantineService quarantine,
+        AnsweredPaths answeredPaths,
         ConversationService conversations,
         EventLog log,
         CallMetrics metrics) {}
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallFailures.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallFailures.java
@@ -67,6 +67,14 @@
                 Math.clamp(waitMillis, RETRY_AFTER_MILLIS, maxRetryAfterMillis));
     }
 
+    static ResultException quarantined() {
+        return new ResultException(
+                ResultCode.REQUEST_QUARANTINED,
+                Execution.NOT_RUN,
+                "earlier requests with the same content crashed the targets that ran them",
+                0);
+    }
+
     static ResultException overloaded() {
         return new ResultException(
                 ResultCode.OVERLOADED,
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
@@ -92,10 +92,11 @@
         line.write();
     }
 
-    void targetDown(TargetHandle handle, String content) {
+    void targetDown(TargetHandle handle, String contentKey, String pathKey) {
         mLog.info("target down")
                 .text("request", mMetadata.requestId())
-                .text("content", content)
+                .text("content", contentKey)
+                .text("path", pathKey)
                 .text("target", handle.incarnationId())
                 .write();
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -18,6 +18,8 @@
 import org.oleandertrack.coordination.conversation.ConversationLimits;
 import org.oleandertrack.coordination.conversation.ConversationService;
 import org.oleandertrack.coordination.feed.TableFollower;
+import org.oleandertrack.coordination.feed.TableListener;
+import org.oleandertrack.coordination.quarantine.QuarantineService;
 import org.oleandertrack.coordination.relay.RelayingRowStore;
 import org.oleandertrack.coordination.schedule.Scheduler;
 import org.oleandertrack.coordination.spending.OutageAllowances;
@@ -26,6 +28,7 @@
 import org.oleandertrack.coordination.store.RowTransaction;
 import org.oleandertrack.coordination.store.WriteIds;
 import org.oleandertrack.core.discovery.TargetDirectory;
+import org.oleandertrack.core.quarantine.AnsweredPaths;
 import org.oleandertrack.core.rate.TargetPacers;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
@@ -41,6 +44,7 @@
 import org.oleandertrack.gateway.call.HeaderCodec;
 import org.oleandertrack.gateway.peer.PeerAllowanceIssuer;
 import org.oleandertrack.gateway.peer.PeerConversations;
+import org.oleandertrack.gateway.peer.PeerCrashReports;
 import org.oleandertrack.gateway.peer.PeerDirectory;
 import org.oleandertrack.gateway.peer.PeerHandler;
 import org.oleandertrack.gateway.peer.PeerPermitIssuer;
@@ -59,6 +63,8 @@
 
     private static final long MAINTENANCE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
     private static final long ANNOUNCE_RETRY_DELAY_NANOS = TimeUnit.SECONDS.toNanos(1);
+    // Number of answered paths that are remembered; a path takes about 100 bytes.
+    private static final int ANSWERED_PATHS = 4_096;
     // Limits of the servers for readiness and metrics, whose clients belong to the platform.
     private static final InboundLimits INTERNAL_LIMITS =
             new InboundLimits(8_192, 8_192, 2_000, 60_000);
@@ -75,6 +81,9 @@
     private final OutageAllowances mOwnAllowances = new OutageAllowances(System::nanoTime);
     private final TargetPacers mOwnPacers;
     private final PeerPermitIssuer mPermits;
+    private final QuarantineService mQuarantine;
+    private final TableFollower mQuarantineFollower;
+    private final Gauge mQuarantinedRequests;
     private final SpendingService mSpending;
     private final ConversationService mConversations;
     private final Gauge mHeldTurns;
@@ -129,6 +138,13 @@
                         TimeUnit.MILLISECONDS.toNanos(settings.entryRenewalMillis()),
                         mTargets,
                         System.nanoTime());
+        mQuarantine =
+                new QuarantineService(
+                        mStore,
+                        new PeerCrashReports(mPeers, log),
+                        System::currentTimeMillis,
+                        new QuarantineLog(log));
+        mQuarantinedRequests = metrics.gauge(Metric.QUARANTINED_REQUESTS);
         mSpending = makeSpending(random);
         mConversations = makeConversations(random);
         mHeldTurns = metrics.gauge(Metric.TURNS_HELD);
@@ -141,29 +157,20 @@
                                 mTargets,
                                 mPermits,
                                 mSpending,
+                                mQuarantine,
+                                new AnsweredPaths(ANSWERED_PATHS),
                                 mConversations,
                                 log,
                                 new CallMetrics(metrics)));
         mTargetFeed = new TargetFeed(tables, mTargetDirectory, System::nanoTime, log);
         mConfigFollower =
-                new TableFollower(
-                        mStore,
+                follow(
                         tables.configTable(),
-                        mScheduler,
-                        System::nanoTime,
-                        random,
-                        new ConfigFeed(tables, mCallHandler, mTargets, log));
-        mTargetFollower =
-                new TableFollower(
-                        mStore,
-                        tables.targetTable(),
-                        mScheduler,
-                        System::nanoTime,
-                        random,
-                        mTargetFeed);
-        mPeerFollower =
-                new TableFollower(
-                        mStore, PeerDirectory.TABLE, mScheduler, System::nanoTime, random, mPeers);
+                        new ConfigFeed(tables, mCallHandler, mTargets, log),
+                        random);
+        mTargetFollower = follow(tables.targetTable(), mTargetFeed, random);
+        mPeerFollower = follow(PeerDirectory.TABLE, mPeers, random);
+        mQuarantineFollower = follow(QuarantineService.TABLE, mQuarantine, random);
         mPeerServer = makePeerServer(loops, store);
         mCallerServer =
                 new HttpServer(
@@ -189,6 +196,7 @@
         mConfigFollower.start();
         mTargetFollower.start();
         mPeerFollower.start();
+        mQuarantineFollower.start();
         mPeerServer.start(mSettings.peerAddress());
         announce();
         mReadinessServer.start(mSettings.readinessAddress());
@@ -225,6 +233,7 @@
         mConfigFollower.stop();
         mTargetFollower.stop();
         mPeerFollower.stop();
+        mQuarantineFollower.stop();
         mPeerServer.stop();
         mCallerServer.stop();
         mReadinessServer.stop();
@@ -239,7 +248,10 @@
 
     /** Returns whether the load balancer may send new connections to this process. */
     public boolean isReady() {
-        return !mStopping && mCallHandler.config().isPresent() && mTargetFeed.isComplete();
+        return !mStopping
+                && mCallHandler.config().isPresent()
+                && mTargetFeed.isComplete()
+                && mQuarantine.isComplete();
     }
 
     // Operations
@@ -262,6 +274,10 @@
 
     // Helpers
 
+    private TableFollower follow(String table, TableListener listener, Random random) {
+        return new TableFollower(mStore, table, mScheduler, System::nanoTime, random, listener);
+    }
+
     private HttpServer makePeerServer(EventLoopGroup loops, RowStore directStore) {
         return new HttpServer(
                 loops,
@@ -271,7 +287,8 @@
                         mStore::isDirectFailing,
                         mOwnAllowances,
                         mConversations,
-                        mOwnPacers),
+                        mOwnPacers,
+                        mQuarantine),
                 HttpResponses::empty);
     }
 
@@ -328,6 +345,8 @@
         mSpending.runMaintenance();
         mOwnAllowances.dropIdle();
         mPermits.dropIdle(System.nanoTime());
+        mQuarantine.runMaintenance();
+        mQuarantinedRequests.set(mQuarantine.quarantinedCount());
         mConversations.runMaintenance();
         mHeldTurns.set(mConversations.heldCount());
         mScheduler.schedule(MAINTENANCE_INTERVAL_NANOS, this::runMaintenance);
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
@@ -146,6 +146,15 @@
                 CALL_TIMEOUT_MILLIS);
     }
 
+    CompletableFuture<Boolean> reportCrashes(PeerMessages.ReportCrashes message) {
+        return call(
+                        PeerMessages.REPORT_CRASHES_PATH,
+                        message,
+                        PeerMessages.CrashesReported.class,
+                        CALL_TIMEOUT_MILLIS)
+                .thenApply(PeerMessages.CrashesReported::known);
+    }
+
     /** Takes a permit for a request to a target that the peer paces. */
     CompletableFuture<PermitResult> takePermit(PeerMessages.TakePermit message) {
         byte[] body = RowJson.encode(message).getBytes(StandardCharsets.UTF_8);
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerDirectory.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerDirectory.java
@@ -76,6 +76,12 @@
         return mClients.size();
     }
 
+    /** Returns the peers that respond. */
+    synchronized List<PeerClient> responsivePeers() {
+        long nowNanos = System.nanoTime();
+        return mClients.values().stream().filter(peer -> peer.isResponsive(nowNanos)).toList();
+    }
+
     /** Returns one row store for each peer that may reach the store; the peer relays its calls. */
     public synchronized List<RowStore> relayStores() {
         long nowNanos = System.nanoTime();
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
@@ -3,10 +3,12 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.oleandertrack.coordination.conversation.Conversation;
 import org.oleandertrack.coordination.conversation.ConversationService;
+import org.oleandertrack.coordination.quarantine.QuarantineService;
 import org.oleandertrack.coordination.spending.OutageAllowances;
 import org.oleandertrack.coordination.store.RowJson;
 import org.oleandertrack.coordination.store.RowStore;
@@ -34,6 +36,7 @@
     private final OutageAllowances mOwnAllowances;
     private final ConversationService mConversations;
     private final TargetPacers mOwnPacers;
+    private final QuarantineService mQuarantine;
 
     /**
      * Creates a handler.
@@ -48,12 +51,14 @@
             BooleanSupplier directStoreFails,
             OutageAllowances ownAllowances,
             ConversationService conversations,
-            TargetPacers ownPacers) {
+            TargetPacers ownPacers,
+            QuarantineService quarantine) {
         mDirectStore = directStore;
         mDirectStoreFails = directStoreFails;
         mOwnAllowances = ownAllowances;
         mConversations = conversations;
         mOwnPacers = ownPacers;
+        mQuarantine = quarantine;
     }
 
     @Override
@@ -100,6 +105,12 @@
                         PeerMessages.Permit.of(
                                 mOwnPacers.take(take.toPermitRequest(), System.nanoTime())));
             }
+            case PeerMessages.REPORT_CRASHES_PATH -> {
+                PeerMessages.ReportCrashes report =
+                        RowJson.decode(path, body, PeerMessages.ReportCrashes.class);
+                mQuarantine.recordReported(report.requestKey(), Set.copyOf(report.targetIds()));
+                yield CompletableFuture.completedFuture(new PeerMessages.CrashesReported(true));
+            }
             case PeerMessages.HOLD_TURN_PATH -> {
                 PeerMessages.HoldTurn hold =
                         RowJson.decode(path, body, PeerMessages.HoldTurn.class);
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
@@ -27,8 +27,22 @@
 
     static final String TAKE_PERMIT_PATH = "/peer/permit-take";
 
+    static final String REPORT_CRASHES_PATH = "/peer/crash-report";
+
     private PeerMessages() {}
 
+    /** Report of targets that crashed when they began to run a request. */
+    record ReportCrashes(String requestKey, List<String> targetIds) {
+
+        ReportCrashes {
+            Objects.requireNonNull(requestKey, "requestKey is missing");
+            targetIds = List.copyOf(targetIds);
+        }
+    }
+
+    /** Response to a {@link ReportCrashes}. */
+    record CrashesReported(boolean known) {}
+
     /** Request for a permit to send a request to a target that limits its rate. */
     record TakePermit(
             String targetId, double requestsPerSecond, long statedAgeMillis, long maxWaitMillis) {
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/MemoryRowStore.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/MemoryRowStore.java
@@ -103,6 +103,10 @@
                                 mRows.put(
                                         write.id(),
                                         new StoredRow(write.id(), write.value(), mVersion)));
+        transaction.removals().forEach(mRows::remove);
+        List<Runnable> waiting = List.copyOf(mWaitingCalls);
+        mWaitingCalls.clear();
+        waiting.forEach(mExecutor::execute);
         return CompletableFuture.completedFuture(new TransactionResult.Committed(mVersion));
     }
 
--- a/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.awaitility.Awaitility;
@@ -31,6 +32,8 @@
 import org.oleandertrack.coordination.conversation.ConversationService;
 import org.oleandertrack.coordination.conversation.KeptTurn;
 import org.oleandertrack.coordination.conversation.TurnLookup;
+import org.oleandertrack.coordination.quarantine.QuarantineListener;
+import org.oleandertrack.coordination.quarantine.QuarantineService;
 import org.oleandertrack.coordination.schedule.ExecutorScheduler;
 import org.oleandertrack.coordination.spending.OutageAllowances;
 import org.oleandertrack.coordination.store.RowChange;
@@ -91,6 +94,25 @@
 
     private final TargetPacers mPacers = new TargetPacers(new Random(1));
 
+    private final QuarantineService mQuarantine =
+            new QuarantineService(
+                    mStore,
+                    (content, targetIds) -> {},
+                    System::currentTimeMillis,
+                    new QuarantineListener() {
+                        @Override
+                        public void onQuarantined(String content, Set<String> targetIds) {}
+
+                        @Override
+                        public void onReleased(String content) {}
+
+                        @Override
+                        public void onWriteFailed(String content, String reason) {}
+
+                        @Override
+                        public void onUnreadable(String key, String reason) {}
+                    });
+
     private final HttpServer mServer =
             new HttpServer(
                     mLoops,
@@ -100,7 +122,8 @@
                             () -> mStoreUnreachable,
                             new OutageAllowances(() -> 0),
                             conversations(),
-                            mPacers),
+                            mPacers,
+                            mQuarantine),
                     HttpResponses::empty);
     private final InetSocketAddress mAddress =
             mServer.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -237,7 +260,8 @@
                         "allowance-take",
                         "turn-hold",
                         "turn-find",
-                        "permit-take")) {
+                        "permit-take",
+                        "crash-report")) {
             for (String body : List.of("", "{}", "[]", "null", "{\"turnId\":1", "\u0000")) {
                 assertEquals(
                         400,
--- a/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
@@ -52,6 +52,11 @@
             "connections",
             "Open connections of the inner protocol, by the peer's role.",
             "role"),
+    QUARANTINED_REQUESTS(
+            "oleandertrack_quarantined_requests",
+            MetricKind.GAUGE,
+            "requests",
+            "Contents of requests that are not sent to targets because they crash them."),
     // Conversations.
     TURN_LOOKUP_DURATION(
             "oleandertrack_turn_lookup_duration_seconds",
