Keep to the rate that a target states to its sidecar

The same cause as at the gateway, looked for on the product's own interface: a sidecar limits how many calls run at its target, but not how many start in a second, so a target had no way to ask for less.

A target can now state Oleandertrack-Requests-Per-Second in a response. Its sidecar, the only way in to it, spaces the starts with the pacer of the gateway until a response states another rate or none. No sharing is needed, because the calls of all entry hosts meet in its queue. Calls that wait beyond their start deadline end as not run, as before.

--- a/core/src/main/java/org/oleandertrack/core/rate/RequestPacer.java
+++ b/core/src/main/java/org/oleandertrack/core/rate/RequestPacer.java
@@ -6,7 +6,7 @@
  * Spaces the requests to one target so that they keep to its rate, and assigns each of them the
  * earliest free time. A target that was idle accepts a small burst. Not thread-safe.
  */
-final class RequestPacer {
+public final class RequestPacer {
 
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
     // Requests of this time may be sent at once after an idle time.
@@ -25,7 +25,7 @@
      * @param statedNanos when the target stated the rate
      * @param firstNanos earliest time of the first request
      */
-    RequestPacer(double requestsPerSecond, long statedNanos, long firstNanos) {
+    public RequestPacer(double requestsPerSecond, long statedNanos, long firstNanos) {
         mRequestsPerSecond = Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond);
         mStatedNanos = statedNanos;
         mNextNanos = firstNanos;
@@ -42,7 +42,7 @@
     }
 
     /** Applies a rate, unless a later statement of the target is known. */
-    void setRate(double requestsPerSecond, long statedNanos) {
+    public void setRate(double requestsPerSecond, long statedNanos) {
         if (statedNanos - mStatedNanos < 0) {
             return;
         }
@@ -50,18 +50,26 @@
         mStatedNanos = statedNanos;
     }
 
+    /** Returns the time until a request may be sent, in milliseconds; 0 if it may be sent now. */
+    public long waitMillis(long nowNanos) {
+        long waitNanos = nextNanos(nowNanos) - nowNanos;
+        return Math.max(0, Math.ceilDiv(waitNanos, TimeUnit.MILLISECONDS.toNanos(1)));
+    }
+
     /** Assigns the earliest free time to a request, if it is not too late for it. */
-    PermitResult take(long maxWaitMillis, long nowNanos) {
+    public PermitResult take(long maxWaitMillis, long nowNanos) {
         mLastUsedNanos = nowNanos;
-        long intervalNanos = intervalNanos(mRequestsPerSecond);
-        long burstNanos = intervalNanos * (long) (mRequestsPerSecond * BURST_SECONDS);
-        long nextNanos = Math.max(mNextNanos, nowNanos - burstNanos);
-        long waitMillis =
-                Math.max(0, Math.ceilDiv(nextNanos - nowNanos, TimeUnit.MILLISECONDS.toNanos(1)));
+        long waitMillis = waitMillis(nowNanos);
         if (waitMillis > maxWaitMillis) {
             return new PermitResult.Denied(waitMillis);
         }
-        mNextNanos = nextNanos + intervalNanos;
+        mNextNanos = nextNanos(nowNanos) + intervalNanos(mRequestsPerSecond);
         return new PermitResult.Granted(waitMillis);
     }
+
+    private long nextNanos(long nowNanos) {
+        long burstNanos =
+                intervalNanos(mRequestsPerSecond) * (long) (mRequestsPerSecond * BURST_SECONDS);
+        return Math.max(mNextNanos, nowNanos - burstNanos);
+    }
 }
--- a/server/src/main/java/org/oleandertrack/server/sidecar/CallScheduler.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/CallScheduler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.LongSupplier;
@@ -14,12 +15,14 @@
 import org.oleandertrack.core.queue.QueueConfig;
 import org.oleandertrack.core.queue.QueueLoad;
 import org.oleandertrack.core.queue.QueuedCall;
+import org.oleandertrack.core.rate.RequestPacer;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.protocol.message.Load;
 
 /**
- * Queues the calls for the target and limits how many of them run at a time. Thread safe: one lock
- * guards the queue, and listeners are called without holding it.
+ * Queues the calls for the target, limits how many of them run at a time, and keeps to the rate
+ * that the target states. Thread safe: one lock guards the queue, and listeners are called without
+ * holding it.
  */
 final class CallScheduler {
 
@@ -53,6 +56,9 @@
     /** The waiting and running calls by their id in the queue. */
     private final Map<String, SidecarCall> mCalls = new HashMap<>();
 
+    /** Spaces the starts of calls while the target limits its rate. */
+    private Optional<RequestPacer> mPacer = Optional.empty();
+
     private boolean mClosed;
 
     CallScheduler(QueueConfig config, OrganisationWeights weights, LongSupplier nanoClock) {
@@ -100,6 +106,34 @@
         startNext(listener);
     }
 
+    /**
+     * Limits the rate at which calls start.
+     *
+     * @param requestsPerSecond the limit that the target stated last; empty if it stated none
+     */
+    void limitRate(OptionalDouble requestsPerSecond) {
+        mLock.lock();
+        try {
+            if (requestsPerSecond.isEmpty()) {
+                mPacer = Optional.empty();
+                return;
+            }
+            long nowNanos = mNanoClock.getAsLong();
+            double rate = requestsPerSecond.getAsDouble();
+            if (mPacer.isEmpty()) {
+                mPacer = Optional.of(new RequestPacer(rate, nowNanos, nowNanos));
+            }
+            mPacer.get().setRate(rate, nowNanos);
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    /** Starts the calls that waited only for the target's rate. To be called regularly. */
+    void startPaced(Listener listener) {
+        startNext(listener);
+    }
+
     /** Refuses the waiting calls whose start deadline has passed. */
     void refuseExpired(Listener listener) {
         List<SidecarCall> expired = new ArrayList<>();
@@ -192,7 +226,15 @@
     private Optional<SidecarCall> pollQueue() {
         mLock.lock();
         try {
-            return mQueue.poll(mNanoClock.getAsLong()).map(call -> mCalls.get(call.id()));
+            long nowNanos = mNanoClock.getAsLong();
+            if (mPacer.isPresent() && mPacer.get().waitMillis(nowNanos) > 0) {
+                return Optional.empty();
+            }
+            Optional<SidecarCall> next = mQueue.poll(nowNanos).map(call -> mCalls.get(call.id()));
+            if (next.isPresent()) {
+                mPacer.ifPresent(pacer -> pacer.take(0, nowNanos));
+            }
+            return next;
         } finally {
             mLock.unlock();
         }
--- a/server/src/main/java/org/oleandertrack/server/sidecar/SidecarCallHandler.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarCallHandler.java
@@ -25,8 +25,8 @@
     /** Suggested wait before a retry of a refused call. */
     private static final long RETRY_AFTER_MILLIS = 200;
 
-    /** Interval between the checks for calls whose start deadline has passed. */
-    private static final long EXPIRY_CHECK_INTERVAL_MILLIS = 100;
+    /** Interval between the checks for calls that have expired or that the rate permits. */
+    private static final long QUEUE_CHECK_INTERVAL_MILLIS = 50;
 
     private final TargetClient mTargetClient;
     private final CallScheduler mScheduler;
@@ -56,12 +56,15 @@
 
     // Life-cycle
 
-    /** Starts the periodic check for waiting calls whose start deadline has passed. */
+    /** Starts the periodic check of the waiting calls. */
     void start() {
         mTimer.scheduleWithFixedDelay(
-                () -> mScheduler.refuseExpired(this),
-                EXPIRY_CHECK_INTERVAL_MILLIS,
-                EXPIRY_CHECK_INTERVAL_MILLIS,
+                () -> {
+                    mScheduler.refuseExpired(this);
+                    mScheduler.startPaced(this);
+                },
+                QUEUE_CHECK_INTERVAL_MILLIS,
+                QUEUE_CHECK_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
     }
 
@@ -128,7 +131,7 @@
         mEngineMemory.callStarted(call.head());
         TargetExchange exchange;
         try {
-            exchange = mTargetClient.send(call.inbound());
+            exchange = mTargetClient.send(call.inbound(), mScheduler::limitRate);
         } catch (IllegalArgumentException e) {
             return refuseInvalidRequest(call, e);
         }
--- a/server/src/main/java/org/oleandertrack/server/sidecar/TargetClient.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/TargetClient.java
@@ -5,6 +5,8 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.time.Duration;
+import java.util.OptionalDouble;
+import java.util.function.Consumer;
 import org.oleandertrack.protocol.InboundCall;
 import org.oleandertrack.protocol.message.Call;
 import org.oleandertrack.protocol.message.Header;
@@ -25,10 +27,11 @@
     /**
      * Sends a call to the target and streams the response to the peer.
      *
+     * @param onRateStated receives the rate limit that the response states, or that it states none
      * @throws IllegalArgumentException if the call's method, path or a header is not valid in HTTP
      */
-    TargetExchange send(InboundCall call) {
-        TargetExchange exchange = new TargetExchange(call, new UsageScanner(mMapper));
+    TargetExchange send(InboundCall call, Consumer<OptionalDouble> onRateStated) {
+        TargetExchange exchange = new TargetExchange(call, new UsageScanner(mMapper), onRateStated);
         exchange.send(mClient, toHttpRequest(call));
         return exchange;
     }
--- a/server/src/main/java/org/oleandertrack/server/sidecar/TargetExchange.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/TargetExchange.java
@@ -9,10 +9,12 @@
 import java.net.http.HttpTimeoutException;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Flow;
+import java.util.function.Consumer;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.protocol.InboundCall;
@@ -45,13 +47,15 @@
 
     private final InboundCall mCall;
     private final UsageScanner mUsageScanner;
+    private final Consumer<OptionalDouble> mOnRateStated;
     private final CompletableFuture<Outcome> mOutcome = new CompletableFuture<>();
     private volatile boolean mHeadReceived;
     private volatile CompletableFuture<HttpResponse<Void>> mResponseFuture;
 
-    TargetExchange(InboundCall call, UsageScanner usage) {
+    TargetExchange(InboundCall call, UsageScanner usage, Consumer<OptionalDouble> onRateStated) {
         mCall = call;
         mUsageScanner = usage;
+        mOnRateStated = onRateStated;
     }
 
     // Life-cycle
@@ -82,6 +86,7 @@
 
     private HttpResponse.BodySubscriber<Void> onResponseHead(HttpResponse.ResponseInfo info) {
         mHeadReceived = true;
+        mOnRateStated.accept(StatedRateHeader.read(info.headers()));
         ResponseHead.Builder head = ResponseHead.newBuilder().setStatus(info.statusCode());
         info.headers().map().forEach((name, values) -> addHeaders(head, name, values));
         mCall.respondHead(head.build());
--- a/server/src/test/java/org/oleandertrack/server/sidecar/CallSchedulerTest.java
+++ b/server/src/test/java/org/oleandertrack/server/sidecar/CallSchedulerTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.awaitility.Awaitility;
@@ -54,6 +55,28 @@
         assertEquals(List.of("1", "2"), mStarted);
     }
 
+    /** Guards against a target that gets more requests than the rate that it states. */
+    @Test
+    void callsStartNoFasterThanTheTargetStates() {
+        CallScheduler scheduler =
+                new CallScheduler(
+                        QueueConfig.forSlots(100).withMaxEntries(100, 100),
+                        OrganisationWeights.EQUAL,
+                        () -> mNowNanos);
+        scheduler.limitRate(OptionalDouble.of(2));
+        for (int i = 1; i <= 20; i++) {
+            scheduler.offer(call(i, TimeUnit.SECONDS.toNanos(60)), this);
+        }
+        for (int i = 0; i < 40; i++) {
+            mNowNanos += TimeUnit.MILLISECONDS.toNanos(100);
+            scheduler.startPaced(this);
+        }
+        assertTrue(mStarted.size() >= 8 && mStarted.size() <= 9, mStarted.toString());
+        scheduler.limitRate(OptionalDouble.empty());
+        scheduler.startPaced(this);
+        assertEquals(20, mStarted.size());
+    }
+
     /** Guards against a queue that grows without limit. */
     @Test
     void fullQueueRefusesTheNextCall() {
@@ -129,14 +152,18 @@
     }
 
     private SidecarCall offer(long sequence) {
+        SidecarCall call = call(sequence, LATEST_START_NANOS);
+        mScheduler.offer(call, this);
+        return call;
+    }
+
+    private SidecarCall call(long sequence, long latestStartNanos) {
         Call head =
                 Call.newBuilder()
                         .setAttemptId("attempt-" + sequence)
                         .setOrganisation("org")
-                        .setStartDeadlineReceiverNanos(LATEST_START_NANOS)
+                        .setStartDeadlineReceiverNanos(latestStartNanos)
                         .build();
-        SidecarCall call = SidecarCall.of(new FakeInboundCall(head), sequence, mNowNanos);
-        mScheduler.offer(call, this);
-        return call;
+        return SidecarCall.of(new FakeInboundCall(head), sequence, mNowNanos);
     }
 }
