Probe a target twice before its broken connection is no crash

DeadlyRequestTest failed once beside other load: a crash was not seen, so the request would have crashed one target more. A target that ends closes its connections one after the other, and the probe can reach its listener before that is closed.

The probe is repeated after 0.2 s, longer than the end of a process takes and shorter than its next start. aTargetThatAcceptsConnections- ForAnotherMomentHasCrashed times out on the code before.

The path of a crash is recorded before its content, so that a path that explains the same crashes is not preceded by a quarantine of the content that ends at once; a test that counted the log lines showed it.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CrashGuard.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CrashGuard.java
@@ -71,7 +71,7 @@
         }
         String contentKey = contentKey();
         TargetHandle handle = attempt.handle();
-        new CrashWatch(mLoop).start(handle, () -> onCrashed(handle, contentKey));
+        new CrashWatch(mLoop, handle, () -> onCrashed(handle, contentKey)).start();
     }
 
     /** Records that a target has answered the request, so it does not crash targets. */
@@ -86,10 +86,10 @@
     private void onCrashed(TargetHandle handle, String contentKey) {
         String pathKey = RequestIdentity.pathKeyOf(mPath);
         mLog.targetDown(handle, contentKey, pathKey);
-        mQuarantine.recordCrash(contentKey, handle.incarnationId(), CONTENT_RETENTION_MILLIS);
         if (!mAnsweredPaths.contains(mPath)) {
             mQuarantine.recordCrash(pathKey, handle.incarnationId(), PATH_RETENTION_MILLIS);
         }
+        mQuarantine.recordCrash(contentKey, handle.incarnationId(), CONTENT_RETENTION_MILLIS);
     }
 
     private String contentKey() {
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CrashWatch.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CrashWatch.java
@@ -13,37 +13,50 @@
 final class CrashWatch {
 
     private static final int CONNECT_TIMEOUT_MILLIS = 300;
-    // A process that is restarted at once is back before the probe; its entry in the store changes.
+    // A process that ends may accept connections for a moment after it has closed others.
+    private static final long SECOND_PROBE_MILLIS = 200;
+    // A process that is restarted at once is back before the probes; its entry in the store
+    // changes.
     private static final long RESTART_CHECK_MILLIS = 2_000;
 
     private final EventLoop mLoop;
+    private final TargetHandle mHandle;
+    private final Runnable mOnCrashed;
 
-    CrashWatch(EventLoop loop) {
+    /**
+     * Creates a watch that is not started.
+     *
+     * @param onCrashed called at most once, on the event loop, if the target has crashed
+     */
+    CrashWatch(EventLoop loop, TargetHandle handle, Runnable onCrashed) {
         mLoop = loop;
+        mHandle = handle;
+        mOnCrashed = onCrashed;
     }
 
-    /** Calls the listener on the event loop if the target has crashed. */
-    void start(TargetHandle handle, Runnable onCrashed) {
+    void start() {
+        probe(() -> schedule(this::probeAgain, SECOND_PROBE_MILLIS));
+    }
+
+    private void probeAgain() {
+        probe(() -> schedule(this::checkRestart, RESTART_CHECK_MILLIS));
+    }
+
+    private void probe(Runnable onReachable) {
         ConnectProbe.run(
                 mLoop,
-                handle.connections().remote(),
+                mHandle.connections().remote(),
                 CONNECT_TIMEOUT_MILLIS,
-                reachable -> {
-                    if (!reachable) {
-                        onCrashed.run();
-                        return;
-                    }
-                    var _ =
-                            mLoop.schedule(
-                                    () -> checkRestart(handle, onCrashed),
-                                    RESTART_CHECK_MILLIS,
-                                    TimeUnit.MILLISECONDS);
-                });
+                reachable -> (reachable ? onReachable : mOnCrashed).run());
     }
 
-    private static void checkRestart(TargetHandle handle, Runnable onCrashed) {
-        if (handle.isLost()) {
-            onCrashed.run();
+    private void checkRestart() {
+        if (mHandle.isLost()) {
+            mOnCrashed.run();
         }
     }
+
+    private void schedule(Runnable task, long delayMillis) {
+        var _ = mLoop.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+    }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/RequestIdentity.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/RequestIdentity.java
@@ -1,6 +1,5 @@
 package org.oleandertrack.gateway.call;
 
-import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -48,7 +47,7 @@
         add(digest, pathOf(request));
         add(digest, previousTurnId.orElse(""));
         if (request.body().isReadable()) {
-            digest.update(ByteBufUtil.getBytes(request.body()));
+            digest.update(request.body().nioBuffer());
         } else {
             add(digest, request.remote().getAddress().getHostAddress());
         }
