Keep a target's stated rate while the store does not list the target

The rate was lost when a target's entry was removed and added again, as an outage of the store does to live targets: until the next response, the host sent to it without permits.

The rate belongs to the incarnation, so it is remembered with it and restored when the same incarnation is listed again. theRateIsKeptWhenTheSameIncarnationIsListedAgain: on the code before, the second call is sent without a permit.

--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
@@ -47,6 +47,16 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    // Incarnations that were removed and may be added again when the store returns.
+    private static final int MAX_REMEMBERED_RATES = 1_000;
+
+    private final Map<String, StatedRate> mRatesOfRemoved =
+            new LinkedHashMap<>() {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, StatedRate> eldest) {
+                    return size() > MAX_REMEMBERED_RATES;
+                }
+            };
     private final Map<String, TargetHandle> mHandles = new LinkedHashMap<>();
     private final List<TargetState> mStates = new ArrayList<>();
     private final ServiceLoad mLoad = new ServiceLoad();
@@ -73,6 +83,7 @@
             replaced.markRemoved(false);
             replaced.connections().closeIdle();
         }
+        handle.setStatedRate(Optional.ofNullable(mRatesOfRemoved.remove(handle.incarnationId())));
         mStates.add(state);
         mHealth.remove(record.id());
         mHealth.add(record.id());
@@ -83,6 +94,8 @@
         if (handle != null) {
             mStates.remove(handle.state());
             mHealth.remove(id);
+            handle.statedRate()
+                    .ifPresent(rate -> mRatesOfRemoved.put(handle.incarnationId(), rate));
             handle.markRemoved(drained);
             handle.connections().closeIdle();
         }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TargetRateLimitTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TargetRateLimitTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
 
 /** Guards against targets that get more requests than the rate that they state. */
@@ -96,6 +97,23 @@
         }
     }
 
+    /** Guards against a limit that is forgotten while the store does not list the target. */
+    @Test
+    void theRateIsKeptWhenTheSameIncarnationIsListedAgain() throws IOException {
+        try (ScriptedTarget limited =
+                        new ScriptedTarget(
+                                (exchange, number) -> exchange.answer(200, RATE_HEADER, "done"));
+                TestGateway gateway = TestGateway.with("tool", limited)) {
+            assertTrue(call(gateway, "GET", "/safe/x").startsWith("HTTP/1.1 200"));
+            gateway.register("t0", "tool", limited.port(), true);
+            Awaitility.await().until(() -> gateway.logs().contains("target removed"));
+            gateway.register("t0", "tool", limited.port(), false);
+            gateway.awaitTargets(2);
+            String answer = call(gateway, "GET", "/safe/x");
+            assertTrue(gateway.logs().contains("permitWaitMs") || answer.contains("4009"), answer);
+        }
+    }
+
     /** Guards against the resumption of a stream that exceeds the rate of its target. */
     @Test
     void aStreamIsResumedAtALimitedTargetAfterAWait() throws IOException {
