Do not overrun targets without a limit while others limit their rate

The engines that state no limit took over what the others did not accept; with 46 requests for 12 slots their queues were full, and full targets reset connections. The caller cannot tell this from a lost answer, so a turn that may not be repeated was lost.

While a target of the service limits its rate, another one takes at most three requests a slot; further calls that have not run are refused as not run with a time to come back, instead of being sent there.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -278,6 +278,7 @@
                 target,
                 mExcludedTargetIds,
                 maxPermitWaitMillis,
+                !mMayHaveRun && !mProgress.isStarted(),
                 result -> onSelection(result, target.isPresent()));
     }
 
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/TargetSelection.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/TargetSelection.java
@@ -38,9 +38,10 @@
         record NoTarget() implements Result {}
 
         /**
-         * The rate of each target that is left makes the request wait for too long.
+         * The rate of each target that is left makes the request wait for too long, and the targets
+         * that state none have taken over enough.
          *
-         * @param waitMillis shortest wait, in milliseconds
+         * @param waitMillis shortest known wait, in milliseconds; 0 if none is known
          */
         record RateLimited(long waitMillis) implements Result {}
     }
@@ -86,6 +87,7 @@
      * Selects the given target, or else one that placement chooses.
      *
      * @param maxWaitMillis longest acceptable wait for a permit, in milliseconds
+     * @param mayRefuse whether the call has not run yet and may be refused
      * @param onResult called on the event loop, unless the call is abandoned before; called before
      *     this method returns if no permit is needed
      */
@@ -93,8 +95,9 @@
             Optional<TargetHandle> target,
             Set<String> excludedIds,
             long maxWaitMillis,
+            boolean mayRefuse,
             Consumer<Result> onResult) {
-        new Search(target, excludedIds, maxWaitMillis, onResult).tryNext();
+        new Search(target, excludedIds, maxWaitMillis, mayRefuse, onResult).tryNext();
     }
 
     /** The search for the target of one send. */
@@ -102,6 +105,7 @@
         private final Optional<TargetHandle> mRequired;
         private final Set<String> mExcludedIds;
         private final long mMaxWaitMillis;
+        private final boolean mMayRefuse;
         private final Consumer<Result> mOnResult;
         private final Set<String> mDeniedIds = new HashSet<>();
         private int mDenials;
@@ -111,10 +115,12 @@
                 Optional<TargetHandle> required,
                 Set<String> excludedIds,
                 long maxWaitMillis,
+                boolean mayRefuse,
                 Consumer<Result> onResult) {
             mRequired = required;
             mExcludedIds = excludedIds;
             mMaxWaitMillis = maxWaitMillis;
+            mMayRefuse = mayRefuse;
             mOnResult = onResult;
         }
 
@@ -136,6 +142,12 @@
                             Math.min(mMaxWaitMillis, expectedWaitMillis + WAIT_MARGIN_MILLIS),
                             nowNanos);
             if (request.isEmpty()) {
+                if (mMayRefuse && mTargets.isOverrun(handle, nowNanos)) {
+                    mTargets.withdraw(handle);
+                    mOnResult.accept(
+                            new Result.RateLimited(mDenials == 0 ? 0 : mShortestWaitMillis));
+                    return;
+                }
                 complete(placed.get(), OptionalLong.empty());
                 return;
             }
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
@@ -15,6 +15,7 @@
 import org.oleandertrack.core.health.HealthConfig;
 import org.oleandertrack.core.health.HealthTracker;
 import org.oleandertrack.core.placement.TargetAssessment;
+import org.oleandertrack.core.rate.OverflowLimit;
 import org.oleandertrack.core.rate.PermitRequest;
 import org.oleandertrack.core.turn.CallPlacement;
 import org.oleandertrack.core.turn.PlacementChoice;
@@ -178,6 +179,16 @@
                                         maxWaitMillis));
     }
 
+    /** Returns whether a placed target has taken over too much from targets with limited rates. */
+    synchronized boolean isOverrun(TargetHandle handle, long nowNanos) {
+        boolean othersAreLimited =
+                handle.statedRate().isEmpty()
+                        && mHandles.values().stream()
+                                .anyMatch(other -> other.statedRate().isPresent());
+        double earlierRequests = handle.state().load().requests(nowNanos) - 1;
+        return othersAreLimited && OverflowLimit.isReached(earlierRequests, handle.state().slots());
+    }
+
     synchronized long permitWaitMillis(TargetHandle handle, long nowNanos) {
         return handle.state().permitWaitMillis(nowNanos);
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
@@ -121,6 +121,14 @@
                 .makePermitRequest(handle, maxWaitMillis, nowNanos);
     }
 
+    /**
+     * Returns whether a placed target has taken over so many requests of targets that limit their
+     * rate that it must get no more.
+     */
+    public boolean isOverrun(TargetHandle handle, long nowNanos) {
+        return targetsOf(handle.record().service()).isOverrun(handle, nowNanos);
+    }
+
     /** Returns the expected wait for a permit to send to a target, in milliseconds. */
     public long permitWaitMillis(TargetHandle handle, long nowNanos) {
         return targetsOf(handle.record().service()).permitWaitMillis(handle, nowNanos);
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TargetRateLimitTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TargetRateLimitTest.java
@@ -5,6 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.awaitility.Awaitility;
@@ -97,6 +100,53 @@
         }
     }
 
+    /** Guards against targets whose queues overflow because others limit their rate. */
+    @Test
+    void callsBeyondTheRateDoNotOverrunTheOtherTargets() throws IOException {
+        CountDownLatch released = new CountDownLatch(1);
+        try (ScriptedTarget limited =
+                        new ScriptedTarget(
+                                (exchange, number) -> exchange.answer(200, "Rate: 0.2\r\n", "x"));
+                ScriptedTarget other =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    awaitUninterruptibly(released);
+                                    exchange.answer(200, "", "done");
+                                });
+                TestGateway gateway = TestGateway.with("tool", limited)) {
+            assertTrue(call(gateway, "GET", "/safe/x").startsWith("HTTP/1.1 200"));
+            gateway.register("t1", "tool", other.port(), false);
+            gateway.awaitTargets(2);
+            List<TestClient> clients = new ArrayList<>();
+            for (int i = 0; i < 30; i++) {
+                TestClient client = gateway.client();
+                client.send("POST", "/patient/x", "r" + i, "", "body");
+                clients.add(client);
+            }
+            Awaitility.await()
+                    .until(
+                            () ->
+                                    other.requests().size()
+                                                    + gateway.logs()
+                                                            .split("4009|RATE_LIMITED")
+                                                            .length
+                                            >= 30);
+            released.countDown();
+            assertTrue(other.requests().size() <= 3 * 4 + 1, "got " + other.requests().size());
+            for (TestClient client : clients) {
+                client.close();
+            }
+        }
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Guards against a limit that is forgotten while the store does not list the target. */
     @Test
     void theRateIsKeptWhenTheSameIncarnationIsListedAgain() throws IOException {
