Tell peers of a crash once, and retry its write once a second

While the store does not take a write, each maintenance, four times a second, repeated the write of each suspect and told all peers again: 82 reports for two crashes in ten seconds in the test, so dozens of suspects on 41 hosts would flood them during an outage.

A suspect is reported to the peers when it has crashes that they were not told of, and failed writes are repeated after a second. anOutageRepeatsNoReportAndFewWrites: expected 2 reports, 82 on the code before.

--- a/coordination/src/main/java/org/oleandertrack/coordination/quarantine/QuarantineService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/quarantine/QuarantineService.java
@@ -34,6 +34,8 @@
 
     // A peer that reports a crash writes its row, with the actual time, as soon as it can.
     private static final long REPORTED_RETENTION_MILLIS = TimeUnit.MINUTES.toMillis(1);
+    // A store that fails is not asked again by each suspect at each maintenance.
+    private static final long RETRY_DELAY_MILLIS = 1_000;
     private static final int MAX_SUSPECTS = 2_000;
 
     private final RowStore mStore;
@@ -44,6 +46,7 @@
     private volatile Set<String> mQuarantined = Set.of();
     private volatile boolean mHasSuspects;
     private volatile boolean mComplete;
+    private long mRetryMillis;
 
     /** Creates a service without suspects. */
     public QuarantineService(
@@ -131,6 +134,7 @@
         synchronized (this) {
             unwritten =
                     mSuspects.entrySet().stream()
+                            .filter(entry -> nowMillis >= mRetryMillis)
                             .filter(entry -> entry.getValue().needsWrite())
                             .map(Map.Entry::getKey)
                             .toList();
@@ -235,11 +239,17 @@
     }
 
     private void onWriteFailed(String requestKey, Set<String> targetIds, Throwable failure) {
+        boolean mustReport;
         synchronized (this) {
-            Optional.ofNullable(mSuspects.get(requestKey)).ifPresent(Suspect::failWrite);
+            Optional<Suspect> suspect = Optional.ofNullable(mSuspects.get(requestKey));
+            suspect.ifPresent(Suspect::failWrite);
+            mustReport = suspect.map(Suspect::takeReport).orElse(false);
+            mRetryMillis = mMillisClock.getAsLong() + RETRY_DELAY_MILLIS;
         }
         mListener.onWriteFailed(requestKey, StoreFailures.asStoreException(failure).getMessage());
-        mPeers.report(requestKey, targetIds);
+        if (mustReport) {
+            mPeers.report(requestKey, targetIds);
+        }
     }
 
     private void removeRow(String requestKey, long version) {
--- a/coordination/src/main/java/org/oleandertrack/coordination/quarantine/Suspect.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/quarantine/Suspect.java
@@ -18,6 +18,8 @@
     private long mRowVersion;
     private boolean mUnwritten;
     private boolean mWriteInProgress;
+    // Number of crashes that the peers were told of.
+    private int mReportedCount;
 
     // Accessors
 
@@ -94,6 +96,13 @@
         mRowVersion = Math.max(mRowVersion, rowVersion);
     }
 
+    /** Returns whether the peers are to be told of crashes, and counts them as told. */
+    boolean takeReport() {
+        boolean isNew = mTargetIds.size() != mReportedCount;
+        mReportedCount = mTargetIds.size();
+        return isNew;
+    }
+
     void failWrite() {
         mWriteInProgress = false;
         mUnwritten = true;
--- a/coordination/src/test/java/org/oleandertrack/coordination/quarantine/QuarantineServiceTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/quarantine/QuarantineServiceTest.java
@@ -23,13 +23,16 @@
     private final List<String> mEvents = new ArrayList<>();
     private final List<QuarantineService> mHosts = new ArrayList<>();
     private long mNowMillis = 1_000_000;
+    private int mReports;
 
     private QuarantineService startHost() {
         QuarantineService host =
                 new QuarantineService(
                         mStore,
-                        (content, targetIds) ->
-                                mHosts.forEach(peer -> peer.recordReported(content, targetIds)),
+                        (content, targetIds) -> {
+                            mReports++;
+                            mHosts.forEach(peer -> peer.recordReported(content, targetIds));
+                        },
                         () -> mNowMillis,
                         new QuarantineListener() {
                             @Override
@@ -96,6 +99,7 @@
         crash(first, "deadly", "t1", "t2");
         crash(second, "deadly", "t3");
         for (int i = 0; i < 3; i++) {
+            mNowMillis += 1_000;
             first.runMaintenance();
             second.runMaintenance();
         }
@@ -114,11 +118,29 @@
         mStore.setDown(false);
         readTable(first);
         assertTrue(first.isQuarantined("deadly"), "a read before the write forgets nothing");
+        mNowMillis += 1_000;
         first.runMaintenance();
         second.runMaintenance();
         assertTrue(startHost().isQuarantined("deadly"));
     }
 
+    /** Guards against a flood of reports and writes while the store is away. */
+    @Test
+    void anOutageRepeatsNoReportAndFewWrites() {
+        QuarantineService host = startHost();
+        mStore.setDown(true);
+        crash(host, "a", "t1");
+        crash(host, "b", "t1");
+        int transactions = mStore.transactions();
+        for (int i = 0; i < 40; i++) {
+            mNowMillis += 250;
+            host.runMaintenance();
+        }
+        assertEquals(2, mReports);
+        int repeated = mStore.transactions() - transactions;
+        assertTrue(repeated > 0 && repeated <= 2 * 10, "writes " + repeated);
+    }
+
     @Test
     void aSuspectThatIsAnsweredIsCleared() {
         QuarantineService host = startHost();
