Log the software version of targets, and which requests continue a stream

Lines about targets and placements name the version; placements name the stream that they continue and the event after which they do. The decisions counter has the kind continuation, within response or by caller.

--- a/core/src/main/java/org/oleandertrack/core/discovery/TargetRecord.java
+++ b/core/src/main/java/org/oleandertrack/core/discovery/TargetRecord.java
@@ -10,6 +10,8 @@
  * @param host IP address
  * @param port TCP port
  * @param zone availability zone
+ * @param softwareVersion version of the target's software; streams of two versions do not fit
+ *     together
  * @param draining whether the target is about to leave and takes no new work
  * @param slots number of requests that it runs at once
  * @param startedAtMillis wall-clock time of the target's start, if the entry contains it;
@@ -21,6 +23,7 @@
         String host,
         int port,
         String zone,
+        String softwareVersion,
         boolean draining,
         int slots,
         OptionalLong startedAtMillis) {
--- a/core/src/test/java/org/oleandertrack/core/discovery/TargetDirectoryTest.java
+++ b/core/src/test/java/org/oleandertrack/core/discovery/TargetDirectoryTest.java
@@ -37,7 +37,7 @@
 
     private static TargetRecord record(String id, boolean draining, long startedAt) {
         return new TargetRecord(
-                id, "s", "10.0.0.1", 80, "z", draining, 4, OptionalLong.of(startedAt));
+                id, "s", "10.0.0.1", 80, "z", "v1", draining, 4, OptionalLong.of(startedAt));
     }
 
     @Test
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -302,7 +302,8 @@
                 selected.permitWaitMillis(),
                 mSendCount,
                 remainingMillis(),
-                mTurn);
+                mTurn,
+                mProgress);
         Attempt attempt = new Attempt(this, handle);
         mCurrentAttempt = Optional.of(attempt);
         mSentNanos = System.nanoTime();
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
@@ -56,7 +56,8 @@
             OptionalLong permitWaitMillis,
             int send,
             long remainingMillis,
-            Optional<TurnRequest> turn) {
+            Optional<TurnRequest> turn,
+            StreamProgress progress) {
         mMetrics.recordDecision("placement", sameTarget ? "same target" : "least cost");
         var line =
                 mLog.info("placed")
@@ -64,6 +65,7 @@
                         .text("route", mRoute.name())
                         .text("target", handle.id())
                         .text("zone", handle.record().zone())
+                        .text("version", handle.record().softwareVersion())
                         .number("send", send)
                         .flag("sameTarget", sameTarget)
                         .decimal("cost", choice.predictedCost())
@@ -79,6 +81,7 @@
                     mMetrics.recordDecision("permit", "granted");
                     line.number("permitWaitMs", waitMillis);
                 });
+        writeContinuation(line, progress);
         turn.ifPresent(
                 request ->
                         line.number("promptTokens", request.promptTokens())
@@ -92,6 +95,24 @@
         line.write();
     }
 
+    // Names the stream that the request continues, and the last event that the caller has of it.
+    private void writeContinuation(EventLog.Line line, StreamProgress progress) {
+        if (progress.isStarted()) {
+            mMetrics.recordDecision("continuation", "within response");
+            line.text("continues", mMetadata.requestId())
+                    .text("afterEvent", progress.lastEventId().orElse(""));
+            return;
+        }
+        mMetadata
+                .takeUp()
+                .ifPresent(
+                        takeUp -> {
+                            mMetrics.recordDecision("continuation", "by caller");
+                            line.text("continues", takeUp.firstRequestId().orElse(""))
+                                    .text("afterEvent", takeUp.lastEventId());
+                        });
+    }
+
     void targetDown(TargetHandle handle, String contentKey, String pathKey) {
         mLog.info("target down")
                 .text("request", mMetadata.requestId())
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallMetadata.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallMetadata.java
@@ -12,13 +12,15 @@
  * @param program the program to which the request belongs; empty if it belongs to none
  * @param turn the turn that a model engine is asked to run; empty for other requests
  * @param previousTurnId id of the turn that this one continues; empty if it begins a conversation
+ * @param takeUp the stream that the caller takes up again; empty if the request begins a new one
  */
 public record CallMetadata(
         String requestId,
         OptionalLong timeoutMillis,
         Optional<ProgramMetadata> program,
         Optional<TurnMetadata> turn,
-        Optional<String> previousTurnId) {
+        Optional<String> previousTurnId,
+        Optional<StreamTakeUp> takeUp) {
 
     /** Returns the key that selects one of several services of a route. */
     String routingKey() {
--- /dev/null
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StreamTakeUp.java
@@ -0,0 +1,12 @@
+package org.oleandertrack.gateway.call;
+
+import java.util.Optional;
+
+/**
+ * A caller's wish to get the rest of a stream that broke off.
+ *
+ * @param firstRequestId id of the caller's request that brought the stream's first event; empty if
+ *     the caller does not state it
+ * @param lastEventId id of the last event that the caller has
+ */
+public record StreamTakeUp(Optional<String> firstRequestId, String lastEventId) {}
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
@@ -264,6 +264,7 @@
                 .text("service", target.service())
                 .text("address", target.host() + ":" + target.port())
                 .text("zone", target.zone())
+                .text("version", target.softwareVersion())
                 .text("reason", reason)
                 .write();
     }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
@@ -103,6 +103,10 @@
         mStore.put(TestTables.TARGETS, id, service + " " + port + " " + draining + " 1");
     }
 
+    void registerVersion(String id, String service, int port, String softwareVersion) {
+        mStore.put(TestTables.TARGETS, id, service + " " + port + " false 1 " + softwareVersion);
+    }
+
     void awaitTargets(int count) {
         Awaitility.await().until(() -> logs().split("\"target added\"", -1).length - 1 >= count);
     }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestHeaderCodec.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestHeaderCodec.java
@@ -9,6 +9,7 @@
 import org.oleandertrack.gateway.call.HeaderCodec;
 import org.oleandertrack.gateway.call.ProgramMetadata;
 import org.oleandertrack.gateway.call.ResponseMetadata;
+import org.oleandertrack.gateway.call.StreamTakeUp;
 import org.oleandertrack.gateway.call.TargetInstructions;
 import org.oleandertrack.gateway.call.TurnMetadata;
 
@@ -30,7 +31,12 @@
                 program,
                 program.map(
                         id -> new TurnMetadata(10, 20, List.of(), OptionalLong.empty(), budget)),
-                Optional.ofNullable(headers.get("Previous")));
+                Optional.ofNullable(headers.get("Previous")),
+                Optional.ofNullable(headers.get("Resume-After"))
+                        .map(
+                                id ->
+                                        new StreamTakeUp(
+                                                Optional.ofNullable(headers.get("First-Id")), id)));
     }
 
     @Override
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestTables.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestTables.java
@@ -17,7 +17,7 @@
 
 /**
  * Row formats of the tests. The row of a configuration holds only its version; the row of a target
- * holds "service port draining startedAtMillis".
+ * holds "service port draining startedAtMillis", and the version of the software if it is not "v1".
  */
 final class TestTables implements PlatformTables {
 
@@ -87,7 +87,7 @@
     @Override
     public Optional<TargetRecord> readTarget(StoredRow row) {
         String[] words = row.value().split(" ", -1);
-        if (words.length != 4) {
+        if (words.length < 4) {
             return Optional.empty();
         }
         return Optional.of(
@@ -97,6 +97,7 @@
                         "127.0.0.1",
                         Integer.parseInt(words[1]),
                         "zone",
+                        words.length > 4 ? words[4] : "v1",
                         Boolean.parseBoolean(words[2]),
                         4,
                         OptionalLong.of(Long.parseLong(words[3]))));
