--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationRows.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationRows.java
@@ -1,13 +1,10 @@
 package org.oleandertrack.coordination.conversation;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.Locale;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.oleandertrack.coordination.store.RowId;
+import org.oleandertrack.coordination.store.RowKeys;
 
 /**
  * Tables, parts and keys of kept turns. A turn's part follows from its id, so that any host finds
@@ -21,8 +18,6 @@
 
     // The store runs the transactions of a part one after another, 200 a second.
     private static final int PART_COUNT = 32;
-    // Keys of the store have at most 200 bytes, and the other parts of a key need some of them.
-    private static final int MAX_PLAIN_ID_LENGTH = 120;
     // Sorts before all other characters of a key, so that the rows of a turn follow each other.
     private static final char PIECE_SEPARATOR = ' ';
     private static final int DUE_SECONDS_DIGITS = 12;
@@ -35,12 +30,12 @@
 
     /** Returns the id of a row of a turn; piece 0 is the first one. */
     static RowId turnRow(String turnId, int piece) {
-        return new RowId(TURN_TABLE, part(turnId), pieceKey(key(turnId), piece));
+        return new RowId(TURN_TABLE, part(turnId), pieceKey(RowKeys.ofId(turnId), piece));
     }
 
     /** Returns the id of the row that states when a turn may be removed. */
     static RowId dueRow(String turnId, long dueSeconds) {
-        return new RowId(DUE_TABLE, part(turnId), formatSeconds(dueSeconds) + key(turnId));
+        return new RowId(DUE_TABLE, part(turnId), formatSeconds(dueSeconds) + RowKeys.ofId(turnId));
     }
 
     /** Returns whether a row of due times has the given time or an earlier one. */
@@ -65,22 +60,4 @@
     private static String formatSeconds(long seconds) {
         return String.format(Locale.ROOT, "%0" + DUE_SECONDS_DIGITS + "d", seconds);
     }
-
-    private static String key(String turnId) {
-        boolean plain =
-                turnId.length() <= MAX_PLAIN_ID_LENGTH
-                        && turnId.chars().allMatch(c -> c > PIECE_SEPARATOR && c < 127);
-        return plain ? turnId : "sha256:" + sha256(turnId);
-    }
-
-    private static String sha256(String text) {
-        try {
-            byte[] digest =
-                    MessageDigest.getInstance("SHA-256")
-                            .digest(text.getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(digest);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java runtime provides SHA-256", e);
-        }
-    }
 }
--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/stream/OriginWriter.java
@@ -0,0 +1,189 @@
+package org.oleandertrack.coordination.stream;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
+import org.oleandertrack.coordination.schedule.Scheduler;
+import org.oleandertrack.coordination.store.RowId;
+import org.oleandertrack.coordination.store.RowJson;
+import org.oleandertrack.coordination.store.RowStore;
+import org.oleandertrack.coordination.store.RowTransaction;
+import org.oleandertrack.coordination.store.StoreFailures;
+
+/**
+ * Writes origins to one part of the store, those that arrive during a transaction together in the
+ * next one, and removes expired ones of this host in the same transactions. Peers hold the origins
+ * that the store does not take in time. Thread-safe.
+ *
+ * <p>Writes have no condition: the origin of a request never changes, so that a write may be
+ * repeated, and one that takes effect late does no harm.
+ */
+final class OriginWriter {
+
+    // A transaction holds at most 100 entries.
+    private static final int MAX_WRITES = 50;
+    private static final int MAX_REMOVALS = 50;
+    private static final int MAX_WAITING = 1_000;
+    // The store answers in 10 to 20 ms.
+    private static final long PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /**
+     * An origin that is to be written.
+     *
+     * @param safe whether the store or some peers have it
+     */
+    private record Waiting(
+            RecordedOrigin recorded,
+            RowTransaction.Write write,
+            long endNanos,
+            AtomicBoolean safe) {}
+
+    /** A row that was written and is to be removed. */
+    private record Written(RowId row, long endNanos) {}
+
+    private final RowStore mStore;
+    private final StreamOriginPeers mPeers;
+    private final Scheduler mScheduler;
+    private final LongSupplier mNanoClock;
+    private final LongSupplier mEpochMillisClock;
+    private final StreamOriginListener mListener;
+    private final Deque<Waiting> mWaiting = new ArrayDeque<>();
+    private final Deque<Written> mWritten = new ArrayDeque<>();
+    private boolean mWriting;
+
+    OriginWriter(
+            RowStore store,
+            StreamOriginPeers peers,
+            Scheduler scheduler,
+            LongSupplier nanoClock,
+            LongSupplier epochMillisClock,
+            StreamOriginListener listener) {
+        mStore = store;
+        mPeers = peers;
+        mScheduler = scheduler;
+        mNanoClock = nanoClock;
+        mEpochMillisClock = epochMillisClock;
+        mListener = listener;
+    }
+
+    void add(RecordedOrigin recorded) {
+        long retentionMillis = recorded.retentionMillis();
+        OriginRows.Value value =
+                new OriginRows.Value(
+                        recorded.origin().service(),
+                        recorded.origin().softwareVersion(),
+                        mEpochMillisClock.getAsLong() + retentionMillis);
+        Waiting waiting =
+                new Waiting(
+                        recorded,
+                        new RowTransaction.Write(
+                                OriginRows.rowOf(recorded.requestId()), RowJson.encode(value)),
+                        mNanoClock.getAsLong() + TimeUnit.MILLISECONDS.toNanos(retentionMillis),
+                        new AtomicBoolean());
+        boolean dropped = false;
+        synchronized (this) {
+            if (mWaiting.size() >= MAX_WAITING) {
+                mWaiting.removeFirst();
+                dropped = true;
+            }
+            mWaiting.addLast(waiting);
+        }
+        if (dropped) {
+            mListener.onDropped(1);
+        }
+        mScheduler.schedule(
+                PATIENCE_NANOS, () -> holdAtPeers(List.of(waiting), "no answer in time"));
+        writeNext();
+    }
+
+    private void writeNext() {
+        List<Waiting> batch = new ArrayList<>();
+        List<RowId> removals = new ArrayList<>();
+        synchronized (this) {
+            long nowNanos = mNanoClock.getAsLong();
+            mWaiting.removeIf(waiting -> nowNanos - waiting.endNanos() >= 0);
+            if (mWriting || mWaiting.isEmpty()) {
+                return;
+            }
+            mWriting = true;
+            while (batch.size() < MAX_WRITES && !mWaiting.isEmpty()) {
+                batch.add(mWaiting.removeFirst());
+            }
+            while (removals.size() < MAX_REMOVALS
+                    && !mWritten.isEmpty()
+                    && nowNanos - mWritten.getFirst().endNanos() >= 0) {
+                removals.add(mWritten.removeFirst().row());
+            }
+        }
+        write(batch, removals);
+    }
+
+    private void write(List<Waiting> batch, List<RowId> removals) {
+        var _ =
+                mStore.apply(
+                                new RowTransaction(
+                                        List.of(),
+                                        batch.stream().map(Waiting::write).toList(),
+                                        removals))
+                        .whenComplete(
+                                (result, failure) -> {
+                                    if (failure == null) {
+                                        onStored(batch);
+                                        return;
+                                    }
+                                    holdAtPeers(
+                                            batch,
+                                            StoreFailures.asStoreException(failure).getMessage());
+                                    writeAgainLater(batch, removals);
+                                });
+    }
+
+    private void onStored(List<Waiting> batch) {
+        batch.forEach(waiting -> waiting.safe().set(true));
+        synchronized (this) {
+            mWriting = false;
+            batch.forEach(
+                    waiting ->
+                            mWritten.addLast(
+                                    new Written(waiting.write().id(), waiting.endNanos())));
+        }
+        writeNext();
+    }
+
+    private void holdAtPeers(List<Waiting> batch, String reason) {
+        List<RecordedOrigin> unsafe =
+                batch.stream()
+                        .filter(waiting -> waiting.safe().compareAndSet(false, true))
+                        .map(Waiting::recorded)
+                        .toList();
+        if (unsafe.isEmpty()) {
+            return;
+        }
+        mListener.onNotStored(unsafe.size(), reason);
+        mPeers.hold(unsafe);
+    }
+
+    private void writeAgainLater(List<Waiting> batch, List<RowId> removals) {
+        synchronized (this) {
+            for (int i = batch.size() - 1; i >= 0; i--) {
+                mWaiting.addFirst(batch.get(i));
+            }
+            for (int i = removals.size() - 1; i >= 0; i--) {
+                mWritten.addFirst(new Written(removals.get(i), mNanoClock.getAsLong()));
+            }
+        }
+        mScheduler.schedule(
+                RETRY_NANOS,
+                () -> {
+                    synchronized (this) {
+                        mWriting = false;
+                    }
+                    writeNext();
+                });
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/oleandertrack/coordination/stream/StreamOriginServiceTest.java
@@ -0,0 +1,196 @@
+package org.oleandertrack.coordination.stream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.oleandertrack.coordination.sim.VirtualTime;
+import org.oleandertrack.coordination.spending.FakeRowStore;
+import org.oleandertrack.coordination.store.RowId;
+import org.oleandertrack.coordination.store.RowTransaction;
+
+/** Guards against origins that are lost with a host, guessed, or never removed. */
+final class StreamOriginServiceTest {
+
+    private static final StreamOrigin ORIGIN = new StreamOrigin("engine", "v1");
+    private static final long RETENTION_MILLIS = 6_000;
+
+    private final VirtualTime mTime = new VirtualTime(1);
+    private final FakeRowStore mStore = new FakeRowStore();
+    private final List<Host> mHosts = new ArrayList<>();
+
+    /** A host whose peers are all the others. */
+    private final class Host implements StreamOriginPeers, StreamOriginListener {
+        private final StreamOriginService mService =
+                new StreamOriginService(
+                        mStore,
+                        this,
+                        mTime,
+                        mTime::nowNanos,
+                        () -> mTime.nowNanos() / VirtualTime.MILLI,
+                        mTime.random(),
+                        this);
+
+        @Override
+        public int peerCount() {
+            return mHosts.size() - 1;
+        }
+
+        @Override
+        public void hold(List<RecordedOrigin> origins) {
+            mHosts.stream()
+                    .filter(host -> host != this)
+                    .forEach(host -> origins.forEach(host.mService::holdForPeer));
+        }
+
+        @Override
+        public CompletableFuture<Optional<StreamOrigin>> find(String requestId) {
+            return CompletableFuture.completedFuture(
+                    mHosts.stream()
+                            .filter(host -> host != this)
+                            .map(host -> host.mService.findLocally(requestId))
+                            .flatMap(Optional::stream)
+                            .findFirst());
+        }
+
+        @Override
+        public void onNotStored(int origins, String reason) {}
+
+        @Override
+        public void onDropped(int origins) {}
+
+        @Override
+        public void onUnreadable(String requestId, String reason) {}
+
+        @Override
+        public void onRemovalFailed(String part, String reason) {}
+    }
+
+    @BeforeEach
+    void startHosts() {
+        restartAll();
+    }
+
+    private void restartAll() {
+        mHosts.clear();
+        for (int i = 0; i < 3; i++) {
+            mHosts.add(new Host());
+        }
+    }
+
+    private void record(int host, String requestId) {
+        mHosts.get(host).mService.record(new RecordedOrigin(requestId, ORIGIN, RETENTION_MILLIS));
+    }
+
+    private OriginLookup find(int host, String requestId) {
+        CompletableFuture<OriginLookup> result = mHosts.get(host).mService.find(requestId);
+        mTime.runFor(VirtualTime.SECOND);
+        assertTrue(result.isDone(), "the lookup has no end");
+        return result.join();
+    }
+
+    private void assertFound(OriginLookup.Source source, OriginLookup lookup) {
+        assertEquals(new OriginLookup.Found(ORIGIN, source), lookup);
+    }
+
+    @Test
+    void anOriginIsFoundAfterAllHostsWereKilled() {
+        record(0, "r1");
+        restartAll();
+        assertFound(OriginLookup.Source.STORE, find(1, "r1"));
+    }
+
+    @Test
+    void anOriginRecordedWhileTheStoreIsAwayIsFoundAfterItsHostWasKilled() {
+        mStore.setDown(true);
+        record(0, "r1");
+        mHosts.set(0, new Host());
+        assertFound(OriginLookup.Source.PEER, find(0, "r1"));
+        assertFound(OriginLookup.Source.LOCAL, find(1, "r1"));
+    }
+
+    @Test
+    void anOriginWhoseWriteIsNotAnsweredIsHeldByPeers() {
+        mStore.setNextFates(FakeRowStore.Fate.UNANSWERED_LATE);
+        record(0, "r1");
+        mTime.runFor(100 * VirtualTime.MILLI);
+        mHosts.set(0, new Host());
+        assertFound(OriginLookup.Source.PEER, find(0, "r1"));
+    }
+
+    @Test
+    void anOriginBehindAnUnansweredWriteIsHeldByPeers() {
+        mStore.setNextFates(FakeRowStore.Fate.UNANSWERED);
+        record(0, "r1");
+        for (int i = 2; i < 200; i++) {
+            record(0, "r" + i);
+        }
+        mTime.runFor(100 * VirtualTime.MILLI);
+        mHosts.set(0, new Host());
+        List<CompletableFuture<OriginLookup>> lookups = new ArrayList<>();
+        for (int i = 1; i < 200; i++) {
+            lookups.add(mHosts.get(0).mService.find("r" + i));
+        }
+        mTime.runFor(VirtualTime.SECOND);
+        lookups.forEach(lookup -> assertInstanceOf(OriginLookup.Found.class, lookup.getNow(null)));
+    }
+
+    @Test
+    void anOriginThatTheStoreRefusedOnceIsStoredLater() {
+        mStore.setNextFates(FakeRowStore.Fate.REFUSED);
+        record(0, "r1");
+        mTime.runFor(VirtualTime.SECOND);
+        restartAll();
+        assertFound(OriginLookup.Source.STORE, find(0, "r1"));
+    }
+
+    @Test
+    void anUnknownOriginIsNotGuessed() {
+        record(0, "r1");
+        assertInstanceOf(OriginLookup.NotFound.class, find(1, "r2"));
+        mStore.setDown(true);
+        assertInstanceOf(OriginLookup.Unavailable.class, find(1, "r2"));
+    }
+
+    @Test
+    void anUnreadableRowIsNoOrigin() {
+        RowId row = OriginRows.rowOf("r1");
+        mStore.apply(RowTransaction.replace(row, 0, "{\"service\":\"engine\"}")).join();
+        assertInstanceOf(OriginLookup.NotFound.class, find(1, "r1"));
+    }
+
+    @Test
+    void rowsOfStreamsThatHaveEndedAreRemovedWithLaterWrites() {
+        for (int i = 0; i < 300; i++) {
+            record(0, "old" + i);
+        }
+        mTime.runFor(2 * RETENTION_MILLIS * VirtualTime.MILLI);
+        for (int i = 0; i < 300; i++) {
+            record(0, "new" + i);
+        }
+        long old =
+                mStore.rows(OriginRows.TABLE).stream()
+                        .filter(row -> row.id().key().startsWith("old"))
+                        .count();
+        assertEquals(0, old);
+    }
+
+    @Test
+    void rowsOfHostsThatAreGoneAreRemovedByOthers() {
+        for (int i = 0; i < 300; i++) {
+            record(0, "old" + i);
+        }
+        restartAll();
+        for (int i = 0; i < 4_000; i++) {
+            mTime.runFor(VirtualTime.SECOND / 4);
+            mHosts.forEach(host -> host.mService.runMaintenance());
+        }
+        assertEquals(List.of(), mStore.rows(OriginRows.TABLE));
+    }
+}
--- a/core/src/main/java/org/oleandertrack/core/discovery/TargetRecord.java
+++ b/core/src/main/java/org/oleandertrack/core/discovery/TargetRecord.java
@@ -36,6 +36,7 @@
         return host.equals(other.host)
                 && port == other.port
                 && service.equals(other.service)
+                && softwareVersion.equals(other.softwareVersion)
                 && startedAtMillis.equals(other.startedAtMillis);
     }
 }
--- a/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
+++ b/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
@@ -266,6 +266,18 @@
             RetryAdvice.NEVER,
             Execution.NOT_RUN,
             "Earlier requests with the same content crashed the targets that ran them."),
+    STREAM_VERSION_GONE(
+            4011,
+            503,
+            RetryAdvice.CALLER_DECIDES,
+            Execution.NOT_RUN,
+            "No target has the software version that began the stream; begin a new one."),
+    STREAM_ORIGIN_UNKNOWN(
+            4012,
+            503,
+            RetryAdvice.CALLER_DECIDES,
+            Execution.NOT_RUN,
+            "It is not known which software version began the stream; begin a new one."),
     // Ownership and platform.
     NOT_SHARD_HOLDER(
             5001,
--- a/core/src/test/java/org/oleandertrack/core/discovery/TargetDirectoryTest.java
+++ b/core/src/test/java/org/oleandertrack/core/discovery/TargetDirectoryTest.java
@@ -36,8 +36,21 @@
                     0);
 
     private static TargetRecord record(String id, boolean draining, long startedAt) {
+        return record(id, "v1", draining, startedAt);
+    }
+
+    private static TargetRecord record(
+            String id, String softwareVersion, boolean draining, long startedAt) {
         return new TargetRecord(
-                id, "s", "10.0.0.1", 80, "z", "v1", draining, 4, OptionalLong.of(startedAt));
+                id,
+                "s",
+                "10.0.0.1",
+                80,
+                "z",
+                softwareVersion,
+                draining,
+                4,
+                OptionalLong.of(startedAt));
     }
 
     @Test
@@ -61,6 +74,13 @@
         assertEquals(List.of("added a", "removed a restarted", "added a"), mEvents);
     }
 
+    @Test
+    void anEntryThatChangesItsSoftwareVersionIsANewIncarnation() {
+        mDirectory.put(record("a", "v1", false, 1));
+        mDirectory.put(record("a", "v2", false, 1));
+        assertEquals(List.of("added a", "removed a restarted", "added a"), mEvents);
+    }
+
     @Test
     void anEntryThatIsRemovedWhileTheStoreIsStableIsGoneAtOnce() {
         mDirectory.put(record("a", false, 1));
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -251,7 +251,7 @@
             if (mFirstEventNanos.isEmpty()) {
                 mFirstEventNanos = OptionalLong.of(System.nanoTime());
             }
-            mCall.recordEvent(event.get());
+            mCall.recordEvent(event.get(), mHandle);
             mCall.writer().write(event.get().bytes());
             event = mSplitter.next();
         }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.TimeUnit;
 import org.oleandertrack.coordination.conversation.KeepOutcome;
 import org.oleandertrack.coordination.conversation.TurnLookup;
-import org.oleandertrack.coordination.spending.SpendingResult;
 import org.oleandertrack.core.rate.PermitPatience;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
@@ -23,6 +22,7 @@
 import org.oleandertrack.core.traffic.TrafficConfig;
 import org.oleandertrack.core.turn.TurnRequest;
 import org.oleandertrack.gateway.targets.PlacedTarget;
+import org.oleandertrack.gateway.targets.TargetFilter;
 import org.oleandertrack.gateway.targets.TargetHandle;
 import org.oleandertrack.http.InboundRequest;
 import org.oleandertrack.http.OutboundFailure;
@@ -53,16 +53,16 @@
     private final ResponseWriter mWriter;
     private final String mService;
     private final Optional<TurnRequest> mTurn;
-    private final int mTokensPerEvent;
+    private final CallBudget mBudget;
     private final Optional<CallHistory> mHistory;
     private final CallLog mLog;
     private final TargetSelection mSelection;
     private final CrashGuard mCrashGuard;
+    private final StreamContinuation mContinuation;
     private final Set<String> mExcludedTargetIds = new HashSet<>();
     private final Set<String> mMayHaveRunTargetIds = new HashSet<>();
     private ScheduledFuture<?> mTimeoutTimer;
     private Optional<Attempt> mCurrentAttempt = Optional.empty();
-    private Optional<SpendingResult.Reserved> mReservation = Optional.empty();
     private int mSendCount;
     private int mRefusalCount;
     private boolean mEnded;
@@ -92,7 +92,12 @@
         mTurn =
                 engine.flatMap(spec -> metadata.turn())
                         .map(turn -> turn.toTurnRequest(metadata.program()));
-        mTokensPerEvent = engine.map(EngineSpec::tokensPerEvent).orElse(1);
+        mBudget =
+                new CallBudget(
+                        context.spending(),
+                        metadata,
+                        engine.map(EngineSpec::tokensPerEvent).orElse(1),
+                        writer.eventLoop());
         mLog = new CallLog(context.log(), context.metrics(), route, metadata);
         mHistory =
                 route.keepsHistory() && !metadata.requestId().isEmpty()
@@ -109,6 +114,9 @@
         mCrashGuard =
                 new CrashGuard(
                         context, request, metadata.previousTurnId(), writer.eventLoop(), mLog);
+        mContinuation =
+                new StreamContinuation(
+                        context, route, metadata, mService, writer.eventLoop(), mLog);
         mSelection =
                 new TargetSelection(
                         context,
@@ -132,11 +140,7 @@
             fail(CallFailures.quarantined());
             return;
         }
-        if (mHistory.isEmpty()) {
-            reserveOrDispatch();
-            return;
-        }
-        mHistory.get().find(this::onHistory);
+        mContinuation.begin(this::onContinuation);
     }
 
     @Override
@@ -179,8 +183,25 @@
         return mMetadata.requestId();
     }
 
+    // Stream
+
+    private void onContinuation(Optional<ResultException> refusal) {
+        if (mEnded) {
+            return;
+        }
+        refusal.ifPresentOrElse(this::fail, this::findHistory);
+    }
+
     // History
 
+    private void findHistory() {
+        if (mHistory.isEmpty()) {
+            reserveOrDispatch();
+            return;
+        }
+        mHistory.get().find(this::onHistory);
+    }
+
     private void onHistory(TurnLookup lookup) {
         if (mEnded) {
             return;
@@ -197,8 +218,9 @@
         }
     }
 
-    /** Records an event that is forwarded to the caller. */
-    void recordEvent(EventSplitter.Event event) {
+    /** Records an event of a target that is forwarded to the caller. */
+    void recordEvent(EventSplitter.Event event, TargetHandle handle) {
+        mContinuation.recordEvent(handle, remainingMillis());
         mProgress.recordEvent(event.id(), System.nanoTime());
         mHistory.ifPresent(history -> history.recordEvent(event));
     }
@@ -220,53 +242,21 @@
     // Budget
 
     private void reserveOrDispatch() {
-        Optional<TurnMetadata> turn =
-                mMetadata.turn().filter(metadata -> metadata.budgetTokens().isPresent());
-        if (turn.isEmpty() || mMetadata.program().isEmpty()) {
-            dispatch(Optional.empty());
-            return;
-        }
-        ProgramMetadata program = mMetadata.program().get();
-        new TokenReservation(
-                        mContext.spending(),
-                        mWriter.eventLoop(),
-                        program.programId(),
-                        turn.get().budgetTokens().getAsLong(),
-                        turn.get().maxTokens(),
-                        result -> onReservation(program, result))
-                .start(
-                        () ->
-                                logEvent(
-                                        "reservation late",
-                                        null,
-                                        "the store has not answered in time"));
-    }
-
-    private void onReservation(ProgramMetadata program, SpendingResult result) {
-        if (mEnded) {
-            if (result instanceof SpendingResult.Reserved reserved) {
-                mContext.spending().settle(program.programId(), reserved, 0);
-            }
-            return;
-        }
-        switch (result) {
-            case SpendingResult.Reserved reserved -> {
-                mReservation = Optional.of(reserved);
-                dispatch(Optional.empty());
-            }
-            case SpendingResult.Exhausted exhausted ->
-                    fail(
-                            CallFailures.budgetExhausted(
-                                    exhausted, mMetadata.turn().get().budgetTokens().getAsLong()));
-            case SpendingResult.Unavailable unavailable ->
-                    fail(CallFailures.storeUnavailable(unavailable.reason()));
-        }
+        mBudget.reserve(
+                () -> logEvent("reservation late", null, "the store has not answered in time"),
+                refusal -> refusal.ifPresentOrElse(this::fail, () -> dispatch(Optional.empty())));
     }
 
     // Dispatch
 
     /** Sends the request to the given target again, or to a target that placement chooses. */
     private void dispatch(Optional<TargetHandle> target) {
+        Optional<TargetHandle> required = target.filter(mContinuation::mayReturnTo);
+        Optional<TargetFilter> filter = mContinuation.targetsExcept(mExcludedTargetIds);
+        if (filter.isEmpty()) {
+            failWithoutTarget();
+            return;
+        }
         long maxPermitWaitMillis =
                 mMayHaveRun
                         ? PermitPatience.maxWaitMillisOfStarted(remainingMillis())
@@ -275,11 +265,11 @@
                                 mRoute.priority(),
                                 remainingMillis());
         mSelection.select(
-                target,
-                mExcludedTargetIds,
+                required,
+                filter.get(),
                 maxPermitWaitMillis,
                 !mMayHaveRun && !mProgress.isStarted(),
-                result -> onSelection(result, target.isPresent()));
+                result -> onSelection(result, required.isPresent()));
     }
 
     private void onSelection(TargetSelection.Result result, boolean sameTarget) {
@@ -332,10 +322,14 @@
             return;
         }
         fail(
-                CallFailures.noTarget(
-                        mService,
-                        mContext.targets().targetCount(mService),
-                        mExcludedTargetIds.size()));
+                mContinuation
+                        .refusal()
+                        .orElseGet(
+                                () ->
+                                        CallFailures.noTarget(
+                                                mService,
+                                                mContext.targets().targetCount(mService),
+                                                mExcludedTargetIds.size())));
     }
 
     private void failWithoutPermit(long waitMillis) {
@@ -544,13 +538,7 @@
         mEnded = true;
         mTimeoutTimer.cancel(false);
         mCurrentAttempt = Optional.empty();
-        mReservation.ifPresent(
-                reserved ->
-                        mContext.spending()
-                                .settle(
-                                        mMetadata.program().orElseThrow().programId(),
-                                        reserved,
-                                        mProgress.eventCount() * mTokensPerEvent));
+        mBudget.settle(mProgress.eventCount());
         long durationNanos = System.nanoTime() - mRequest.firstByteNanos();
         mContext.metrics().recordEnd(mRoute.kind(), result, durationNanos);
         mLog.answered(
@@ -563,7 +551,7 @@
                         mRefusalCount,
                         mProgress,
                         mRequest.firstByteNanos(),
-                        mReservation));
+                        mBudget.reservation()));
     }
 
     // Helpers
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
@@ -3,6 +3,7 @@
 import org.oleandertrack.coordination.conversation.ConversationService;
 import org.oleandertrack.coordination.quarantine.QuarantineService;
 import org.oleandertrack.coordination.spending.SpendingService;
+import org.oleandertrack.coordination.stream.StreamOriginService;
 import org.oleandertrack.core.quarantine.AnsweredPaths;
 import org.oleandertrack.gateway.targets.PermitIssuer;
 import org.oleandertrack.gateway.targets.TargetRegistry;
@@ -18,6 +19,7 @@
  * @param spending reserves tokens of the programs' budgets
  * @param quarantine knows the requests that crash targets
  * @param answeredPaths paths whose requests targets have answered
+ * @param streamOrigins knows which software version began a stream
  * @param conversations keeps and finds the turns of routes that keep history
  * @param log receives one line for each decision
  * @param metrics counts calls and decisions
@@ -30,6 +32,7 @@
         SpendingService spending,
         QuarantineService quarantine,
         AnsweredPaths answeredPaths,
+        StreamOriginService streamOrigins,
         ConversationService conversations,
         EventLog log,
         CallMetrics metrics) {}
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallFailures.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallFailures.java
@@ -11,6 +11,8 @@
     // Full queues become clearly shorter in this time.
     private static final long RETRY_AFTER_MILLIS = 150;
     private static final long STORE_RETRY_AFTER_MILLIS = 500;
+    // Nothing changes for the stream, so the caller may begin a new one at once.
+    private static final long NEW_STREAM_RETRY_AFTER_MILLIS = 10;
     // Largest Retry-After relative to the remaining time, so that another try can still succeed.
     private static final long RETRY_REMAINING_DIVISOR = 3;
 
@@ -75,6 +77,22 @@
                 0);
     }
 
+    static ResultException versionGone(String service, String softwareVersion) {
+        return new ResultException(
+                ResultCode.STREAM_VERSION_GONE,
+                Execution.NOT_RUN,
+                "no target of " + service + " has the version " + softwareVersion,
+                NEW_STREAM_RETRY_AFTER_MILLIS);
+    }
+
+    static ResultException originUnknown(String reason) {
+        return new ResultException(
+                ResultCode.STREAM_ORIGIN_UNKNOWN,
+                Execution.NOT_RUN,
+                reason,
+                NEW_STREAM_RETRY_AFTER_MILLIS);
+    }
+
     static ResultException overloaded() {
         return new ResultException(
                 ResultCode.OVERLOADED,
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
@@ -7,6 +7,7 @@
 import org.oleandertrack.coordination.conversation.KeepOutcome;
 import org.oleandertrack.coordination.conversation.TurnLookup;
 import org.oleandertrack.coordination.spending.SpendingResult;
+import org.oleandertrack.coordination.stream.OriginLookup;
 import org.oleandertrack.core.traffic.RequestKind;
 import org.oleandertrack.core.traffic.Route;
 import org.oleandertrack.core.turn.PlacementChoice;
@@ -169,6 +170,28 @@
         line.write();
     }
 
+    void streamOrigin(String firstRequestId, OriginLookup lookup, long durationNanos) {
+        String source =
+                switch (lookup) {
+                    case OriginLookup.Found found -> found.source().name().toLowerCase(Locale.ROOT);
+                    case OriginLookup.NotFound notFound -> "not found";
+                    case OriginLookup.Unavailable unavailable -> "unavailable";
+                };
+        mMetrics.recordDecision("stream origin", source);
+        var line =
+                mLog.info("stream origin")
+                        .text("request", mMetadata.requestId())
+                        .text("continues", firstRequestId)
+                        .text("source", source)
+                        .number("durationMs", TimeUnit.NANOSECONDS.toMillis(durationNanos));
+        switch (lookup) {
+            case OriginLookup.Found found -> line.text("version", found.origin().softwareVersion());
+            case OriginLookup.NotFound notFound -> line.text("reason", "no row and no peer has it");
+            case OriginLookup.Unavailable unavailable -> line.text("reason", unavailable.reason());
+        }
+        line.write();
+    }
+
     void turnKept(KeepOutcome outcome, long durationNanos) {
         String result = outcome.name().toLowerCase(Locale.ROOT);
         mMetrics.recordKept(result, durationNanos);
--- /dev/null
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StreamContinuation.java
@@ -0,0 +1,170 @@
+package org.oleandertrack.gateway.call;
+
+import io.netty.channel.EventLoop;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.oleandertrack.coordination.stream.OriginLookup;
+import org.oleandertrack.coordination.stream.RecordedOrigin;
+import org.oleandertrack.coordination.stream.StreamOrigin;
+import org.oleandertrack.coordination.stream.StreamOriginService;
+import org.oleandertrack.core.result.ResultException;
+import org.oleandertrack.core.traffic.RequestKind;
+import org.oleandertrack.core.traffic.Route;
+import org.oleandertrack.gateway.targets.TargetFilter;
+import org.oleandertrack.gateway.targets.TargetHandle;
+import org.oleandertrack.gateway.targets.TargetRegistry;
+
+/**
+ * Keeps a call's stream at the software version that began it, because the events of two versions
+ * do not fit together. Has no effect on calls of other routes. Confined to the call's event loop.
+ */
+final class StreamContinuation {
+
+    // Added to the caller's remaining time, so that its last try still finds the origin.
+    private static final long RETENTION_MARGIN_MILLIS = 2_000;
+
+    private final StreamOriginService mOrigins;
+    private final TargetRegistry mTargets;
+    private final boolean mIsStream;
+    private final boolean mMayBeTakenUp;
+    private final CallMetadata mMetadata;
+    private final String mService;
+    private final EventLoop mLoop;
+    private final CallLog mLog;
+    private boolean mBegun;
+    // Empty if the stream has not begun, or if it is not certain what began it.
+    private Optional<StreamOrigin> mOrigin = Optional.empty();
+
+    StreamContinuation(
+            CallContext context,
+            Route route,
+            CallMetadata metadata,
+            String service,
+            EventLoop loop,
+            CallLog log) {
+        mOrigins = context.streamOrigins();
+        mTargets = context.targets();
+        mIsStream = route.kind() == RequestKind.STREAMING;
+        mMayBeTakenUp = route.isRepeatable() && !metadata.requestId().isEmpty();
+        mMetadata = metadata;
+        mService = service;
+        mLoop = loop;
+        mLog = log;
+    }
+
+    // Accessors
+
+    /** Returns the targets to which the request may be sent; empty if there can be none. */
+    Optional<TargetFilter> targetsExcept(Set<String> excludedIds) {
+        if (mBegun && mOrigin.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new TargetFilter(excludedIds, mOrigin.map(StreamOrigin::softwareVersion)));
+    }
+
+    /** Returns whether a target may get the request again. */
+    boolean mayReturnTo(TargetHandle handle) {
+        return !mBegun || !mTargets.isReplaced(handle);
+    }
+
+    /** Returns why a stream that has not run in this call cannot be continued, if that is so. */
+    Optional<ResultException> refusal() {
+        return mOrigin.filter(origin -> !mTargets.hasVersion(mService, origin.softwareVersion()))
+                .map(origin -> CallFailures.versionGone(mService, origin.softwareVersion()));
+    }
+
+    // Operations
+
+    /**
+     * Finds out which version may continue a stream that the caller takes up.
+     *
+     * @param onResult receives the reason if the stream cannot be continued; called on the event
+     *     loop, possibly before this method returns
+     */
+    void begin(Consumer<Optional<ResultException>> onResult) {
+        if (!mIsStream || mMetadata.takeUp().isEmpty()) {
+            onResult.accept(Optional.empty());
+            return;
+        }
+        mBegun = true;
+        Optional<String> firstRequestId = mMetadata.takeUp().get().firstRequestId();
+        if (firstRequestId.isEmpty()) {
+            onResult.accept(
+                    Optional.of(
+                            CallFailures.originUnknown(
+                                    "the request does not name the one that began the stream")));
+            return;
+        }
+        long startNanos = System.nanoTime();
+        var _ =
+                mOrigins.find(firstRequestId.get())
+                        .thenAccept(
+                                lookup ->
+                                        runOnLoop(
+                                                () -> {
+                                                    mLog.streamOrigin(
+                                                            firstRequestId.get(),
+                                                            lookup,
+                                                            System.nanoTime() - startNanos);
+                                                    onResult.accept(onLookup(lookup));
+                                                }));
+    }
+
+    /**
+     * Records an event before it is forwarded to the caller.
+     *
+     * @param remainingMillis time that the caller still waits, in milliseconds
+     */
+    void recordEvent(TargetHandle handle, long remainingMillis) {
+        if (mBegun) {
+            return;
+        }
+        mBegun = true;
+        if (mTargets.isReplaced(handle)) {
+            return;
+        }
+        StreamOrigin origin = new StreamOrigin(mService, handle.record().softwareVersion());
+        mOrigin = Optional.of(origin);
+        if (mMayBeTakenUp) {
+            mOrigins.record(
+                    new RecordedOrigin(
+                            mMetadata.requestId(),
+                            origin,
+                            Math.max(0, remainingMillis) + RETENTION_MARGIN_MILLIS));
+        }
+    }
+
+    // Helpers
+
+    private Optional<ResultException> onLookup(OriginLookup lookup) {
+        return switch (lookup) {
+            case OriginLookup.Found found -> {
+                if (!found.origin().service().equals(mService)) {
+                    yield Optional.of(
+                            CallFailures.versionGone(
+                                    mService,
+                                    found.origin().softwareVersion()
+                                            + " of "
+                                            + found.origin().service()));
+                }
+                mOrigin = Optional.of(found.origin());
+                yield refusal();
+            }
+            case OriginLookup.NotFound notFound ->
+                    Optional.of(CallFailures.originUnknown("neither the store nor a peer has it"));
+            case OriginLookup.Unavailable unavailable ->
+                    Optional.of(CallFailures.originUnknown(unavailable.reason()));
+        };
+    }
+
+    // Runs at once on the event loop, so that an origin in this host's memory costs no time.
+    private void runOnLoop(Runnable task) {
+        if (mLoop.inEventLoop()) {
+            task.run();
+            return;
+        }
+        mLoop.execute(task);
+    }
+}
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/TargetSelection.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/TargetSelection.java
@@ -14,6 +14,7 @@
 import org.oleandertrack.core.turn.TurnRequest;
 import org.oleandertrack.gateway.targets.PermitIssuer;
 import org.oleandertrack.gateway.targets.PlacedTarget;
+import org.oleandertrack.gateway.targets.TargetFilter;
 import org.oleandertrack.gateway.targets.TargetHandle;
 import org.oleandertrack.gateway.targets.TargetRegistry;
 
@@ -86,6 +87,7 @@
     /**
      * Selects the given target, or else one that placement chooses.
      *
+     * @param filter targets among which placement chooses
      * @param maxWaitMillis longest acceptable wait for a permit, in milliseconds
      * @param mayRefuse whether the call has not run yet and may be refused
      * @param onResult called on the event loop, unless the call is abandoned before; called before
@@ -93,17 +95,17 @@
      */
     void select(
             Optional<TargetHandle> target,
-            Set<String> excludedIds,
+            TargetFilter filter,
             long maxWaitMillis,
             boolean mayRefuse,
             Consumer<Result> onResult) {
-        new Search(target, excludedIds, maxWaitMillis, mayRefuse, onResult).tryNext();
+        new Search(target, filter, maxWaitMillis, mayRefuse, onResult).tryNext();
     }
 
     /** The search for the target of one send. */
     private final class Search {
         private final Optional<TargetHandle> mRequired;
-        private final Set<String> mExcludedIds;
+        private final TargetFilter mFilter;
         private final long mMaxWaitMillis;
         private final boolean mMayRefuse;
         private final Consumer<Result> mOnResult;
@@ -113,12 +115,12 @@
 
         private Search(
                 Optional<TargetHandle> required,
-                Set<String> excludedIds,
+                TargetFilter filter,
                 long maxWaitMillis,
                 boolean mayRefuse,
                 Consumer<Result> onResult) {
             mRequired = required;
-            mExcludedIds = excludedIds;
+            mFilter = filter;
             mMaxWaitMillis = maxWaitMillis;
             mMayRefuse = mayRefuse;
             mOnResult = onResult;
@@ -229,12 +231,11 @@
         }
 
         private Optional<PlacedTarget> place() {
-            Set<String> excludedIds = new HashSet<>(mExcludedIds);
-            excludedIds.addAll(mDeniedIds);
+            TargetFilter filter = mFilter.withExcluded(mDeniedIds);
             long nowNanos = System.nanoTime();
             return mTurn.isPresent()
-                    ? mTargets.placeTurn(mService, mTurn.get(), excludedIds, nowNanos)
-                    : mTargets.placeCall(mService, excludedIds, mRepeatable, nowNanos);
+                    ? mTargets.placeTurn(mService, mTurn.get(), filter, nowNanos)
+                    : mTargets.placeCall(mService, filter, mRepeatable, nowNanos);
         }
 
         // Runs at once on the event loop, so that a permit of this host itself costs no time.
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -27,6 +27,7 @@
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.RowTransaction;
 import org.oleandertrack.coordination.store.WriteIds;
+import org.oleandertrack.coordination.stream.StreamOriginService;
 import org.oleandertrack.core.discovery.TargetDirectory;
 import org.oleandertrack.core.quarantine.AnsweredPaths;
 import org.oleandertrack.core.rate.TargetPacers;
@@ -48,6 +49,7 @@
 import org.oleandertrack.gateway.peer.PeerDirectory;
 import org.oleandertrack.gateway.peer.PeerHandler;
 import org.oleandertrack.gateway.peer.PeerPermitIssuer;
+import org.oleandertrack.gateway.peer.PeerStreamOrigins;
 import org.oleandertrack.gateway.targets.TargetRegistry;
 import org.oleandertrack.http.HttpResponses;
 import org.oleandertrack.http.HttpServer;
@@ -85,6 +87,7 @@
     private final TableFollower mQuarantineFollower;
     private final Gauge mQuarantinedRequests;
     private final SpendingService mSpending;
+    private final StreamOriginService mStreamOrigins;
     private final ConversationService mConversations;
     private final Gauge mHeldTurns;
     private final CallHandler mCallHandler;
@@ -146,6 +149,7 @@
                         new QuarantineLog(log));
         mQuarantinedRequests = metrics.gauge(Metric.QUARANTINED_REQUESTS);
         mSpending = makeSpending(random);
+        mStreamOrigins = makeStreamOrigins(random);
         mConversations = makeConversations(random);
         mHeldTurns = metrics.gauge(Metric.TURNS_HELD);
         GatewayResponses gatewayResponses = new GatewayResponses(headerCodec);
@@ -159,6 +163,7 @@
                                 mSpending,
                                 mQuarantine,
                                 new AnsweredPaths(ANSWERED_PATHS),
+                                mStreamOrigins,
                                 mConversations,
                                 log,
                                 new CallMetrics(metrics)));
@@ -288,7 +293,8 @@
                         mOwnAllowances,
                         mConversations,
                         mOwnPacers,
-                        mQuarantine),
+                        mQuarantine,
+                        mStreamOrigins),
                 HttpResponses::empty);
     }
 
@@ -300,6 +306,17 @@
                 System::nanoTime);
     }
 
+    private StreamOriginService makeStreamOrigins(Random random) {
+        return new StreamOriginService(
+                mStore,
+                new PeerStreamOrigins(mPeers, mLog),
+                mScheduler,
+                System::nanoTime,
+                System::currentTimeMillis,
+                random,
+                new StreamOriginLog(mLog));
+    }
+
     private ConversationService makeConversations(Random random) {
         return new ConversationService(
                 mStore,
@@ -347,6 +364,7 @@
         mPermits.dropIdle(System.nanoTime());
         mQuarantine.runMaintenance();
         mQuarantinedRequests.set(mQuarantine.quarantinedCount());
+        mStreamOrigins.runMaintenance();
         mConversations.runMaintenance();
         mHeldTurns.set(mConversations.heldCount());
         mScheduler.schedule(MAINTENANCE_INTERVAL_NANOS, this::runMaintenance);
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
@@ -14,6 +14,7 @@
 import org.oleandertrack.coordination.store.RowTransaction;
 import org.oleandertrack.coordination.store.StoreException;
 import org.oleandertrack.coordination.store.TransactionResult;
+import org.oleandertrack.coordination.stream.StreamOrigin;
 import org.oleandertrack.core.rate.PermitResult;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.http.HttpCallException;
@@ -155,6 +156,24 @@
                 .thenApply(PeerMessages.CrashesReported::known);
     }
 
+    CompletableFuture<Integer> holdOrigins(PeerMessages.HoldOrigins message) {
+        return call(
+                        PeerMessages.HOLD_ORIGINS_PATH,
+                        message,
+                        PeerMessages.OriginsHeld.class,
+                        CALL_TIMEOUT_MILLIS)
+                .thenApply(PeerMessages.OriginsHeld::count);
+    }
+
+    CompletableFuture<Optional<StreamOrigin>> findOrigin(PeerMessages.FindOrigin message) {
+        return call(
+                        PeerMessages.FIND_ORIGIN_PATH,
+                        message,
+                        PeerMessages.FoundOrigin.class,
+                        CALL_TIMEOUT_MILLIS)
+                .thenApply(found -> Optional.ofNullable(found.origin()));
+    }
+
     /** Takes a permit for a request to a target that the peer paces. */
     CompletableFuture<PermitResult> takePermit(PeerMessages.TakePermit message) {
         byte[] body = RowJson.encode(message).getBytes(StandardCharsets.UTF_8);
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
@@ -15,6 +15,7 @@
 import org.oleandertrack.coordination.store.RowTransaction;
 import org.oleandertrack.coordination.store.StoreException;
 import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.coordination.stream.StreamOriginService;
 import org.oleandertrack.core.rate.TargetPacers;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.http.HttpResponses;
@@ -37,6 +38,7 @@
     private final ConversationService mConversations;
     private final TargetPacers mOwnPacers;
     private final QuarantineService mQuarantine;
+    private final StreamOriginService mStreamOrigins;
 
     /**
      * Creates a handler.
@@ -52,13 +54,15 @@
             OutageAllowances ownAllowances,
             ConversationService conversations,
             TargetPacers ownPacers,
-            QuarantineService quarantine) {
+            QuarantineService quarantine,
+            StreamOriginService streamOrigins) {
         mDirectStore = directStore;
         mDirectStoreFails = directStoreFails;
         mOwnAllowances = ownAllowances;
         mConversations = conversations;
         mOwnPacers = ownPacers;
         mQuarantine = quarantine;
+        mStreamOrigins = streamOrigins;
     }
 
     @Override
@@ -127,6 +131,20 @@
                                 found.orElse(Conversation.EMPTY).toCharacters(),
                                 mConversations.remembersSince(find.retentionMillis())));
             }
+            case PeerMessages.HOLD_ORIGINS_PATH -> {
+                PeerMessages.HoldOrigins hold =
+                        RowJson.decode(path, body, PeerMessages.HoldOrigins.class);
+                hold.origins().forEach(mStreamOrigins::holdForPeer);
+                yield CompletableFuture.completedFuture(
+                        new PeerMessages.OriginsHeld(hold.origins().size()));
+            }
+            case PeerMessages.FIND_ORIGIN_PATH -> {
+                PeerMessages.FindOrigin find =
+                        RowJson.decode(path, body, PeerMessages.FindOrigin.class);
+                yield CompletableFuture.completedFuture(
+                        new PeerMessages.FoundOrigin(
+                                mStreamOrigins.findLocally(find.requestId()).orElse(null)));
+            }
             default -> callStore(path, body);
         };
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
@@ -9,6 +9,8 @@
 import org.oleandertrack.coordination.store.RowId;
 import org.oleandertrack.coordination.store.StoredRow;
 import org.oleandertrack.coordination.store.TransactionResult;
+import org.oleandertrack.coordination.stream.RecordedOrigin;
+import org.oleandertrack.coordination.stream.StreamOrigin;
 import org.oleandertrack.core.rate.PermitRequest;
 import org.oleandertrack.core.rate.PermitResult;
 
@@ -29,8 +31,37 @@
 
     static final String REPORT_CRASHES_PATH = "/peer/crash-report";
 
+    static final String HOLD_ORIGINS_PATH = "/peer/origins-hold";
+    static final String FIND_ORIGIN_PATH = "/peer/origin-find";
+
     private PeerMessages() {}
 
+    /** Request to hold the origins of streams, because the store does not take them. */
+    record HoldOrigins(List<RecordedOrigin> origins) {
+
+        HoldOrigins {
+            origins = List.copyOf(origins);
+        }
+    }
+
+    /** Response to a {@link HoldOrigins}. */
+    record OriginsHeld(int count) {}
+
+    /** Request for the origin of a stream that a peer has in memory. */
+    record FindOrigin(String requestId) {
+
+        FindOrigin {
+            Objects.requireNonNull(requestId, "requestId is missing");
+        }
+    }
+
+    /**
+     * Response to a {@link FindOrigin}.
+     *
+     * @param origin the origin; null if the peer does not have it
+     */
+    record FoundOrigin(StreamOrigin origin) {}
+
     /** Report of targets that crashed when they began to run a request. */
     record ReportCrashes(String requestKey, List<String> targetIds) {
 
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.oleandertrack.core.discovery.TargetRecord;
 import org.oleandertrack.core.health.HealthConfig;
 import org.oleandertrack.core.health.HealthTracker;
@@ -110,13 +111,24 @@
         return mHandles.size();
     }
 
+    synchronized boolean hasVersion(String softwareVersion) {
+        return mHandles.values().stream()
+                .anyMatch(handle -> handle.record().softwareVersion().equals(softwareVersion));
+    }
+
+    /** Returns whether another incarnation has taken the place of a target. */
+    synchronized boolean isReplaced(TargetHandle handle) {
+        TargetHandle current = mHandles.get(handle.id());
+        return current != null && !current.equals(handle);
+    }
+
     synchronized List<TargetRecord> records() {
         return mHandles.values().stream().map(TargetHandle::record).toList();
     }
 
     synchronized Optional<PlacedTarget> placeTurn(
-            TurnPlacement placement, TurnRequest turn, Set<String> excluded, long nowNanos) {
-        return placement.choose(mStates, turn, excluded, nowNanos).map(this::recordSend);
+            TurnPlacement placement, TurnRequest turn, TargetFilter filter, long nowNanos) {
+        return placement.choose(mStates, turn, rejectedIds(filter), nowNanos).map(this::recordSend);
     }
 
     synchronized void recordPrefill(TargetHandle handle, TurnRequest turn) {
@@ -129,7 +141,8 @@
     }
 
     synchronized Optional<PlacedTarget> placeCall(
-            CallPlacement placement, Set<String> excluded, boolean repeatable, long nowNanos) {
+            CallPlacement placement, TargetFilter filter, boolean repeatable, long nowNanos) {
+        Set<String> excluded = rejectedIds(filter);
         Optional<PlacementChoice> choice =
                 repeatable
                         ? Optional.empty()
@@ -267,6 +280,13 @@
                 : mHealth.assess(id, nowNanos);
     }
 
+    private Set<String> rejectedIds(TargetFilter filter) {
+        return mHandles.values().stream()
+                .filter(handle -> !filter.accepts(handle.record()))
+                .map(TargetHandle::id)
+                .collect(Collectors.toSet());
+    }
+
     // Adds the failing targets to the excluded ones: only requests that may be repeated are used to
     // probe whether a failing target has recovered.
     private Set<String> withFailingTargets(Set<String> excluded) {
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.oleandertrack.core.discovery.TargetListener;
 import org.oleandertrack.core.discovery.TargetRecord;
@@ -49,6 +48,16 @@
         return targetsOf(service).targetCount();
     }
 
+    /** Returns whether a target of a service with the given version may get requests. */
+    public boolean hasVersion(String service, String softwareVersion) {
+        return targetsOf(service).hasVersion(softwareVersion);
+    }
+
+    /** Returns whether another incarnation has taken the place of a target. */
+    public boolean isReplaced(TargetHandle handle) {
+        return targetsOf(handle.record().service()).isReplaced(handle);
+    }
+
     // Operations
 
     /** Applies the services of a new configuration. */
@@ -84,8 +93,8 @@
 
     /** Chooses a target for a turn and counts the turn in the target's load. */
     public Optional<PlacedTarget> placeTurn(
-            String service, TurnRequest turn, Set<String> excluded, long nowNanos) {
-        return targetsOf(service).placeTurn(mTurnPlacement, turn, excluded, nowNanos);
+            String service, TurnRequest turn, TargetFilter filter, long nowNanos) {
+        return targetsOf(service).placeTurn(mTurnPlacement, turn, filter, nowNanos);
     }
 
     /**
@@ -95,8 +104,8 @@
      *     recovered
      */
     public Optional<PlacedTarget> placeCall(
-            String service, Set<String> excluded, boolean repeatable, long nowNanos) {
-        return targetsOf(service).placeCall(mCallPlacement, excluded, repeatable, nowNanos);
+            String service, TargetFilter filter, boolean repeatable, long nowNanos) {
+        return targetsOf(service).placeCall(mCallPlacement, filter, repeatable, nowNanos);
     }
 
     /** Takes back a placement, because the request is not sent to the target. */
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/StreamVersionTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/StreamVersionTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
@@ -52,6 +53,14 @@
         }
     }
 
+    private static void awaitLatch(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static void assertNotRun(String answer) {
         assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
         assertTrue(answer.contains("\"execution\":\"not run\""), answer);
@@ -59,11 +68,13 @@
 
     @Test
     void aStreamIsNotResumedWithinItsResponseAtAnotherVersion() throws IOException {
+        CountDownLatch newerIsKnown = new CountDownLatch(1);
         try (ScriptedTarget newer = engine();
                 ScriptedTarget older =
                         new ScriptedTarget(
                                 (exchange, number) -> {
                                     exchange.startStream(event(1));
+                                    awaitLatch(newerIsKnown);
                                     exchange.target().close();
                                     exchange.reset();
                                 });
@@ -72,10 +83,13 @@
             gateway.registerVersion("old", "engine", older.port(), "v1");
             gateway.awaitTargets(1);
             try (TestClient client = gateway.client()) {
-                gateway.registerVersion("new", "engine", newer.port(), "v2");
                 client.send("POST", "/turn/x", "r1", "", "prompt");
-                String answer = client.readAnswer();
-                assertTrue(answer.contains("e1") && answer.endsWith("<closed>"), answer);
+                client.readUntil("e1\n\n");
+                gateway.registerVersion("new", "engine", newer.port(), "v2");
+                gateway.awaitTargets(2);
+                newerIsKnown.countDown();
+                String rest = client.readUntil("0\r\n\r\n");
+                assertTrue(rest.endsWith("<closed>"), rest);
             }
             assertEquals(List.of(), newer.requests());
         }
@@ -107,6 +121,52 @@
         }
     }
 
+    @Test
+    void aStreamIsNotResumedAtATargetThatRestartedWithAnotherVersionUnderItsId()
+            throws IOException {
+        CountDownLatch restartIsKnown = new CountDownLatch(1);
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    exchange.startStream(event(number + 1));
+                                    awaitLatch(restartIsKnown);
+                                    exchange.reset();
+                                });
+                TestGateway gateway = TestGateway.with("engine", target);
+                TestClient client = gateway.client()) {
+            client.send("POST", "/turn/x", "r1", "", "prompt");
+            client.readUntil("e1\n\n");
+            gateway.registerVersion("t0", "engine", target.port(), "v2");
+            gateway.awaitTargets(2);
+            restartIsKnown.countDown();
+            String rest = client.readUntil("0\r\n\r\n");
+            assertTrue(rest.endsWith("<closed>"), rest);
+            assertEquals(1, target.requests().size());
+        }
+    }
+
+    @Test
+    void aStreamTakenUpWhileTheStoreIsAwayStaysAtItsVersion() throws IOException {
+        try (ScriptedTarget newer = engine();
+                ScriptedTarget older = engine();
+                TestGateway gateway = new TestGateway(1_000)) {
+            gateway.configure(1);
+            gateway.registerVersion("t1", "engine", older.port(), "v1");
+            gateway.awaitTargets(1);
+            gateway.store().setUnresponsive(true);
+            for (int i = 0; i < STREAMS; i++) {
+                beginStream(gateway, i);
+            }
+            gateway.registerVersion("t0", "engine", newer.port(), "v2");
+            gateway.awaitTargets(2);
+            for (int i = 0; i < STREAMS; i++) {
+                assertTrue(takeUp(gateway, i).contains("e2"));
+                assertTrue(takeUp(gateway, i).contains("e2"), "a second take-up");
+            }
+            assertEquals(List.of(), newer.requests());
+        }
+    }
+
     @Test
     void aStreamWhoseVersionNoTargetHasIsRefusedAsNotRun() throws IOException {
         try (ScriptedTarget newer = engine();
--- a/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
@@ -46,6 +46,8 @@
 import org.oleandertrack.coordination.store.StoreFailures;
 import org.oleandertrack.coordination.store.StoredRow;
 import org.oleandertrack.coordination.store.TransactionResult;
+import org.oleandertrack.coordination.stream.StreamOriginListener;
+import org.oleandertrack.coordination.stream.StreamOriginService;
 import org.oleandertrack.core.rate.PermitRequest;
 import org.oleandertrack.core.rate.PermitResult;
 import org.oleandertrack.core.rate.TargetPacers;
@@ -113,6 +115,28 @@
                         public void onUnreadable(String key, String reason) {}
                     });
 
+    private final StreamOriginService mStreamOrigins =
+            new StreamOriginService(
+                    mStore,
+                    new PeerStreamOrigins(directory(), log()),
+                    new ExecutorScheduler(mLoops),
+                    System::nanoTime,
+                    System::currentTimeMillis,
+                    new Random(1),
+                    new StreamOriginListener() {
+                        @Override
+                        public void onNotStored(int origins, String reason) {}
+
+                        @Override
+                        public void onDropped(int origins) {}
+
+                        @Override
+                        public void onUnreadable(String requestId, String reason) {}
+
+                        @Override
+                        public void onRemovalFailed(String part, String reason) {}
+                    });
+
     private final HttpServer mServer =
             new HttpServer(
                     mLoops,
@@ -123,7 +147,8 @@
                             new OutageAllowances(() -> 0),
                             conversations(),
                             mPacers,
-                            mQuarantine),
+                            mQuarantine,
+                            mStreamOrigins),
                     HttpResponses::empty);
     private final InetSocketAddress mAddress =
             mServer.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
