Log which targets say in their responses that they leave

The logs could not tell whether the header is not read, or read and forgotten. The header is decoded and logged once for each target; nothing else changes.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -109,9 +109,9 @@
     @Override
     public boolean onHead(HttpResponse head) {
         ResponseMetadata metadata = mCall.context().headerCodec().decodeResponse(head.headers());
-        boolean refused =
-                metadata.notExecuted()
-                        || head.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+        boolean otherIncarnation =
+                head.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+        boolean refused = metadata.notExecuted() || otherIncarnation;
         // A refusal may omit the request id; any other response must state it.
         boolean belongsToRequest =
                 metadata.requestId().map(id -> id.equals(mCall.requestId())).orElse(refused);
@@ -127,6 +127,10 @@
         mCall.context()
                 .targets()
                 .recordRateLimit(mHandle, metadata.requestsPerSecond(), System.nanoTime());
+        // A response of another incarnation says nothing about the one that was meant.
+        if (metadata.leaving() && !otherIncarnation) {
+            mCall.context().targets().recordLeaving(mHandle);
+        }
         mHead = head;
         mRefusalHasId = metadata.requestId().isPresent();
         mBodyMode = refused ? BodyMode.REFUSAL : bodyModeOf(head);
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/ResponseMetadata.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/ResponseMetadata.java
@@ -12,9 +12,11 @@
  * @param load the load that the target reports, if it reports one
  * @param requestsPerSecond the rate to which the target limits the requests of all hosts together;
  *     empty if it states no limit
+ * @param leaving whether the target states that it is about to leave
  */
 public record ResponseMetadata(
         Optional<String> requestId,
         boolean notExecuted,
         Optional<ReportedLoad> load,
-        OptionalDouble requestsPerSecond) {}
+        OptionalDouble requestsPerSecond,
+        boolean leaving) {}
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetHandle.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetHandle.java
@@ -1,6 +1,7 @@
 package org.oleandertrack.gateway.targets;
 
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.oleandertrack.core.discovery.TargetRecord;
 import org.oleandertrack.core.turn.TargetState;
 
@@ -14,6 +15,7 @@
     private final TargetState mState;
     private final TargetConnections mConnections;
     private Optional<StatedRate> mStatedRate = Optional.empty();
+    private final AtomicBoolean mLeaving = new AtomicBoolean();
     private volatile boolean mRemoved;
     private volatile boolean mLost;
     private boolean mHasResponded;
@@ -76,6 +78,11 @@
         mLastResponseNanos = nowNanos;
     }
 
+    /** Returns whether the target was not known to be leaving before. */
+    boolean markLeaving() {
+        return mLeaving.compareAndSet(false, true);
+    }
+
     void markRemoved(boolean drained) {
         mLost = !drained;
         mRemoved = true;
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
@@ -188,6 +188,16 @@
                 .write();
     }
 
+    /** Records that a target's response states that it is about to leave. */
+    public void recordLeaving(TargetHandle handle) {
+        if (handle.markLeaving()) {
+            mLog.notice("target leaving")
+                    .text("target", handle.id())
+                    .text("service", handle.record().service())
+                    .write();
+        }
+    }
+
     /** Returns whether a target has free slots according to this host's estimate of its load. */
     public boolean hasRoom(TargetHandle handle, long nowNanos) {
         return targetsOf(handle.record().service()).hasRoom(handle, nowNanos);
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestHeaderCodec.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestHeaderCodec.java
@@ -54,7 +54,8 @@
                 Optional.empty(),
                 headers.contains("Rate")
                         ? OptionalDouble.of(Double.parseDouble(headers.get("Rate")))
-                        : OptionalDouble.empty());
+                        : OptionalDouble.empty(),
+                headers.contains("Leaving"));
     }
 
     @Override
