--- a/gateway/src/test/java/org/oleandertrack/gateway/host/StreamVersionTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/StreamVersionTest.java
@@ -53,14 +53,6 @@
         }
     }
 
-    private static void awaitLatch(CountDownLatch latch) {
-        try {
-            latch.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private static void assertNotRun(String answer) {
         assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
         assertTrue(answer.contains("\"execution\":\"not run\""), answer);
@@ -74,7 +66,7 @@
                         new ScriptedTarget(
                                 (exchange, number) -> {
                                     exchange.startStream(event(1));
-                                    awaitLatch(newerIsKnown);
+                                    TestGateway.awaitLatch(newerIsKnown);
                                     exchange.target().close();
                                     exchange.reset();
                                 });
@@ -129,7 +121,7 @@
                         new ScriptedTarget(
                                 (exchange, number) -> {
                                     exchange.startStream(event(number + 1));
-                                    awaitLatch(restartIsKnown);
+                                    TestGateway.awaitLatch(restartIsKnown);
                                     exchange.reset();
                                 });
                 TestGateway gateway = TestGateway.with("engine", target);
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
@@ -10,6 +10,7 @@
 import java.time.Clock;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.awaitility.Awaitility;
@@ -111,6 +112,15 @@
         Awaitility.await().until(() -> logs().split("\"target added\"", -1).length - 1 >= count);
     }
 
+    /** Waits in a target's script until the test goes on. */
+    static void awaitLatch(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     TestClient client() throws java.io.IOException {
         return new TestClient(mAddress);
     }
