Give no new request to a target that says in a response that it leaves

What callers would have seen: requests cut off or without an answer, once the target ends.

Cause: a gateway learnt from the store alone that a target leaves. What responses say was not read, and the store, which would tell, was away; its entry, which expired in the outage, even stayed in use for 2 s after the return. The class of fault: one source of a fact is taken for the only one. Found beside it: a request that its target may have run returned to that target also after it had begun to drain.

Evidence: of the 183 lines that name i-5d6e546e11, those of placements go on at 3 to 18 a second from second 8, when it begins to leave, to second 21, when all gateways log its removal as expired.

Fix: a response of any status that says so removes the incarnation from use in TargetDirectory, which decides it for the store's entries too, so that an entry that is listed still or anew does not bring it back. Requests that wait for a permit are placed anew. A request does not return to a target that leaves. A 421 is the answer of another incarnation and says nothing of the target. This works because every response of a leaving target says so: the first one ends its use here.

--- a/core/src/main/java/org/oleandertrack/core/discovery/TargetDirectory.java
+++ b/core/src/main/java/org/oleandertrack/core/discovery/TargetDirectory.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,14 +12,19 @@
 /**
  * The targets that the store lists. Targets have to renew their entries in the store. If an entry
  * disappears while the store is unreachable, or within a grace period afterwards, the target may be
- * alive and merely unable to renew it, so it stays in use until the grace period has ended.
- * Thread-safe.
+ * alive and merely unable to renew it, so it stays in use until the grace period has ended. A
+ * target that says in a response that it leaves is not used again, whatever the store lists, until
+ * it starts anew. Thread-safe.
  */
 public final class TargetDirectory {
 
+    // Incarnations that are remembered as leaving; the store lists them for a few seconds more.
+    private static final int MAX_LEAVING = 1_000;
+
     private final long mExpiryGraceNanos;
     private final TargetListener mListener;
     private final Map<String, Entry> mEntries = new HashMap<>();
+    private final Set<String> mLeavingIncarnations = new LinkedHashSet<>();
     private boolean mStoreReachable = true;
     private long mStoreReachableSinceNanos;
 
@@ -38,11 +44,11 @@
 
     // Accessors
 
-    /** Returns a target if it is known and not draining. */
+    /** Returns a target if it is known and neither draining nor leaving. */
     public synchronized Optional<TargetRecord> findUsable(String id) {
         return Optional.ofNullable(mEntries.get(id))
                 .map(entry -> entry.mRecord)
-                .filter(record -> !record.draining());
+                .filter(this::isUsable);
     }
 
     /** Returns all known targets, including draining ones. */
@@ -70,7 +76,7 @@
         Entry entry = mEntries.get(record.id());
         if (entry == null) {
             mEntries.put(record.id(), new Entry(record));
-            if (!record.draining()) {
+            if (isUsable(record)) {
                 mListener.onAdded(record);
             }
             return;
@@ -81,18 +87,31 @@
         if (old.equals(record)) {
             return;
         }
-        if (old.isSameIncarnation(record) && !old.draining() && !record.draining()) {
+        if (old.isSameIncarnation(record) && isUsable(old) && isUsable(record)) {
             mListener.onChanged(record);
             return;
         }
-        if (!old.draining()) {
-            mListener.onRemoved(old, record.draining() ? "draining" : "restarted");
+        if (isUsable(old)) {
+            mListener.onRemoved(
+                    old, record.draining() ? RemovalReason.DRAINING : RemovalReason.RESTARTED);
         }
-        if (!record.draining()) {
+        if (isUsable(record)) {
             mListener.onAdded(record);
         }
     }
 
+    /** Records that an incarnation of a target has said that it leaves. */
+    public synchronized void markLeaving(TargetRecord record) {
+        Optional<TargetRecord> inUse = findUsable(record.id()).filter(record::isSameIncarnation);
+        if (!mLeavingIncarnations.add(record.incarnationId())) {
+            return;
+        }
+        if (mLeavingIncarnations.size() > MAX_LEAVING) {
+            mLeavingIncarnations.remove(mLeavingIncarnations.iterator().next());
+        }
+        inUse.ifPresent(target -> mListener.onRemoved(target, RemovalReason.LEAVING));
+    }
+
     /** Records that a target's entry was removed from the store. */
     public synchronized void remove(String id, long nowNanos) {
         Entry entry = mEntries.get(id);
@@ -144,11 +163,17 @@
 
     private void drop(String id, Entry entry) {
         mEntries.remove(id);
-        if (!entry.mRecord.draining()) {
-            mListener.onRemoved(entry.mRecord, entry.mRemovalPending ? "expired" : "removed");
+        if (isUsable(entry.mRecord)) {
+            mListener.onRemoved(
+                    entry.mRecord,
+                    entry.mRemovalPending ? RemovalReason.EXPIRED : RemovalReason.REMOVED);
         }
     }
 
+    private boolean isUsable(TargetRecord record) {
+        return !record.draining() && !mLeavingIncarnations.contains(record.incarnationId());
+    }
+
     private static final class Entry {
         private TargetRecord mRecord;
         private boolean mRemovalPending;
--- a/core/src/main/java/org/oleandertrack/core/discovery/TargetListener.java
+++ b/core/src/main/java/org/oleandertrack/core/discovery/TargetListener.java
@@ -12,10 +12,6 @@
     /** Properties of a target changed, but not its incarnation. */
     void onChanged(TargetRecord target);
 
-    /**
-     * A target or an incarnation of it gets no more work.
-     *
-     * @param reason {@code draining}, {@code restarted}, {@code removed} or {@code expired}
-     */
-    void onRemoved(TargetRecord target, String reason);
+    /** A target or an incarnation of it gets no more work. */
+    void onRemoved(TargetRecord target, RemovalReason reason);
 }
--- a/core/src/main/java/org/oleandertrack/core/discovery/TargetRecord.java
+++ b/core/src/main/java/org/oleandertrack/core/discovery/TargetRecord.java
@@ -28,6 +28,11 @@
         int slots,
         OptionalLong startedAtMillis) {
 
+    /** Returns an id that differs between the runs of a target's process. */
+    public String incarnationId() {
+        return id + (startedAtMillis.isPresent() ? "@" + startedAtMillis.getAsLong() : "");
+    }
+
     /**
      * Returns whether another record with the same id belongs to the same incarnation of the
      * target.
--- a/core/src/test/java/org/oleandertrack/core/discovery/TargetDirectoryTest.java
+++ b/core/src/test/java/org/oleandertrack/core/discovery/TargetDirectoryTest.java
@@ -29,8 +29,8 @@
                         }
 
                         @Override
-                        public void onRemoved(TargetRecord target, String reason) {
-                            mEvents.add("removed " + target.id() + " " + reason);
+                        public void onRemoved(TargetRecord target, RemovalReason reason) {
+                            mEvents.add("removed " + target.id() + " " + reason.text());
                         }
                     },
                     0);
@@ -81,6 +81,48 @@
         assertEquals(List.of("added a", "removed a restarted", "added a"), mEvents);
     }
 
+    @Test
+    void aTargetThatLeavesIsNotUsedAgainWhateverTheStoreLists() {
+        mDirectory.put(record("a", false, 1));
+        mDirectory.markLeaving(record("a", false, 1));
+        mDirectory.markLeaving(record("a", false, 1));
+        mDirectory.put(record("a", false, 1));
+        mDirectory.put(record("a", true, 1));
+        mDirectory.put(record("a", false, 1));
+        mDirectory.remove("a", 10_000);
+        mDirectory.put(record("a", false, 1));
+        assertEquals(List.of("added a", "removed a leaving"), mEvents);
+        assertTrue(mDirectory.findUsable("a").isEmpty());
+    }
+
+    @Test
+    void aTargetThatLeavesAndExpiresDuringAnOutageIsNotUsedAfterIt() {
+        mDirectory.put(record("a", false, 1));
+        mDirectory.markStoreUnreachable();
+        mDirectory.markLeaving(record("a", false, 1));
+        mDirectory.markStoreReachable(10_000);
+        mDirectory.replaceAll(List.of(), 10_000);
+        mDirectory.dropExpired(10_000 + GRACE_NANOS);
+        mDirectory.replaceAll(List.of(record("a", false, 1)), 20_000);
+        assertEquals(List.of("added a", "removed a leaving"), mEvents);
+    }
+
+    @Test
+    void anotherIncarnationOfATargetThatLeftIsUsed() {
+        mDirectory.put(record("a", false, 1));
+        mDirectory.markLeaving(record("a", false, 1));
+        mDirectory.put(record("a", false, 2));
+        assertEquals(List.of("added a", "removed a leaving", "added a"), mEvents);
+    }
+
+    @Test
+    void anEarlierIncarnationThatLeavesDoesNotRemoveALaterOne() {
+        mDirectory.put(record("a", false, 2));
+        mDirectory.markLeaving(record("a", false, 1));
+        assertEquals(List.of("added a"), mEvents);
+        assertTrue(mDirectory.findUsable("a").isPresent());
+    }
+
     @Test
     void anEntryThatIsRemovedWhileTheStoreIsStableIsGoneAtOnce() {
         mDirectory.put(record("a", false, 1));
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -129,7 +129,7 @@
                 .recordRateLimit(mHandle, metadata.requestsPerSecond(), System.nanoTime());
         // A response of another incarnation says nothing about the one that was meant.
         if (metadata.leaving() && !otherIncarnation) {
-            mCall.context().targets().recordLeaving(mHandle);
+            mCall.context().targetDirectory().markLeaving(mHandle.record());
         }
         mHead = head;
         mRefusalHasId = metadata.requestId().isPresent();
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -251,12 +251,14 @@
 
     /** Sends the request to the given target again, or to a target that placement chooses. */
     private void dispatch(Optional<TargetHandle> target) {
-        Optional<TargetHandle> required = target.filter(mContinuation::mayReturnTo);
+        // A target that leaves takes nothing new, and no other one may run what it may have run.
+        boolean targetLeaves = target.filter(TargetHandle::isLeaving).isPresent();
         Optional<TargetFilter> filter = mContinuation.targetsExcept(mExcludedTargetIds);
-        if (filter.isEmpty()) {
+        if (targetLeaves || filter.isEmpty()) {
             failWithoutTarget();
             return;
         }
+        Optional<TargetHandle> required = target.filter(handle -> !handle.isRemoved());
         long maxPermitWaitMillis =
                 mMayHaveRun
                         ? PermitPatience.maxWaitMillisOfStarted(remainingMillis())
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
@@ -4,6 +4,7 @@
 import org.oleandertrack.coordination.quarantine.QuarantineService;
 import org.oleandertrack.coordination.spending.SpendingService;
 import org.oleandertrack.coordination.stream.StreamOriginService;
+import org.oleandertrack.core.discovery.TargetDirectory;
 import org.oleandertrack.core.quarantine.AnsweredPaths;
 import org.oleandertrack.gateway.targets.PermitIssuer;
 import org.oleandertrack.gateway.targets.TargetRegistry;
@@ -14,6 +15,7 @@
  *
  * @param headerCodec decodes headers of callers and targets, and encodes headers for them
  * @param gatewayResponses creates the responses that do not come from a target
+ * @param targetDirectory knows which targets may get work
  * @param targets places calls on targets
  * @param permits issues permits for requests to targets that limit their rate
  * @param spending reserves tokens of the programs' budgets
@@ -27,6 +29,7 @@
 public record CallContext(
         HeaderCodec headerCodec,
         GatewayResponses gatewayResponses,
+        TargetDirectory targetDirectory,
         TargetRegistry targets,
         PermitIssuer permits,
         SpendingService spending,
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/StreamContinuation.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StreamContinuation.java
@@ -64,11 +64,6 @@
                 new TargetFilter(excludedIds, mOrigin.map(StreamOrigin::softwareVersion)));
     }
 
-    /** Returns whether a target may get the request again. */
-    boolean mayReturnTo(TargetHandle handle) {
-        return !mBegun || !mTargets.isReplaced(handle);
-    }
-
     /** Returns why a stream that has not run in this call cannot be continued, if that is so. */
     Optional<ResultException> refusal() {
         return mOrigin.filter(origin -> !mTargets.hasVersion(mService, origin.softwareVersion()))
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/TargetSelection.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/TargetSelection.java
@@ -170,7 +170,7 @@
                 case PermitResult.Granted granted -> {
                     mTargets.recordPermit(placed.handle(), granted.waitMillis(), nowNanos);
                     if (granted.waitMillis() == 0) {
-                        complete(placed, OptionalLong.of(0));
+                        completeAfterWait(placed, 0);
                         return;
                     }
                     var _ =
@@ -205,11 +205,16 @@
         }
 
         private void completeAfterWait(PlacedTarget placed, long waitMillis) {
-            if (placed.handle().isRemoved() && mRequired.isEmpty()) {
+            if (placed.handle().isRemoved()) {
                 mTargets.withdraw(placed.handle());
-                if (!mAbandoned.getAsBoolean()) {
-                    tryNext();
+                if (mAbandoned.getAsBoolean()) {
+                    return;
+                }
+                if (mRequired.isPresent()) {
+                    mOnResult.accept(new Result.NoTarget());
+                    return;
                 }
+                tryNext();
                 return;
             }
             complete(placed, OptionalLong.of(waitMillis));
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -158,6 +158,7 @@
                         new CallContext(
                                 headerCodec,
                                 gatewayResponses,
+                                mTargetDirectory,
                                 mTargets,
                                 mPermits,
                                 mSpending,
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
@@ -91,14 +91,14 @@
         mHealth.add(record.id());
     }
 
-    synchronized void remove(String id, boolean drained) {
+    synchronized void remove(String id, boolean announced) {
         TargetHandle handle = mHandles.remove(id);
         if (handle != null) {
             mStates.remove(handle.state());
             mHealth.remove(id);
             handle.statedRate()
                     .ifPresent(rate -> mRatesOfRemoved.put(handle.incarnationId(), rate));
-            handle.markRemoved(drained);
+            handle.markRemoved(announced);
             handle.connections().closeIdle();
         }
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetHandle.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetHandle.java
@@ -1,7 +1,6 @@
 package org.oleandertrack.gateway.targets;
 
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.oleandertrack.core.discovery.TargetRecord;
 import org.oleandertrack.core.turn.TargetState;
 
@@ -15,7 +14,6 @@
     private final TargetState mState;
     private final TargetConnections mConnections;
     private Optional<StatedRate> mStatedRate = Optional.empty();
-    private final AtomicBoolean mLeaving = new AtomicBoolean();
     private volatile boolean mRemoved;
     private volatile boolean mLost;
     private boolean mHasResponded;
@@ -44,17 +42,19 @@
         return mRemoved;
     }
 
-    /** Returns whether the target was removed without having drained. */
+    /** Returns whether the target was removed without having announced it. */
     public boolean isLost() {
         return mLost;
     }
 
+    /** Returns whether the target was removed because it has announced that it leaves. */
+    public boolean isLeaving() {
+        return mRemoved && !mLost;
+    }
+
     /** Returns the id of the incarnation, which differs between runs of a target's process. */
     public String incarnationId() {
-        return mRecord.id()
-                + (mRecord.startedAtMillis().isPresent()
-                        ? "@" + mRecord.startedAtMillis().getAsLong()
-                        : "");
+        return mRecord.incarnationId();
     }
 
     Optional<StatedRate> statedRate() {
@@ -78,13 +78,8 @@
         mLastResponseNanos = nowNanos;
     }
 
-    /** Returns whether the target was not known to be leaving before. */
-    boolean markLeaving() {
-        return mLeaving.compareAndSet(false, true);
-    }
-
-    void markRemoved(boolean drained) {
-        mLost = !drained;
+    void markRemoved(boolean announced) {
+        mLost = !announced;
         mRemoved = true;
     }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
@@ -5,6 +5,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
+import org.oleandertrack.core.discovery.RemovalReason;
 import org.oleandertrack.core.discovery.TargetListener;
 import org.oleandertrack.core.discovery.TargetRecord;
 import org.oleandertrack.core.rate.PermitRequest;
@@ -86,9 +87,9 @@
     }
 
     @Override
-    public void onRemoved(TargetRecord target, String reason) {
-        targetsOf(target.service()).remove(target.id(), reason.equals("draining"));
-        logTarget("target removed", target, reason);
+    public void onRemoved(TargetRecord target, RemovalReason reason) {
+        targetsOf(target.service()).remove(target.id(), reason.isAnnounced());
+        logTarget("target removed", target, reason.text());
     }
 
     /** Chooses a target for a turn and counts the turn in the target's load. */
@@ -188,16 +189,6 @@
                 .write();
     }
 
-    /** Records that a target's response states that it is about to leave. */
-    public void recordLeaving(TargetHandle handle) {
-        if (handle.markLeaving()) {
-            mLog.notice("target leaving")
-                    .text("target", handle.id())
-                    .text("service", handle.record().service())
-                    .write();
-        }
-    }
-
     /** Returns whether a target has free slots according to this host's estimate of its load. */
     public boolean hasRoom(TargetHandle handle, long nowNanos) {
         return targetsOf(handle.record().service()).hasRoom(handle, nowNanos);
