Keep the whole output of a turn that its caller took up

Cause: on routes that keep history, the host that completes a stream kept the events that it forwarded itself.

Fix: such a turn is requested from its start, at the version that began it, and the events that the caller has are recorded but not forwarded. It works because one version generates the same text again; otherwise no stream could be resumed.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -251,12 +251,15 @@
     private void forwardEvents() {
         Optional<EventSplitter.Event> event = mSplitter.next();
         while (event.isPresent()) {
-            startEvents();
             if (mFirstEventNanos.isEmpty()) {
                 mFirstEventNanos = OptionalLong.of(System.nanoTime());
             }
-            mCall.recordEvent(event.get(), mHandle);
-            mCall.writer().write(event.get().bytes());
+            if (mCall.recordEvent(event.get(), mHandle)) {
+                startEvents();
+                mCall.writer().write(event.get().bytes());
+            } else {
+                event.get().bytes().release();
+            }
             event = mSplitter.next();
         }
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -218,11 +218,16 @@
         }
     }
 
-    /** Records an event of a target that is forwarded to the caller. */
-    void recordEvent(EventSplitter.Event event, TargetHandle handle) {
+    /**
+     * Records an event of a target.
+     *
+     * @return whether it is to be forwarded to the caller
+     */
+    boolean recordEvent(EventSplitter.Event event, TargetHandle handle) {
         mContinuation.recordEvent(handle, remainingMillis());
         mProgress.recordEvent(event.id(), System.nanoTime());
         mHistory.ifPresent(history -> history.recordEvent(event));
+        return !mContinuation.isKnownToCaller(event);
     }
 
     private void onKept(KeepOutcome outcome, int status) {
@@ -314,7 +319,7 @@
                                 handle.id(),
                                 Math.max(1, remainingMillis()),
                                 OptionalInt.empty(),
-                                mProgress.lastEventId())),
+                                mContinuation.resumeAfter(mProgress.lastEventId()))),
                 mBody.retainedDuplicate());
     }
 
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/EventSplitter.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/EventSplitter.java
@@ -67,13 +67,7 @@
 
         /** Returns the id as a number; empty if it is absent or not a number. */
         OptionalLong number() {
-            try {
-                return id.isPresent()
-                        ? OptionalLong.of(Long.parseLong(id.get()))
-                        : OptionalLong.empty();
-            } catch (NumberFormatException e) {
-                return OptionalLong.empty();
-            }
+            return id.isPresent() ? parseNumber(id.get()) : OptionalLong.empty();
         }
     }
 
@@ -86,6 +80,15 @@
     private final ByteBuf mBuffer = Unpooled.buffer();
     private int mNextLineStart;
 
+    /** Returns an event's id as a number; empty if it is none. */
+    static OptionalLong parseNumber(String id) {
+        try {
+            return OptionalLong.of(Long.parseLong(id));
+        } catch (NumberFormatException e) {
+            return OptionalLong.empty();
+        }
+    }
+
     /** Appends bytes of the stream. */
     void add(ByteBuf part) {
         mBuffer.writeBytes(part);
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/StreamContinuation.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StreamContinuation.java
@@ -27,11 +27,14 @@
     private final StreamOriginService mOrigins;
     private final TargetRegistry mTargets;
     private final boolean mIsStream;
+    private final boolean mKeepsHistory;
     private final boolean mMayBeTakenUp;
     private final CallMetadata mMetadata;
     private final String mService;
     private final EventLoop mLoop;
     private final CallLog mLog;
+    // Number of the last event of the stream that the caller takes up; 0 if it takes up none.
+    private long mLastTakenUpEvent;
     private boolean mBegun;
     // Empty if the stream has not begun, or if it is not certain what began it.
     private Optional<StreamOrigin> mOrigin = Optional.empty();
@@ -46,6 +49,7 @@
         mOrigins = context.streamOrigins();
         mTargets = context.targets();
         mIsStream = route.kind() == RequestKind.STREAMING;
+        mKeepsHistory = route.keepsHistory();
         mMayBeTakenUp = route.isRepeatable() && !metadata.requestId().isEmpty();
         mMetadata = metadata;
         mService = service;
@@ -55,6 +59,30 @@
 
     // Accessors
 
+    /**
+     * Returns the event after which a target is to continue.
+     *
+     * @param lastEventId id of the last event that a target has sent in this call
+     */
+    Optional<String> resumeAfter(Optional<String> lastEventId) {
+        return lastEventId.or(
+                () ->
+                        mKeepsHistory
+                                ? Optional.empty()
+                                : mMetadata.takeUp().map(StreamTakeUp::lastEventId));
+    }
+
+    /**
+     * Returns whether the caller already has an event. A turn that is kept is generated from its
+     * start, because nobody has the data of the events that an earlier call forwarded.
+     */
+    boolean isKnownToCaller(EventSplitter.Event event) {
+        return mKeepsHistory
+                && mIsStream
+                && event.number().isPresent()
+                && event.number().getAsLong() <= mLastTakenUpEvent;
+    }
+
     /** Returns the targets to which the request may be sent; empty if there can be none. */
     Optional<TargetFilter> targetsExcept(Set<String> excludedIds) {
         if (mBegun && mOrigin.isEmpty()) {
@@ -84,7 +112,8 @@
             return;
         }
         mBegun = true;
-        Optional<String> firstRequestId = mMetadata.takeUp().get().firstRequestId();
+        StreamTakeUp takeUp = mMetadata.takeUp().get();
+        Optional<String> firstRequestId = takeUp.firstRequestId();
         if (firstRequestId.isEmpty()) {
             onResult.accept(
                     Optional.of(
@@ -92,6 +121,12 @@
                                     "the request does not name the one that began the stream")));
             return;
         }
+        if (mKeepsHistory && takeUp.lastEventNumber().isEmpty()) {
+            onResult.accept(
+                    Optional.of(CallFailures.originUnknown("the last event has no number")));
+            return;
+        }
+        mLastTakenUpEvent = takeUp.lastEventNumber().orElse(0);
         long startNanos = System.nanoTime();
         var _ =
                 mOrigins.find(firstRequestId.get())
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/StreamTakeUp.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StreamTakeUp.java
@@ -1,6 +1,7 @@
 package org.oleandertrack.gateway.call;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * A caller's wish to get the rest of a stream that broke off.
@@ -9,4 +10,10 @@
  *     the caller does not state it
  * @param lastEventId id of the last event that the caller has
  */
-public record StreamTakeUp(Optional<String> firstRequestId, String lastEventId) {}
+public record StreamTakeUp(Optional<String> firstRequestId, String lastEventId) {
+
+    /** Returns the id of the last event as a number; empty if it is none. */
+    OptionalLong lastEventNumber() {
+        return EventSplitter.parseNumber(lastEventId);
+    }
+}
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/TargetInstructions.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/TargetInstructions.java
@@ -10,8 +10,8 @@
  *     refuse it
  * @param timeoutMillis time left, in milliseconds, after which the target stops work on the request
  * @param urgency rank in the engine's queue, with 0 served first; empty for the engine's default
- * @param resumeAfterEventId id of the last event of an earlier stream that was forwarded to the
- *     caller; the target continues after it
+ * @param resumeAfterEventId id of the event after which the target continues a stream; empty if it
+ *     begins one, whatever the caller's request says
  */
 public record TargetInstructions(
         String targetId,
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestHeaderCodec.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestHeaderCodec.java
@@ -43,7 +43,11 @@
     public void writeInstructions(HttpHeaders headers, TargetInstructions instructions) {
         headers.set("Target", instructions.targetId());
         headers.set("Deadline", instructions.timeoutMillis());
-        instructions.resumeAfterEventId().ifPresent(id -> headers.set("Resume-After", id));
+        instructions
+                .resumeAfterEventId()
+                .ifPresentOrElse(
+                        id -> headers.set("Resume-After", id),
+                        () -> headers.remove("Resume-After"));
     }
 
     @Override
