Take up broken streams and check their version in the soak

Engines of the soak have two software versions whose events differ, and callers take up streams that break off at any gateway.

--- a/soak/src/main/java/org/oleandertrack/soak/Callers.java
+++ b/soak/src/main/java/org/oleandertrack/soak/Callers.java
@@ -13,7 +13,8 @@
 
 /**
  * Concurrent callers that send requests until they are stopped: turns of programs, whose responses
- * are streams, and orders, which must not run more than once. Thread-safe.
+ * are streams and are taken up again if they break off, and orders, which must not run more than
+ * once. Thread-safe.
  */
 final class Callers {
 
@@ -24,6 +25,9 @@
     // One turn in so many names a turn that never existed.
     private static final int FORGED_TURN_PERIOD = 30;
     private static final long PAUSE_AFTER_TURN_NANOS = 20_000_000L;
+    private static final int MAX_TAKE_UPS = 2;
+    private static final long PAUSE_BEFORE_TAKE_UP_NANOS = 100_000_000L;
+    private static final String EVENT_END = "\n\n";
 
     private final List<Gateway> mGateways;
     private final GuaranteeChecker mGuarantees;
@@ -58,7 +62,7 @@
     /** Sends the first turn of a new program to a gateway and returns whether it succeeded. */
     boolean sendCheckTurn(Gateway gateway) {
         String program = "check-" + mNextId.incrementAndGet();
-        return sendTurn(gateway, program, Optional.empty()).isPresent();
+        return sendTurn(() -> gateway, program, Optional.empty()).isPresent();
     }
 
     // Helpers
@@ -72,12 +76,13 @@
             String program = "p" + mNextId.incrementAndGet();
             Optional<String> previous = Optional.empty();
             for (int i = 0; i < TURNS_PER_PROGRAM && !mStopping; i++) {
-                Gateway gateway = mGateways.get(random.nextInt(mGateways.size()));
+                Supplier<Gateway> anyGateway =
+                        () -> mGateways.get(random.nextInt(mGateways.size()));
                 if (random.nextInt(FORGED_TURN_PERIOD) == 0) {
-                    sendTurn(gateway, program, Optional.of(GuaranteeChecker.FORGED_TURN_ID));
+                    sendTurn(anyGateway, program, Optional.of(GuaranteeChecker.FORGED_TURN_ID));
                 }
-                previous = sendTurn(gateway, program, previous).or(previousTurn(previous));
-                sendOrder(mGateways.get(random.nextInt(mGateways.size())));
+                previous = sendTurn(anyGateway, program, previous).or(previousTurn(previous));
+                sendOrder(anyGateway.get());
                 LockSupport.parkNanos(PAUSE_AFTER_TURN_NANOS);
             }
         }
@@ -87,27 +92,74 @@
         return () -> previous;
     }
 
-    /** Returns the id of the turn if it was answered whole. */
+    /**
+     * Sends a turn, and takes up its stream again at another gateway if it breaks off. Returns the
+     * id of the request that was answered whole.
+     */
     private Optional<String> sendTurn(
-            Gateway gateway, String program, Optional<String> previousTurnId) {
-        String requestId = "r" + mNextId.incrementAndGet();
+            Supplier<Gateway> gateways, String program, Optional<String> previousTurnId) {
         PublishedClient.Turn turn =
                 new PublishedClient.Turn(program, BUDGET_TOKENS, TURN_TOKENS, previousTurnId);
-        PublishedClient.Response response =
-                send(gateway, PublishedServer.STREAM_PATH + "x", requestId, Optional.of(turn));
-        boolean whole = response.complete() && response.status().equals(Optional.of(200));
-        return whole ? Optional.of(requestId) : Optional.empty();
+        String streamId = nextRequestId();
+        String requestId = streamId;
+        String events = "";
+        for (int i = 0; i <= MAX_TAKE_UPS; i++) {
+            PublishedClient.Response response =
+                    send(
+                            gateways.get(),
+                            PublishedServer.STREAM_PATH + "x",
+                            requestId,
+                            Optional.of(turn),
+                            streamId,
+                            events);
+            boolean served = response.status().equals(Optional.of(200));
+            if (served && response.complete()) {
+                return Optional.of(requestId);
+            }
+            events += served ? wholeEvents(response.body()) : "";
+            if (events.isEmpty()) {
+                return Optional.empty();
+            }
+            requestId = nextRequestId();
+            LockSupport.parkNanos(PAUSE_BEFORE_TAKE_UP_NANOS);
+        }
+        return Optional.empty();
     }
 
     private void sendOrder(Gateway gateway) {
-        var _ = send(gateway, "/order/x", "r" + mNextId.incrementAndGet(), Optional.empty());
+        String requestId = nextRequestId();
+        var _ = send(gateway, "/order/x", requestId, Optional.empty(), requestId, "");
     }
 
     private PublishedClient.Response send(
-            Gateway gateway, String path, String requestId, Optional<PublishedClient.Turn> turn) {
-        mGuarantees.recordRequest(requestId, turn);
-        PublishedClient.Response response = mClient.send(gateway.address(), path, requestId, turn);
-        mGuarantees.recordResponse(requestId, turn, response);
+            Gateway gateway,
+            String path,
+            String requestId,
+            Optional<PublishedClient.Turn> turn,
+            String streamId,
+            String earlierEvents) {
+        Optional<PublishedClient.TakeUp> takeUp =
+                earlierEvents.isEmpty()
+                        ? Optional.empty()
+                        : Optional.of(
+                                new PublishedClient.TakeUp(streamId, countEvents(earlierEvents)));
+        mGuarantees.recordRequest(requestId, turn, streamId);
+        PublishedClient.Response response =
+                mClient.send(gateway.address(), path, requestId, turn, takeUp);
+        mGuarantees.recordResponse(requestId, turn, streamId, earlierEvents, response);
         return response;
     }
+
+    private String nextRequestId() {
+        return "r" + mNextId.incrementAndGet();
+    }
+
+    private static String wholeEvents(String body) {
+        int end = body.lastIndexOf(EVENT_END);
+        return end < 0 ? "" : body.substring(0, end + EVENT_END.length());
+    }
+
+    private static int countEvents(String events) {
+        return events.split(EVENT_END, -1).length - 1;
+    }
 }
--- a/soak/src/main/java/org/oleandertrack/soak/GuaranteeChecker.java
+++ b/soak/src/main/java/org/oleandertrack/soak/GuaranteeChecker.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.oleandertrack.standins.published.ExecutionLog;
 import org.oleandertrack.standins.published.PublishedClient;
 import org.oleandertrack.standins.published.PublishedServer;
@@ -17,8 +18,9 @@
 
 /**
  * Checks what callers and servers observed against the guarantees of the gateway: an order runs at
- * most once, a refused order has not run, a response belongs to its request, and a program does not
- * exceed its token budget. An order is a request that must not run more than once. Thread-safe.
+ * most once, a refused order has not run, a response belongs to its request, a stream has the
+ * events of one software version, also over its caller's tries, and a program does not exceed its
+ * token budget. An order is a request that must not run more than once. Thread-safe.
  */
 final class GuaranteeChecker {
 
@@ -37,6 +39,7 @@
     private record Refusal(String requestId, int status) {}
 
     private final ExecutionLog mExecutionLog;
+    private final List<String> mVersions;
     private final Queue<String> mViolations = new ConcurrentLinkedQueue<>();
     private final Queue<Refusal> mRefusals = new ConcurrentLinkedQueue<>();
     // By request id: the body that a server must receive.
@@ -47,8 +50,9 @@
     private final Map<String, AtomicLong> mTokensByProgram = new ConcurrentHashMap<>();
     private final Map<String, AtomicLong> mOutcomeCounts = new ConcurrentHashMap<>();
 
-    GuaranteeChecker(ExecutionLog executionLog) {
+    GuaranteeChecker(ExecutionLog executionLog, List<String> versions) {
         mExecutionLog = executionLog;
+        mVersions = versions;
     }
 
     // Accessors
@@ -69,8 +73,9 @@
      * Records a request before it is sent.
      *
      * @param turn the turn; empty for an order, which must not run more than once
+     * @param streamId id of the request that began the stream: another one if it is taken up
      */
-    void recordRequest(String requestId, Optional<PublishedClient.Turn> turn) {
+    void recordRequest(String requestId, Optional<PublishedClient.Turn> turn, String streamId) {
         if (turn.isEmpty()) {
             mAtMostOnceRequestIds.add(requestId);
         }
@@ -78,7 +83,7 @@
                 turn.flatMap(PublishedClient.Turn::previousTurnId)
                         .map(previous -> mConversations.getOrDefault(previous, NEVER_TO_RUN))
                         .orElse("");
-        mExpectedBodies.put(requestId, conversation + PublishedClient.bodyOf(requestId));
+        mExpectedBodies.put(requestId, conversation + PublishedClient.bodyOf(streamId));
     }
 
     void reportViolation(String violation) {
@@ -88,10 +93,15 @@
     /**
      * Checks the response to a request, and adds the tokens of a turn's response to the tokens that
      * its program has received.
+     *
+     * @param streamId id of the request that began the stream: another one if it is taken up
+     * @param earlierEvents the events of the stream that arrived before
      */
     void recordResponse(
             String requestId,
             Optional<PublishedClient.Turn> turn,
+            String streamId,
+            String earlierEvents,
             PublishedClient.Response response) {
         String outcome =
                 response.status()
@@ -99,7 +109,7 @@
                         .orElse(response.connected() ? "cut" : "none");
         countOutcome(
                 response.complete() || response.status().isEmpty() ? outcome : outcome + " cut");
-        String expected = PublishedServer.expectedBody(requestId, turn.isPresent());
+        String text = earlierEvents + response.body();
         int status = response.status().orElse(0);
         if (status == NOT_FOUND_STATUS
                 && turn.flatMap(PublishedClient.Turn::previousTurnId)
@@ -111,8 +121,7 @@
             mConversations.put(
                     requestId,
                     mExpectedBodies.get(requestId)
-                            + response.body()
-                                    .lines()
+                            + text.lines()
                                     .filter(line -> line.startsWith(DATA_FIELD))
                                     .map(line -> line.substring(DATA_FIELD.length()) + "\n")
                                     .collect(Collectors.joining()));
@@ -120,11 +129,15 @@
         if (status == OK_STATUS) {
             boolean signed = response.signature().equals(PublishedServer.signatureOf(requestId));
             boolean matches =
-                    response.complete()
-                            ? response.body().equals(expected)
-                            : expected.startsWith(response.body());
+                    expectedTexts(requestId, turn.isPresent(), streamId)
+                            .anyMatch(
+                                    expected ->
+                                            response.complete()
+                                                    ? text.equals(expected)
+                                                    : expected.startsWith(text));
             if (!signed || !matches) {
-                reportViolation("MIXED: " + requestId + " got " + response);
+                reportViolation(
+                        "MIXED or ORDER: " + requestId + " got " + response + " for " + text);
             }
         } else if (NOT_RUN_STATUSES.contains(status) && response.signature().isEmpty()) {
             mRefusals.add(new Refusal(requestId, status));
@@ -159,6 +172,13 @@
 
     // Helpers
 
+    private Stream<String> expectedTexts(String requestId, boolean isTurn, String streamId) {
+        return isTurn
+                ? mVersions.stream()
+                        .map(version -> PublishedServer.expectedStream(streamId, version))
+                : Stream.of(PublishedServer.expectedAnswer(requestId));
+    }
+
     private void countOutcome(String outcome) {
         mOutcomeCounts.computeIfAbsent(outcome, key -> new AtomicLong()).incrementAndGet();
     }
--- a/soak/src/main/java/org/oleandertrack/soak/SoakRun.java
+++ b/soak/src/main/java/org/oleandertrack/soak/SoakRun.java
@@ -28,6 +28,8 @@
 
     private static final int ENGINES = 4;
     private static final int ORDER_SERVERS = 3;
+    // Versions of the servers' software; they serve side by side, in turn.
+    private static final List<String> VERSIONS = List.of("v1", "v2");
     // Each gateway must serve again within this time after the last fault has ended; operators
     // require 12 to 15 s.
     private static final long RECOVERY_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(12);
@@ -60,14 +62,16 @@
     public List<String> run() throws IOException, InterruptedException {
         SplittableRandom random = new SplittableRandom(mSeed);
         ExecutionLog executionLog = new ExecutionLog();
-        GuaranteeChecker guarantees = new GuaranteeChecker(executionLog);
+        GuaranteeChecker guarantees = new GuaranteeChecker(executionLog, VERSIONS);
         List<AutoCloseable> closeables = new ArrayList<>();
         try (PublishedStore store = new PublishedStore()) {
             store.configure(1, 4_000);
             List<PublishedServer> servers = new ArrayList<>();
             List<FaultProxy> serverProxies = new ArrayList<>();
             for (int i = 0; i < ENGINES + ORDER_SERVERS; i++) {
-                PublishedServer server = new PublishedServer("i-" + i, executionLog);
+                PublishedServer server =
+                        new PublishedServer(
+                                "i-" + i, VERSIONS.get(i % VERSIONS.size()), executionLog);
                 FaultProxy proxy = new FaultProxy(server.port());
                 closeables.add(server);
                 closeables.add(proxy);
--- a/standins/src/main/java/org/oleandertrack/standins/published/PublishedClient.java
+++ b/standins/src/main/java/org/oleandertrack/standins/published/PublishedClient.java
@@ -43,6 +43,14 @@
     public record Turn(
             String program, long budgetTokens, int maxTokens, Optional<String> previousTurnId) {}
 
+    /**
+     * A stream that broke off and is taken up again.
+     *
+     * @param streamId id of the request that began it
+     * @param lastEventId id of the last event that arrived
+     */
+    public record TakeUp(String streamId, int lastEventId) {}
+
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final long DEADLINE_MILLIS = 4_000;
     private static final Duration DEADLINE = Duration.ofMillis(DEADLINE_MILLIS);
@@ -61,7 +69,13 @@
                     .build();
 
     /** Sends a request to the gateway at an address and reads the response. */
-    public Response send(String address, String path, String requestId, Optional<Turn> turn) {
+    public Response send(
+            String address,
+            String path,
+            String requestId,
+            Optional<Turn> turn,
+            Optional<TakeUp> takeUp) {
+        String body = bodyOf(takeUp.map(TakeUp::streamId).orElse(requestId));
         HttpRequest.Builder request =
                 HttpRequest.newBuilder(
                                 URI.create(
@@ -74,7 +88,7 @@
                         .header("Host", PublishedStore.httpHost())
                         .header("X-Request-Id", requestId)
                         .header("X-Deadline-Milliseconds", Long.toString(DEADLINE_MILLIS))
-                        .POST(HttpRequest.BodyPublishers.ofString(bodyOf(requestId)));
+                        .POST(HttpRequest.BodyPublishers.ofString(body));
         turn.ifPresent(
                 t ->
                         request.header("X-Program-Id", t.program())
@@ -84,8 +98,12 @@
                                 .header("X-Token-Counts", "600," + t.maxTokens())
                                 .header("X-Prompt-Prefix", "aa:500," + t.program() + ":100"));
         turn.flatMap(Turn::previousTurnId).ifPresent(id -> request.header("X-Previous-Turn", id));
+        takeUp.ifPresent(
+                stream ->
+                        request.header("Resumes", stream.streamId())
+                                .header("Last-Event-Id", Integer.toString(stream.lastEventId())));
         long startNanos = System.nanoTime();
-        StringBuilder body = new StringBuilder();
+        StringBuilder received = new StringBuilder();
         HttpResponse<java.io.InputStream> response;
         try {
             response = mClient.send(request.build(), HttpResponse.BodyHandlers.ofInputStream());
@@ -99,11 +117,11 @@
             Thread.currentThread().interrupt();
             throw new IllegalStateException(e);
         }
-        boolean complete = readBody(response, body);
+        boolean complete = readBody(response, received);
         return new Response(
                 Optional.of(response.statusCode()),
                 response.headers().firstValue("X-Response-Signature").orElse(""),
-                body.toString(),
+                received.toString(),
                 complete,
                 true,
                 System.nanoTime() - startNanos);
--- a/standins/src/main/java/org/oleandertrack/standins/published/PublishedServer.java
+++ b/standins/src/main/java/org/oleandertrack/standins/published/PublishedServer.java
@@ -39,15 +39,22 @@
     private static final int SLOTS = 16;
 
     private final String mId;
+    private final String mVersion;
     private final ExecutionLog mExecutionLog;
     private final StandinServer mServer;
     private final AtomicInteger mRunningRequests = new AtomicInteger();
     private final Gate mHangGate = new Gate();
     private volatile Mode mMode = Mode.SOUND;
 
-    /** Starts a server on a free port of the loopback address. */
-    public PublishedServer(String id, ExecutionLog executionLog) throws IOException {
+    /**
+     * Starts a server on a free port of the loopback address.
+     *
+     * @param version version of its software, on which the data of its events depends
+     */
+    public PublishedServer(String id, String version, ExecutionLog executionLog)
+            throws IOException {
         mId = id;
+        mVersion = version;
         mExecutionLog = executionLog;
         mServer = new StandinServer("127.0.0.1", 0, this::handle);
         mServer.start();
@@ -67,6 +74,10 @@
         return mId;
     }
 
+    public String version() {
+        return mVersion;
+    }
+
     public int port() {
         return mServer.port();
     }
@@ -75,14 +86,20 @@
         return SLOTS;
     }
 
-    /** Returns the body of the complete response to a request; for a stream, all its events. */
-    public static String expectedBody(String requestId, boolean stream) {
-        if (!stream) {
-            return "answer to " + requestId;
-        }
+    /** Returns the body of the complete response to a request that is not for a stream. */
+    public static String expectedAnswer(String requestId) {
+        return "answer to " + requestId;
+    }
+
+    /**
+     * Returns all events of a stream.
+     *
+     * @param streamId id of the request that began the stream
+     */
+    public static String expectedStream(String streamId, String version) {
         StringBuilder events = new StringBuilder();
         for (int i = 1; i <= EVENTS_PER_STREAM; i++) {
-            events.append(formatEvent(requestId, i));
+            events.append(formatEvent(streamId, i, version));
         }
         return events.toString();
     }
@@ -134,18 +151,17 @@
         } else {
             Pause.sleepMillis(EVENT_INTERVAL_MILLIS);
             request.send(
-                    200,
-                    "text/plain",
-                    expectedBody(requestId, false).getBytes(StandardCharsets.UTF_8));
+                    200, "text/plain", expectedAnswer(requestId).getBytes(StandardCharsets.UTF_8));
         }
     }
 
     private void sendStream(Request request, String requestId) throws IOException {
+        String streamId = request.header("Resumes").orElse(requestId);
         int lastEvent = Integer.parseInt(request.header("Last-Event-Id").orElse("0"));
         OutputStream out = request.startStream(200, "text/event-stream");
         for (int i = lastEvent + 1; i <= EVENTS_PER_STREAM; i++) {
             Pause.sleepMillis(EVENT_INTERVAL_MILLIS);
-            out.write(formatEvent(requestId, i).getBytes(StandardCharsets.UTF_8));
+            out.write(formatEvent(streamId, i, mVersion).getBytes(StandardCharsets.UTF_8));
             out.flush();
             if (mMode == Mode.BREAKING_OFF) {
                 throw new ConnectionAbortException("a simulated fault closes the connection");
@@ -159,7 +175,7 @@
         return "signed." + requestId;
     }
 
-    private static String formatEvent(String requestId, int number) {
-        return "id: " + number + "\ndata: " + requestId + " " + number + "\n\n";
+    private static String formatEvent(String streamId, int number, String version) {
+        return "id: " + number + "\ndata: " + streamId + " " + number + " " + version + "\n\n";
     }
 }
--- a/standins/src/main/java/org/oleandertrack/standins/published/PublishedStore.java
+++ b/standins/src/main/java/org/oleandertrack/standins/published/PublishedStore.java
@@ -84,7 +84,7 @@
                         .put("service", service)
                         .put("address", "127.0.0.1:" + port)
                         .put("zone", "zone")
-                        .put("version", "v1")
+                        .put("version", server.version())
                         .put("slots", server.slots())
                         .put("state", draining ? "draining" : "ready")
                         .put("born", System.currentTimeMillis()));
