Let a stream be taken up later while a host knows no target yet

A host that has just started and has read no targets refused the rest of a stream as if its version were gone (4011, come back in 10 ms), so a caller used up its tries within the start. It now answers as for any request without targets (150 ms). aStreamTakenUpWhileNoTargetIsKnownMayBeTakenUpLater failed before.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/StreamContinuation.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StreamContinuation.java
@@ -92,9 +92,13 @@
                 new TargetFilter(excludedIds, mOrigin.map(StreamOrigin::softwareVersion)));
     }
 
-    /** Returns why a stream that has not run in this call cannot be continued, if that is so. */
+    /**
+     * Returns the refusal of a stream that only targets of other versions are left for. Empty while
+     * no target of the service is known, because this host may have just started.
+     */
     Optional<ResultException> refusal() {
-        return mOrigin.filter(origin -> !mTargets.hasVersion(mService, origin.softwareVersion()))
+        return mOrigin.filter(origin -> mTargets.targetCount(mService) > 0)
+                .filter(origin -> !mTargets.hasVersion(mService, origin.softwareVersion()))
                 .map(origin -> CallFailures.versionGone(mService, origin.softwareVersion()));
     }
 
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/StreamVersionTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/StreamVersionTest.java
@@ -176,6 +176,22 @@
         }
     }
 
+    @Test
+    void aStreamTakenUpWhileNoTargetIsKnownMayBeTakenUpLater() throws IOException {
+        try (ScriptedTarget target = engine();
+                TestGateway gateway = TestGateway.with("engine", target)) {
+            beginStream(gateway, 1);
+            gateway.register("t0", "engine", target.port(), true);
+            Awaitility.await().until(() -> gateway.logs().contains("\"target removed\""));
+            String answer = takeUp(gateway, 1);
+            assertNotRun(answer);
+            assertTrue(answer.contains("NO_TARGET_AVAILABLE"), answer);
+            gateway.registerVersion("t1", "engine", target.port(), "v1");
+            gateway.awaitTargets(2);
+            assertTrue(takeUp(gateway, 1).contains("e2"));
+        }
+    }
+
     @Test
     void aStreamWhoseBeginningIsUnknownIsRefusedAsNotRun() throws IOException {
         try (ScriptedTarget target = engine();
