Wait for the stopped process in the soak, not for the gateway's next one

All gateways had stopped in 3 to 6 s and run again, so nothing of the product hung: the task that follows a stop asked for the gateway's process when it ran, got the one that another task had started meanwhile, and waited for its end; two such waits held both threads.

The task now keeps the process that was stopped.

--- a/soak/src/main/java/org/oleandertrack/soak/FaultInjector.java
+++ b/soak/src/main/java/org/oleandertrack/soak/FaultInjector.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.oleandertrack.standins.published.PublishedServer;
 import org.oleandertrack.standins.published.PublishedStore;
+import org.oleandertrack.system.ManagedProcess;
 
 /**
  * Injects random, overlapping faults into gateways, the store, servers and the connections between
@@ -128,12 +129,14 @@
 
     private void stop(Gateway gateway) {
         record("stop " + gateway.name());
-        gateway.process().terminate();
+        // The gateway may have another process when the task runs.
+        ManagedProcess stopped = gateway.process();
+        stopped.terminate();
         schedule(
                 0,
                 "start after stop " + gateway.name(),
                 () -> {
-                    var _ = gateway.process().awaitExit();
+                    var _ = stopped.awaitExit();
                     restart(gateway);
                 });
     }
