Continue unnamed streams while their service has one software version

Without the name there is no record to find.

Fix: the store keeps the versions that ever served a service, and a gateway uses a target only once the store has its version. If the store lists one version, every stream of the service began at it, so no record is needed; with several, an unnamed stream is refused as before. This holds without agreement between hosts, because a version is written before its first use and never removed. A host is ready once the first targets that it read are registered.

Test: aStreamThatItsCallerDoesNotNameContinuesWhileTheServiceHasOne- Version, which got 503 before. aStreamWhoseBeginningIsUnknownIsRefused- AsNotRun held one version, with which the beginning is known; it now registers two and also sends an unnamed take-up, so it is as strict.

--- a/coordination/src/main/java/org/oleandertrack/coordination/stream/OriginLookup.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/stream/OriginLookup.java
@@ -7,13 +7,18 @@
     enum Source {
         LOCAL,
         STORE,
-        PEER
+        PEER,
+        /** The service has one version, so it needs no record. */
+        SOLE_VERSION
     }
 
     /** The origin is known. */
     record Found(StreamOrigin origin, Source source) implements OriginLookup {}
 
-    /** The store does not have the origin, and no peer that answered holds it. */
+    /**
+     * The store does not have the origin, no peer that answered holds it, and the service has
+     * several versions.
+     */
     record NotFound() implements OriginLookup {}
 
     /** The store did not answer, and no peer that answered holds the origin. */
--- a/coordination/src/main/java/org/oleandertrack/coordination/stream/StreamOriginListener.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/stream/StreamOriginListener.java
@@ -9,8 +9,11 @@
     /** Origins were dropped before the store has taken them, because too many are waiting. */
     void onDropped(int origins);
 
-    /** The row of an origin cannot be decoded. */
-    void onUnreadable(String requestId, String reason);
+    /** A version could not be registered; it is tried again, and its targets wait for it. */
+    void onNotRegistered(StreamOrigin version, String reason);
+
+    /** The row of an origin or of a version cannot be decoded. */
+    void onUnreadable(String key, String reason);
 
     /** The removal of expired origins failed; it is tried again later. */
     void onRemovalFailed(String part, String reason);
--- a/coordination/src/main/java/org/oleandertrack/coordination/stream/StreamOriginService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/stream/StreamOriginService.java
@@ -45,6 +45,7 @@
     private static final int REMOVAL_PAGE_ROWS = 100;
 
     private final RowStore mStore;
+    private final SoftwareVersions mVersions;
     private final StreamOriginPeers mPeers;
     private final Scheduler mScheduler;
     private final LongSupplier mNanoClock;
@@ -66,6 +67,7 @@
      */
     public StreamOriginService(
             RowStore store,
+            SoftwareVersions versions,
             StreamOriginPeers peers,
             Scheduler scheduler,
             LongSupplier nanoClock,
@@ -73,6 +75,7 @@
             RandomGenerator random,
             StreamOriginListener listener) {
         mStore = store;
+        mVersions = versions;
         mPeers = peers;
         mScheduler = scheduler;
         mNanoClock = nanoClock;
@@ -114,20 +117,29 @@
     }
 
     /**
-     * Finds the origin of a stream.
+     * Finds the origin of a stream: the recorded one or, if there is none, the only one that
+     * streams of its service can have.
      *
-     * @param requestId id of the caller's request that brought the first event
+     * @param requestId id of the caller's request that brought the first event; empty if the caller
+     *     does not name it
      * @return a future that does not fail
      */
-    public CompletableFuture<OriginLookup> find(String requestId) {
-        Optional<StreamOrigin> local = findLocally(requestId);
+    public CompletableFuture<OriginLookup> find(Optional<String> requestId, String service) {
+        if (requestId.isEmpty()) {
+            return findSole(service, new OriginLookup.NotFound());
+        }
+        Optional<StreamOrigin> local = findLocally(requestId.get());
         if (local.isPresent()) {
             return CompletableFuture.completedFuture(
                     new OriginLookup.Found(local.get(), OriginLookup.Source.LOCAL));
         }
-        Finding finding = new Finding(requestId);
+        Finding finding = new Finding(requestId.get());
         finding.start();
-        return finding.mResult;
+        return finding.mResult.thenCompose(
+                result ->
+                        result instanceof OriginLookup.Found
+                                ? CompletableFuture.completedFuture(result)
+                                : findSole(service, result));
     }
 
     /** Forgets expired origins and removes those of hosts that are gone. Call regularly. */
@@ -138,6 +150,26 @@
 
     // Helpers
 
+    private CompletableFuture<OriginLookup> findSole(String service, OriginLookup otherwise) {
+        if (otherwise instanceof OriginLookup.Unavailable) {
+            return CompletableFuture.completedFuture(otherwise);
+        }
+        return mVersions
+                .findSole(service)
+                .thenApply(
+                        version ->
+                                version.<OriginLookup>map(
+                                                sole ->
+                                                        new OriginLookup.Found(
+                                                                sole,
+                                                                OriginLookup.Source.SOLE_VERSION))
+                                        .orElse(otherwise))
+                .exceptionally(
+                        failure ->
+                                new OriginLookup.Unavailable(
+                                        StoreFailures.asStoreException(failure).getMessage()));
+    }
+
     // Hosts choose parts at random and need not agree, because a removal may be repeated.
     private void searchNextPart() {
         String part;
--- a/coordination/src/test/java/org/oleandertrack/coordination/stream/StreamOriginServiceTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/stream/StreamOriginServiceTest.java
@@ -27,9 +27,11 @@
 
     /** A host whose peers are all the others. */
     private final class Host implements StreamOriginPeers, StreamOriginListener {
+        private final SoftwareVersions mVersions = new SoftwareVersions(mStore, mTime, this);
         private final StreamOriginService mService =
                 new StreamOriginService(
                         mStore,
+                        mVersions,
                         this,
                         mTime,
                         mTime::nowNanos,
@@ -68,6 +70,9 @@
         @Override
         public void onUnreadable(String requestId, String reason) {}
 
+        @Override
+        public void onNotRegistered(StreamOrigin version, String reason) {}
+
         @Override
         public void onRemovalFailed(String part, String reason) {}
     }
@@ -89,7 +94,12 @@
     }
 
     private OriginLookup find(int host, String requestId) {
-        CompletableFuture<OriginLookup> result = mHosts.get(host).mService.find(requestId);
+        return find(host, Optional.of(requestId));
+    }
+
+    private OriginLookup find(int host, Optional<String> requestId) {
+        CompletableFuture<OriginLookup> result =
+                mHosts.get(host).mService.find(requestId, ORIGIN.service());
         mTime.runFor(VirtualTime.SECOND);
         assertTrue(result.isDone(), "the lookup has no end");
         return result.join();
@@ -135,7 +145,7 @@
         mHosts.set(0, new Host());
         List<CompletableFuture<OriginLookup>> lookups = new ArrayList<>();
         for (int i = 1; i < 200; i++) {
-            lookups.add(mHosts.get(0).mService.find("r" + i));
+            lookups.add(mHosts.get(0).mService.find(Optional.of("r" + i), ORIGIN.service()));
         }
         mTime.runFor(VirtualTime.SECOND);
         lookups.forEach(lookup -> assertInstanceOf(OriginLookup.Found.class, lookup.getNow(null)));
@@ -158,6 +168,43 @@
         assertInstanceOf(OriginLookup.Unavailable.class, find(1, "r2"));
     }
 
+    private void register(int host, String softwareVersion) {
+        List<String> registered = new ArrayList<>();
+        mHosts.get(host)
+                .mVersions
+                .register(
+                        new StreamOrigin(ORIGIN.service(), softwareVersion),
+                        () -> registered.add(softwareVersion));
+        mTime.runFor(VirtualTime.SECOND);
+        assertEquals(List.of(softwareVersion), registered);
+    }
+
+    @Test
+    void aStreamThatIsNotNamedContinuesAtTheOnlyVersionThatEverServed() {
+        register(0, ORIGIN.softwareVersion());
+        register(1, ORIGIN.softwareVersion());
+        restartAll();
+        assertFound(OriginLookup.Source.SOLE_VERSION, find(2, Optional.empty()));
+        assertFound(OriginLookup.Source.SOLE_VERSION, find(2, "not recorded"));
+        register(1, "v2");
+        assertInstanceOf(OriginLookup.NotFound.class, find(2, Optional.empty()));
+        assertInstanceOf(OriginLookup.NotFound.class, find(2, "not recorded"));
+    }
+
+    @Test
+    void aVersionIsNotRegisteredBeforeTheStoreHasIt() {
+        mStore.setNextFates(
+                FakeRowStore.Fate.REFUSED, FakeRowStore.Fate.LATE, FakeRowStore.Fate.ANSWERED);
+        List<String> registered = new ArrayList<>();
+        mHosts.get(0).mVersions.register(ORIGIN, () -> registered.add("first"));
+        mHosts.get(0).mVersions.register(ORIGIN, () -> registered.add("second"));
+        assertEquals(List.of(), registered);
+        assertEquals(List.of(), mStore.rows(SoftwareVersions.TABLE));
+        mTime.runFor(VirtualTime.SECOND);
+        assertEquals(List.of("first", "second"), registered);
+        assertEquals(1, mStore.rows(SoftwareVersions.TABLE).size());
+    }
+
     @Test
     void anUnreadableRowIsNoOrigin() {
         RowId row = OriginRows.rowOf("r1");
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
@@ -173,7 +173,8 @@
     void streamOrigin(String firstRequestId, OriginLookup lookup, long durationNanos) {
         String source =
                 switch (lookup) {
-                    case OriginLookup.Found found -> found.source().name().toLowerCase(Locale.ROOT);
+                    case OriginLookup.Found found ->
+                            found.source().name().toLowerCase(Locale.ROOT).replace('_', ' ');
                     case OriginLookup.NotFound notFound -> "not found";
                     case OriginLookup.Unavailable unavailable -> "unavailable";
                 };
@@ -186,7 +187,8 @@
                         .number("durationMs", TimeUnit.NANOSECONDS.toMillis(durationNanos));
         switch (lookup) {
             case OriginLookup.Found found -> line.text("version", found.origin().softwareVersion());
-            case OriginLookup.NotFound notFound -> line.text("reason", "no row and no peer has it");
+            case OriginLookup.NotFound notFound ->
+                    line.text("reason", "no record, and the service has several versions");
             case OriginLookup.Unavailable unavailable -> line.text("reason", unavailable.reason());
         }
         line.write();
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/StreamContinuation.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StreamContinuation.java
@@ -117,14 +117,6 @@
         }
         mBegun = true;
         StreamTakeUp takeUp = mMetadata.takeUp().get();
-        Optional<String> firstRequestId = takeUp.firstRequestId();
-        if (firstRequestId.isEmpty()) {
-            onResult.accept(
-                    Optional.of(
-                            CallFailures.originUnknown(
-                                    "the request does not name the one that began the stream")));
-            return;
-        }
         if (mKeepsHistory && takeUp.lastEventNumber().isEmpty()) {
             onResult.accept(
                     Optional.of(CallFailures.originUnknown("the last event has no number")));
@@ -133,13 +125,13 @@
         mLastTakenUpEvent = takeUp.lastEventNumber().orElse(0);
         long startNanos = System.nanoTime();
         var _ =
-                mOrigins.find(firstRequestId.get())
+                mOrigins.find(takeUp.firstRequestId(), mService)
                         .thenAccept(
                                 lookup ->
                                         runOnLoop(
                                                 () -> {
                                                     mLog.streamOrigin(
-                                                            firstRequestId.get(),
+                                                            takeUp.firstRequestId().orElse(""),
                                                             lookup,
                                                             System.nanoTime() - startNanos);
                                                     onResult.accept(onLookup(lookup));
@@ -187,7 +179,9 @@
                 yield refusal();
             }
             case OriginLookup.NotFound notFound ->
-                    Optional.of(CallFailures.originUnknown("neither the store nor a peer has it"));
+                    Optional.of(
+                            CallFailures.originUnknown(
+                                    "no record of the stream, and the service has several versions"));
             case OriginLookup.Unavailable unavailable ->
                     Optional.of(CallFailures.originUnknown(unavailable.reason()));
         };
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -27,6 +27,7 @@
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.RowTransaction;
 import org.oleandertrack.coordination.store.WriteIds;
+import org.oleandertrack.coordination.stream.SoftwareVersions;
 import org.oleandertrack.coordination.stream.StreamOriginService;
 import org.oleandertrack.core.discovery.TargetDirectory;
 import org.oleandertrack.core.quarantine.AnsweredPaths;
@@ -50,6 +51,7 @@
 import org.oleandertrack.gateway.peer.PeerHandler;
 import org.oleandertrack.gateway.peer.PeerPermitIssuer;
 import org.oleandertrack.gateway.peer.PeerStreamOrigins;
+import org.oleandertrack.gateway.targets.RegisteredTargets;
 import org.oleandertrack.gateway.targets.TargetRegistry;
 import org.oleandertrack.http.HttpResponses;
 import org.oleandertrack.http.HttpServer;
@@ -95,6 +97,7 @@
     private final TableFollower mConfigFollower;
     private final TableFollower mTargetFollower;
     private final TargetRegistry mTargets;
+    private final RegisteredTargets mRegisteredTargets;
     private final RelayingRowStore mStore;
     private final PeerDirectory mPeers;
     private final TableFollower mPeerFollower;
@@ -136,10 +139,13 @@
                         new TurnPlacement(EngineTimes.DEFAULT, settings.zone()),
                         new CallPlacement(settings.zone(), random),
                         log);
+        SoftwareVersions versions =
+                new SoftwareVersions(mStore, mScheduler, new StreamOriginLog(log));
+        mRegisteredTargets = new RegisteredTargets(versions, mTargets);
         mTargetDirectory =
                 new TargetDirectory(
                         TimeUnit.MILLISECONDS.toNanos(settings.entryRenewalMillis()),
-                        mTargets,
+                        mRegisteredTargets,
                         System.nanoTime());
         mQuarantine =
                 new QuarantineService(
@@ -149,7 +155,7 @@
                         new QuarantineLog(log));
         mQuarantinedRequests = metrics.gauge(Metric.QUARANTINED_REQUESTS);
         mSpending = makeSpending(random);
-        mStreamOrigins = makeStreamOrigins(random);
+        mStreamOrigins = makeStreamOrigins(versions, random);
         mConversations = makeConversations(random);
         mHeldTurns = metrics.gauge(Metric.TURNS_HELD);
         GatewayResponses gatewayResponses = new GatewayResponses(headerCodec);
@@ -257,6 +263,7 @@
         return !mStopping
                 && mCallHandler.config().isPresent()
                 && mTargetFeed.isComplete()
+                && mRegisteredTargets.hasSettled()
                 && mQuarantine.isComplete();
     }
 
@@ -307,9 +314,10 @@
                 System::nanoTime);
     }
 
-    private StreamOriginService makeStreamOrigins(Random random) {
+    private StreamOriginService makeStreamOrigins(SoftwareVersions versions, Random random) {
         return new StreamOriginService(
                 mStore,
+                versions,
                 new PeerStreamOrigins(mPeers, mLog),
                 mScheduler,
                 System::nanoTime,
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/StreamOriginLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/StreamOriginLog.java
@@ -1,5 +1,6 @@
 package org.oleandertrack.gateway.host;
 
+import org.oleandertrack.coordination.stream.StreamOrigin;
 import org.oleandertrack.coordination.stream.StreamOriginListener;
 import org.oleandertrack.telemetry.logging.EventLog;
 
@@ -29,13 +30,19 @@
     }
 
     @Override
-    public void onUnreadable(String requestId, String reason) {
-        mLog.warn("stream origin unreadable")
-                .text("continues", requestId)
+    public void onNotRegistered(StreamOrigin version, String reason) {
+        mLog.info("version not registered")
+                .text("service", version.service())
+                .text("version", version.softwareVersion())
                 .text("reason", reason)
                 .write();
     }
 
+    @Override
+    public void onUnreadable(String key, String reason) {
+        mLog.warn("stream origin unreadable").text("key", key).text("reason", reason).write();
+    }
+
     @Override
     public void onRemovalFailed(String part, String reason) {
         mLog.info("removal of stream origins failed")
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/StreamVersionTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/StreamVersionTest.java
@@ -53,6 +53,13 @@
         }
     }
 
+    private static String takeUpUnnamed(TestGateway gateway) throws IOException {
+        try (TestClient client = gateway.client()) {
+            client.send("POST", "/turn/x", "again", "Resume-After: 1\r\n", "prompt");
+            return client.readAnswer();
+        }
+    }
+
     private static void assertNotRun(String answer) {
         assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
         assertTrue(answer.contains("\"execution\":\"not run\""), answer);
@@ -143,14 +150,17 @@
                 ScriptedTarget older = engine();
                 TestGateway gateway = new TestGateway(1_000)) {
             gateway.configure(1);
-            gateway.registerVersion("t1", "engine", older.port(), "v1");
+            gateway.registerVersion("t0", "engine", newer.port(), "v2");
             gateway.awaitTargets(1);
+            gateway.register("t0", "engine", newer.port(), true);
+            gateway.registerVersion("t1", "engine", older.port(), "v1");
+            gateway.awaitTargets(2);
             gateway.store().setUnresponsive(true);
             for (int i = 0; i < STREAMS; i++) {
                 beginStream(gateway, i);
             }
-            gateway.registerVersion("t0", "engine", newer.port(), "v2");
-            gateway.awaitTargets(2);
+            gateway.registerVersion("t2", "engine", newer.port(), "v2");
+            gateway.awaitTargets(3);
             for (int i = 0; i < STREAMS; i++) {
                 assertTrue(takeUp(gateway, i).contains("e2"));
                 assertTrue(takeUp(gateway, i).contains("e2"), "a second take-up");
@@ -196,8 +206,19 @@
     void aStreamWhoseBeginningIsUnknownIsRefusedAsNotRun() throws IOException {
         try (ScriptedTarget target = engine();
                 TestGateway gateway = TestGateway.with("engine", target)) {
+            gateway.registerVersion("t1", "engine", target.port(), "v2");
+            gateway.awaitTargets(2);
             assertNotRun(takeUp(gateway, 1));
+            assertNotRun(takeUpUnnamed(gateway));
             assertEquals(List.of(), target.requests());
         }
     }
+
+    @Test
+    void aStreamThatItsCallerDoesNotNameContinuesWhileTheServiceHasOneVersion() throws IOException {
+        try (ScriptedTarget target = engine();
+                TestGateway gateway = TestGateway.with("engine", target)) {
+            assertTrue(takeUpUnnamed(gateway).contains("e2"));
+        }
+    }
 }
--- a/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
@@ -46,6 +46,9 @@
 import org.oleandertrack.coordination.store.StoreFailures;
 import org.oleandertrack.coordination.store.StoredRow;
 import org.oleandertrack.coordination.store.TransactionResult;
+import org.oleandertrack.coordination.stream.RecordedOrigin;
+import org.oleandertrack.coordination.stream.SoftwareVersions;
+import org.oleandertrack.coordination.stream.StreamOrigin;
 import org.oleandertrack.coordination.stream.StreamOriginListener;
 import org.oleandertrack.coordination.stream.StreamOriginService;
 import org.oleandertrack.core.rate.PermitRequest;
@@ -115,27 +118,35 @@
                         public void onUnreadable(String key, String reason) {}
                     });
 
+    private final StreamOriginListener mStreamOriginListener =
+            new StreamOriginListener() {
+                @Override
+                public void onNotStored(int origins, String reason) {}
+
+                @Override
+                public void onDropped(int origins) {}
+
+                @Override
+                public void onUnreadable(String requestId, String reason) {}
+
+                @Override
+                public void onNotRegistered(StreamOrigin version, String reason) {}
+
+                @Override
+                public void onRemovalFailed(String part, String reason) {}
+            };
+
     private final StreamOriginService mStreamOrigins =
             new StreamOriginService(
                     mStore,
+                    new SoftwareVersions(
+                            mStore, new ExecutorScheduler(mLoops), mStreamOriginListener),
                     new PeerStreamOrigins(directory(), log()),
                     new ExecutorScheduler(mLoops),
                     System::nanoTime,
                     System::currentTimeMillis,
                     new Random(1),
-                    new StreamOriginListener() {
-                        @Override
-                        public void onNotStored(int origins, String reason) {}
-
-                        @Override
-                        public void onDropped(int origins) {}
-
-                        @Override
-                        public void onUnreadable(String requestId, String reason) {}
-
-                        @Override
-                        public void onRemovalFailed(String part, String reason) {}
-                    });
+                    mStreamOriginListener);
 
     private final HttpServer mServer =
             new HttpServer(
@@ -174,6 +185,17 @@
         var _ = mLoops.shutdownGracefully();
     }
 
+    @Test
+    void anOriginThatAPeerHoldsIsFoundThere() {
+        StreamOrigin origin = new StreamOrigin("engine", "v1");
+        PeerMessages.HoldOrigins message =
+                new PeerMessages.HoldOrigins(List.of(new RecordedOrigin("r1", origin, 5_000)));
+        assertEquals(1, mPeer.holdOrigins(message).join());
+        assertEquals(
+                Optional.of(origin), mPeer.findOrigin(new PeerMessages.FindOrigin("r1")).join());
+        assertEquals(Optional.empty(), mPeer.findOrigin(new PeerMessages.FindOrigin("r2")).join());
+    }
+
     @Test
     void relayedReadsAreUnchanged() {
         assertEquals(
