Record no origin for a stream of a target that was lost before its first event

Found by reading: a target that restarts under its id is used again only once its version is registered, so for some milliseconds its earlier incarnation did not count as replaced, and a first event that may have come from the later one was recorded with the earlier one's version. A target that was removed without having announced it now gives no origin; such a stream is not continued. No test: the gap is of the process's own making and has no hook.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/StreamContinuation.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StreamContinuation.java
@@ -148,7 +148,8 @@
             return;
         }
         mBegun = true;
-        if (mTargets.isReplaced(handle)) {
+        // Another incarnation, with other software, may have answered in its place.
+        if (handle.isLost()) {
             return;
         }
         StreamOrigin origin = new StreamOrigin(mService, handle.record().softwareVersion());
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
@@ -116,12 +116,6 @@
                 .anyMatch(handle -> handle.record().softwareVersion().equals(softwareVersion));
     }
 
-    /** Returns whether another incarnation has taken the place of a target. */
-    synchronized boolean isReplaced(TargetHandle handle) {
-        TargetHandle current = mHandles.get(handle.id());
-        return current != null && !current.equals(handle);
-    }
-
     synchronized List<TargetRecord> records() {
         return mHandles.values().stream().map(TargetHandle::record).toList();
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
@@ -54,11 +54,6 @@
         return targetsOf(service).hasVersion(softwareVersion);
     }
 
-    /** Returns whether another incarnation has taken the place of a target. */
-    public boolean isReplaced(TargetHandle handle) {
-        return targetsOf(handle.record().service()).isReplaced(handle);
-    }
-
     // Operations
 
     /** Applies the services of a new configuration. */
