--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 . bin/find-jdk || exit 2
-exec "$JAVA_HOME/bin/java" -cp review/target/classes:target/gateway.jar BrokenStreamCase review/4/record.txt
+exec "$JAVA_HOME/bin/java" -cp review/target/classes:target/gateway.jar AllowanceCase review/4/record.txt
--- a/review/standins/UploadCase.java
+++ b/review/standins/LongTargetCase.java
@@ -5,108 +5,115 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Uploads far below the body limit of the configuration, from 2.1 times as many clients at once. */
-final class UploadCase {
-    private static final int BODY_BYTES = 200_000;
-    private static final int USUAL_CLIENTS = 120;
-    private static final double BURST_FACTOR = 2.1;
-    private static final long USUAL_MILLIS = 4_000;
-    private static final long BURST_MILLIS = 4_000;
-    private static final int SERVERS = 28;
-    private static final int SLOTS = 6;
-    private static final long WORK_MILLIS = 1_500;
-    private static final int TIMEOUT_MILLIS = 4_000;
-    private static final int DEADLINE_MILLIS = 6_000;
+/** Lookups of different objects, with long queries below the limit on headers. */
+final class LongTargetCase {
+    private static final int LONG_QUERY_BYTES = 15_000;
+    private static final int SHORT_QUERY_BYTES = 100;
+    private static final int REQUESTS = 4_500;
+    private static final int CLIENTS = 8;
+    // Clients stop after this many requests without an answer.
+    private static final int ENOUGH_UNANSWERED = 8;
+    private static final int SERVERS = 6;
+    private static final long WORK_MILLIS = 20;
+    private static final long PAUSE_MILLIS = 15_000;
+    private static final int LATER_REQUESTS = 6;
+    private static final int TIMEOUT_MILLIS = 2_000;
     private static final int GRACE_MILLIS = 500;
+    private static final int DEADLINE_MILLIS = 4_000;
 
     private final Case mCase;
     private final AtomicInteger mRequests = new AtomicInteger();
-    private final AtomicInteger mRuns = new AtomicInteger();
     private final AtomicInteger mSuccesses = new AtomicInteger();
-    private final AtomicInteger mFailures = new AtomicInteger();
     private final AtomicInteger mLate = new AtomicInteger();
-    private final AtomicInteger mNeverAnswered = new AtomicInteger();
+    private final AtomicInteger mUnanswered = new AtomicInteger();
 
-    private UploadCase(Case setting) {
+    private LongTargetCase(Case setting) {
         mCase = setting;
     }
 
     public static void main(String[] args) {
-        Case.main(args[0], setting -> new UploadCase(setting).run());
+        Case.main(args[0], setting -> new LongTargetCase(setting).run());
     }
 
     private int run() throws Exception {
         mCase.store()
-                .put(
-                        "op",
-                        "config",
-                        Config.of(7, Config.plain("upload", "unsafe", TIMEOUT_MILLIS)));
+                .put("op", "config", Config.of(7, Config.plain("lookup", "safe", TIMEOUT_MILLIS)));
         for (int i = 1; i <= SERVERS; i++) {
             Server server = new Server("i-" + i, this::answer);
-            mCase.store().put("servers", server.id(), server.entry(Config.APPLICATION, SLOTS));
+            mCase.store().put("servers", server.id(), server.entry(Config.APPLICATION, 6));
         }
         mCase.startGateways(1);
-        upload(USUAL_CLIENTS, USUAL_MILLIS);
+        String query = "x".repeat(mCase.trouble() ? LONG_QUERY_BYTES : SHORT_QUERY_BYTES);
+        ExecutorService clients = Executors.newVirtualThreadPerTaskExecutor();
+        for (int i = 0; i < CLIENTS; i++) {
+            clients.execute(
+                    () -> {
+                        while (mUnanswered.get() < ENOUGH_UNANSWERED
+                                && mRequests.get() < REQUESTS) {
+                            lookUp(query);
+                        }
+                    });
+        }
+        clients.shutdown();
+        clients.awaitTermination(60, TimeUnit.SECONDS);
         mCase.log(summary());
-        int clients = mCase.trouble() ? (int) (USUAL_CLIENTS * BURST_FACTOR) : USUAL_CLIENTS;
-        mCase.log(clients + " clients upload at once");
-        upload(clients, BURST_MILLIS);
+
+        mCase.log("no request for " + PAUSE_MILLIS / 1_000 + " s, then short ones, one at a time");
+        Thread.sleep(PAUSE_MILLIS);
+        int unansweredBefore = mUnanswered.get();
+        for (int i = 0; i < LATER_REQUESTS; i++) {
+            lookUp("x");
+        }
+        mCase.log(
+                "of "
+                        + LATER_REQUESTS
+                        + " later requests, unanswered: "
+                        + (mUnanswered.get() - unansweredBefore));
+        mCase.log(
+                "process alive "
+                        + mCase.gateways().getFirst().isAlive()
+                        + ", ready "
+                        + mCase.gateways().getFirst().isReady());
         mCase.log(summary());
         if (mSuccesses.get() == 0) {
             return Case.COULD_NOT_RUN;
         }
-        return 2 * mNeverAnswered.get() > mLate.get() ? Case.BROKEN : Case.HELD;
+        return 2 * mUnanswered.get() > mLate.get() ? Case.BROKEN : Case.HELD;
     }
 
     private String summary() {
         return "requests "
                 + mRequests
-                + ", run "
-                + mRuns
                 + ", successes "
                 + mSuccesses
-                + ", other answers or closed "
-                + mFailures
                 + ", unanswered at their route's timeout "
                 + mLate
                 + ", of these without an answer half a second later "
-                + mNeverAnswered;
+                + mUnanswered;
     }
 
-    private void upload(int clients, long millis) throws InterruptedException {
-        long endNanos = System.nanoTime() + millis * 1_000_000;
-        ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
-        for (int i = 0; i < clients; i++) {
-            executor.execute(
-                    () -> {
-                        while (System.nanoTime() < endNanos) {
-                            upload();
-                        }
-                    });
-        }
-        executor.shutdown();
-        executor.awaitTermination(30, TimeUnit.SECONDS);
-    }
-
-    private void upload() {
-        String id = "upload-" + mRequests.incrementAndGet();
+    private void lookUp(String query) {
+        int number = mRequests.incrementAndGet();
+        String id = "lookup-" + number;
         Client.Response response =
                 new Client(mCase.gateways().getFirst().front())
                         .call(
-                                "POST",
-                                "/upload/2f",
+                                "GET",
+                                "/lookup/" + number + "?q=" + query,
                                 List.of(
                                         "X-Request-Id: " + id,
                                         "X-Deadline-Milliseconds: " + DEADLINE_MILLIS),
-                                new byte[BODY_BYTES],
+                                new byte[0],
                                 DEADLINE_MILLIS,
                                 DEADLINE_MILLIS);
-        (response.status() == 200 && response.whole() ? mSuccesses : mFailures).incrementAndGet();
+        if (response.status() == 200 && response.whole()) {
+            mSuccesses.incrementAndGet();
+        }
         if (response.millis() > TIMEOUT_MILLIS) {
             mLate.incrementAndGet();
         }
         if (response.millis() > TIMEOUT_MILLIS + GRACE_MILLIS) {
-            mNeverAnswered.incrementAndGet();
+            mUnanswered.incrementAndGet();
         }
         if (response.status() != 200) {
             mCase.log(
@@ -124,12 +131,11 @@
     private void answer(Server server, Http.Head head, byte[] body, Server.Connection connection)
             throws IOException, InterruptedException {
         String id = head.field("X-Request-Id").orElse("");
-        mRuns.incrementAndGet();
         Thread.sleep(WORK_MILLIS);
         connection.answer(
                 200,
                 id,
-                "X-Response-Signature: s." + id + "\r\nX-Server-Load: 6,0,6,100\r\n",
+                "X-Response-Signature: s." + id + "\r\nX-Server-Load: 2,0,6,100\r\n",
                 new byte[800]);
     }
 }
