--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 . bin/find-jdk || exit 2
-exec "$JAVA_HOME/bin/java" -cp review/target/classes:target/gateway.jar BrokenStreamCase review/3/record.txt
+exec "$JAVA_HOME/bin/java" -cp review/target/classes:target/gateway.jar EndlessAnswerCase review/3/record.txt
--- a/review/standins/BrokenStreamCase.java
+++ b/review/standins/BrokenStreamCase.java
@@ -1,7 +1,10 @@
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
@@ -10,16 +13,16 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Streams, while one of seven servers crashes and another one fails some of its requests. */
+/** Streams, while two of fourteen servers crash and two others fail some of their requests. */
 final class BrokenStreamCase {
-    private static final int SERVERS = 7;
-    private static final String CRASHING = "i-1";
-    private static final String FAILING = "i-2";
+    private static final int SERVERS = 14;
+    private static final int CRASHING_SERVERS = 2;
+    private static final int FAILING_SERVERS = 2;
     private static final double FAILING_FRACTION = 0.4;
     private static final long FAILING_MILLIS = 5_000;
-    private static final int EVENTS = 20;
-    private static final long EVENT_MILLIS = 100;
-    private static final int PER_SECOND = 200;
+    private static final int EVENTS = 10;
+    private static final long EVENT_MILLIS = 200;
+    private static final int PER_SECOND = 400;
     private static final long BEFORE_MILLIS = 3_000;
     private static final int TIMEOUT_MILLIS = 3_000;
     private static final int DEADLINE_MILLIS = 4_000;
@@ -33,7 +36,7 @@
     private final AtomicInteger mWhole = new AtomicInteger();
     private final AtomicInteger mLate = new AtomicInteger();
     private final AtomicInteger mNeverAnswered = new AtomicInteger();
-    private volatile boolean mFailing;
+    private final Set<String> mFailing = ConcurrentHashMap.newKeySet();
 
     private BrokenStreamCase(Case setting) {
         mCase = setting;
@@ -46,26 +49,34 @@
     private int run() throws Exception {
         mCase.store()
                 .put("op", "config", Config.of(7, Config.streaming("turn", TIMEOUT_MILLIS)));
-        Server crashing = null;
+        List<Server> servers = new ArrayList<>();
         for (int i = 1; i <= SERVERS; i++) {
             Server server = new Server("i-" + i, this::stream);
-            crashing = server.id().equals(CRASHING) ? server : crashing;
+            servers.add(server);
             mOpen.put(server.id(), new ConcurrentLinkedQueue<>());
             mCase.store().put("servers", server.id(), server.entry(Config.ENGINES, 64));
         }
-        mCase.startGateways(2);
+        mCase.startGateways(4);
         ExecutorService clients = Executors.newVirtualThreadPerTaskExecutor();
         send(clients, BEFORE_MILLIS);
         if (mCase.trouble()) {
-            mFailing = true;
-            crashing.stopListening();
-            mCase.log(CRASHING + " crashes, " + FAILING + " begins to fail 40% of its requests");
-            for (Server.Connection connection : mOpen.get(CRASHING)) {
-                connection.reset();
+            servers.sort(Comparator.comparingInt(server -> -mOpen.get(server.id()).size()));
+            for (Server server : servers) {
+                mCase.log(server.id() + " runs " + mOpen.get(server.id()).size());
+            }
+            for (int i = 0; i < FAILING_SERVERS; i++) {
+                mFailing.add(servers.get(CRASHING_SERVERS + i).id());
+            }
+            mCase.log("the two busiest servers crash; of their requests, 40% fail at " + mFailing);
+            for (Server server : servers.subList(0, CRASHING_SERVERS)) {
+                server.stopListening();
+                for (Server.Connection connection : mOpen.get(server.id())) {
+                    connection.reset();
+                }
             }
         }
         send(clients, FAILING_MILLIS);
-        mFailing = false;
+        mFailing.clear();
         clients.shutdown();
         clients.awaitTermination(30, TimeUnit.SECONDS);
         mCase.log(
@@ -106,10 +117,8 @@
                                         "X-Request-Id: " + id,
                                         "X-Token-Counts: 1840,136",
                                         "X-Model: m",
-                                        "X-Prompt-Prefix: 5c1e07a2:800,"
-                                                + Integer.toHexString(number)
-                                                + ":1040",
-                                        "X-Deadline-Milliseconds: " + DEADLINE_MILLIS),
+                                        "X-Prompt-Prefix: " + Integer.toHexString(number) + ":1840",
+                                "X-Deadline-Milliseconds: " + DEADLINE_MILLIS),
                                 Http.ascii("prompt"),
                                 GAP_MILLIS,
                                 DEADLINE_MILLIS);
@@ -139,11 +148,10 @@
             throws IOException, InterruptedException {
         String id = head.field("X-Request-Id").orElse("");
         int first = head.field("Last-Event-Id").map(Integer::parseInt).orElse(0) + 1;
-        if (mFailing
-                && server.id().equals(FAILING)
+        if (mFailing.contains(server.id())
                 && ThreadLocalRandom.current().nextDouble() < FAILING_FRACTION) {
             if (first > 1) {
-                mCase.log("run " + id + " by " + FAILING + " from event " + first + ": 500");
+                mCase.log("run " + id + " by " + server.id() + " from event " + first + ": 500");
             }
             connection.answer(500, id, "X-Response-Signature: s." + id + "\r\n", new byte[20]);
             return;
