--- a/review/standins/AllowanceCase.java
+++ b/review/standins/AllowanceCase.java
@@ -76,7 +76,7 @@
         Thread.sleep(mCase.trouble() ? 3_000 : 0);
     }
 
-    /** Sends turns one after another, through the gateways in turn, until the program is stopped. */
+    /** Sends turns one after another through each gateway in turn, until the program is stopped. */
     private void loop(int turnTokens, int maxTurns, long maxMillis) throws InterruptedException {
         long endNanos = System.nanoTime() + maxMillis * 1_000_000;
         int budgetSpent = 0;
--- a/review/standins/LargeAnswerCase.java
+++ b/review/standins/LargeAnswerCase.java
@@ -46,7 +46,8 @@
     }
 
     private int run() throws Exception {
-        mCase.store().put("op", "config", Config.of(7, Config.plain("lookup", "safe", DEADLINE_MILLIS)));
+        mCase.store()
+                .put("op", "config", Config.of(7, Config.plain("lookup", "safe", DEADLINE_MILLIS)));
         for (int i = 1; i <= SERVERS; i++) {
             Server server = new Server("i-" + i, this::answer);
             mCase.store().put("servers", server.id(), server.entry(Config.APPLICATION, 6));
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -66,19 +66,6 @@
                 Base64.getEncoder().encodeToString(json.getBytes(StandardCharsets.UTF_8)));
     }
 
-    /** Returns the decoded value of the row with the given key in any part of a table, or "". */
-    synchronized String find(String table, String key) {
-        return mRows.values().stream()
-                .filter(row -> row.id().table().equals(table) && row.id().key().equals(key))
-                .map(row -> new String(Base64.getDecoder().decode(row.value()), StandardCharsets.UTF_8))
-                .findFirst()
-                .orElse("");
-    }
-
-    synchronized int count(String table) {
-        return (int) mRows.keySet().stream().filter(id -> id.table().equals(table)).count();
-    }
-
     private synchronized void write(Id id, String value) {
         Change change = new Change(id, value, ++mVersion);
         if (value == null) {
