Let one stream no longer stop all responses of a host

Cause: the loop read up to 1 MB from one connection before anything else had its turn, and each empty line cost an event object, a split by a regular expression, a chunk and a system call.

Fix: a connection is read once, up to 16 KB, before the others have their turn; splitting examines each byte a constant number of times; empty lines and comments are no events; what arrives in one read is written once; 256 KB without an event end the exchange as malformed. Why it works: the time that others wait is now a read of 16 KB times a bounded cost a byte, whatever the bytes are.

TestClient buffers its input and looks for the end in the last bytes only: with 256 KB of small lines its search took 30 s. It reads the same bytes and ends at the same place.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -53,7 +53,8 @@
     private final TargetHandle mHandle;
     private final EventLoop mLoop;
     private final OutboundConnection mConnection;
-    private final EventSplitter mSplitter = new EventSplitter();
+    private final EventSplitter mSplitter = new EventSplitter(Unpooled.buffer(0));
+    private final PartBuffer mOutput;
     private HttpResponse mHead;
     private BodyMode mBodyMode = BodyMode.BUFFER;
     private final ByteBuf mBody = Unpooled.buffer(0);
@@ -66,6 +67,7 @@
         mCall = call;
         mHandle = handle;
         mLoop = call.writer().eventLoop();
+        mOutput = new PartBuffer(call.writer());
         mConnection = handle.connections().acquire(mLoop, call.route().isRepeatable());
     }
 
@@ -142,20 +144,26 @@
         switch (mBodyMode) {
             case REFUSAL -> skipRefusalBody(part);
             case BUFFER -> bufferOrForward(part);
-            case FORWARD -> mCall.writer().write(part.retainedDuplicate());
+            case FORWARD -> mOutput.add(part);
             case EVENTS -> {
                 mSplitter.add(part);
                 forwardEvents();
-                if (mSplitter.isOversized()) {
+                if (mSplitter.isWithoutEvents()) {
                     mConnection.close();
-                    mCall.onFailed(this, OutboundFailure.MALFORMED);
+                    onFailure(OutboundFailure.MALFORMED);
                 }
             }
         }
     }
 
+    @Override
+    public void onReadComplete() {
+        mOutput.flush();
+    }
+
     @Override
     public void onEnd() {
+        mOutput.flush();
         int status = mHead.status().code();
         // A late copy of a refusal without an id could not be told from the refusal of a later
         // request, which may run.
@@ -186,6 +194,7 @@
 
     @Override
     public void onFailure(OutboundFailure failure) {
+        mOutput.flush();
         mCall.onFailed(this, failure);
     }
 
@@ -216,8 +225,9 @@
         mBodyMode = BodyMode.FORWARD;
         mCall.progress().markStarted();
         mCall.writer().start(streamHead());
-        mCall.writer().write(mBody);
-        mCall.writer().write(part.retainedDuplicate());
+        mOutput.add(mBody);
+        mBody.release();
+        mOutput.add(part);
     }
 
     private void respondBuffered() {
@@ -249,18 +259,28 @@
     }
 
     private void forwardEvents() {
-        Optional<EventSplitter.Event> event = mSplitter.next();
-        while (event.isPresent()) {
-            if (mFirstEventNanos.isEmpty()) {
-                mFirstEventNanos = OptionalLong.of(System.nanoTime());
-            }
-            if (mCall.recordEvent(event.get(), mHandle)) {
-                startEvents();
-                mCall.writer().write(event.get().bytes());
-            } else {
-                event.get().bytes().release();
+        for (Optional<EventSplitter.Event> event = mSplitter.next();
+                event.isPresent();
+                event = mSplitter.next()) {
+            forward(event.get());
+        }
+    }
+
+    private void forward(EventSplitter.Event event) {
+        if (event.isComment()) {
+            mCall.progress().recordActivity(System.nanoTime());
+            // A comment must not commit the response to this attempt.
+            if (mCall.progress().isStarted()) {
+                mOutput.add(event.bytes());
             }
-            event = mSplitter.next();
+            return;
+        }
+        if (mFirstEventNanos.isEmpty()) {
+            mFirstEventNanos = OptionalLong.of(System.nanoTime());
+        }
+        if (mCall.recordEvent(event, mHandle)) {
+            startEvents();
+            mOutput.add(event.bytes());
         }
     }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/EventSplitter.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/EventSplitter.java
@@ -1,7 +1,6 @@
 package org.oleandertrack.gateway.call;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -9,17 +8,19 @@
 /**
  * Splits a stream of server-sent events into complete events. If the stream fails within an event,
  * the incomplete event is not forwarded, and another target can resume after the last complete one.
- * Not thread-safe.
+ * Empty lines outside of an event have no meaning and are dropped. Each byte is examined a constant
+ * number of times, however the stream is cut into parts. Not thread-safe.
  */
 final class EventSplitter {
 
     /**
-     * A complete event.
+     * A complete event, or a block of comments.
      *
-     * @param bytes the event, including the empty line that ends it
+     * @param bytes the event, including the empty line that ends it; valid until bytes are added
      * @param id the event's id, if it has one
+     * @param isComment whether all lines are comments, which clients ignore
      */
-    record Event(ByteBuf bytes, Optional<String> id) {
+    record Event(ByteBuf bytes, Optional<String> id, boolean isComment) {
 
         /**
          * Appends the event's data to a buffer: the values of its data fields, with a line feed
@@ -37,7 +38,7 @@
                 if (end > lineStart && bytes.getByte(end - 1) == '\r') {
                     end--;
                 }
-                if (startsWithDataField(lineStart, end)) {
+                if (startsWith(bytes, lineStart, end, DATA_FIELD)) {
                     int valueStart = lineStart + DATA_FIELD.length;
                     if (valueStart < end && bytes.getByte(valueStart) == ' ') {
                         valueStart++;
@@ -53,32 +54,36 @@
             return hasData;
         }
 
-        private boolean startsWithDataField(int lineStart, int end) {
-            if (end - lineStart < DATA_FIELD.length) {
-                return false;
-            }
-            for (int i = 0; i < DATA_FIELD.length; i++) {
-                if (bytes.getByte(lineStart + i) != DATA_FIELD[i]) {
-                    return false;
-                }
-            }
-            return true;
-        }
-
         /** Returns the id as a number; empty if it is absent or not a number. */
         OptionalLong number() {
             return id.isPresent() ? parseNumber(id.get()) : OptionalLong.empty();
         }
     }
 
-    private static final String ID_FIELD = "id:";
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.US_ASCII);
 
-    // An event holds a few tokens; a larger one is not an event of an engine.
-    private static final int MAX_EVENT_BYTES = 256 * 1024;
+    // An event holds a few tokens; a target that sends more bytes without completing one does not
+    // send a stream of events.
+    private static final int MAX_BYTES_WITHOUT_EVENT = 256 * 1024;
 
-    private final ByteBuf mBuffer = Unpooled.buffer();
-    private int mNextLineStart;
+    private final ByteBuf mBuffer;
+    // The lines of the event at the start of the buffer. Offsets are relative to its reader index.
+    private int mScannedBytes;
+    private int mLineOffset;
+    private Optional<String> mId = Optional.empty();
+    private boolean mOnlyComments = true;
+    // Bytes of empty lines and comments since the last event.
+    private long mIgnoredBytes;
+
+    /**
+     * Creates a splitter.
+     *
+     * @param buffer empty buffer for bytes whose event is incomplete
+     */
+    EventSplitter(ByteBuf buffer) {
+        mBuffer = buffer;
+    }
 
     /** Returns an event's id as a number; empty if it is none. */
     static OptionalLong parseNumber(String id) {
@@ -91,24 +96,42 @@
 
     /** Appends bytes of the stream. */
     void add(ByteBuf part) {
+        // All complete events have been removed, so at most one incomplete event is moved, once.
+        if (mBuffer.readerIndex() > 0) {
+            mBuffer.discardReadBytes();
+        }
         mBuffer.writeBytes(part);
     }
 
-    /** Removes and returns the next complete event, if there is one. */
+    /** Removes and returns the next complete event or block of comments, if there is one. */
     Optional<Event> next() {
-        int end = findEventEnd();
-        if (end < 0) {
-            return Optional.empty();
+        while (mScannedBytes < mBuffer.readableBytes()) {
+            int index = mBuffer.readerIndex() + mScannedBytes++;
+            if (mBuffer.getByte(index) != '\n') {
+                continue;
+            }
+            int lineStart = mBuffer.readerIndex() + mLineOffset;
+            int lineEnd =
+                    index > lineStart && mBuffer.getByte(index - 1) == '\r' ? index - 1 : index;
+            boolean isEmpty = lineEnd == lineStart;
+            if (isEmpty && mLineOffset == 0) {
+                mIgnoredBytes += mScannedBytes;
+                mBuffer.skipBytes(mScannedBytes);
+                mScannedBytes = 0;
+                continue;
+            }
+            if (isEmpty) {
+                return Optional.of(takeEvent());
+            }
+            scanLine(lineStart, lineEnd);
+            mLineOffset = mScannedBytes;
         }
-        ByteBuf bytes = mBuffer.readBytes(end - mBuffer.readerIndex());
-        mBuffer.discardReadBytes();
-        mNextLineStart = 0;
-        return Optional.of(new Event(bytes, parseId(bytes)));
+        return Optional.empty();
     }
 
-    /** Returns whether the incomplete event that is buffered exceeds the size of an event. */
-    boolean isOversized() {
-        return mBuffer.readableBytes() > MAX_EVENT_BYTES;
+    /** Returns whether more bytes have arrived since the last event than an event may have. */
+    boolean isWithoutEvents() {
+        return mIgnoredBytes + mBuffer.readableBytes() > MAX_BYTES_WITHOUT_EVENT;
     }
 
     /** Returns whether bytes of an incomplete event are buffered. */
@@ -116,43 +139,36 @@
         return mBuffer.isReadable();
     }
 
-    /** Removes and returns the buffered bytes. */
-    ByteBuf takeRest() {
-        return mBuffer.readBytes(mBuffer.readableBytes());
+    private void scanLine(int start, int end) {
+        mOnlyComments &= mBuffer.getByte(start) == ':';
+        if (mId.isEmpty() && startsWith(mBuffer, start, end, ID_FIELD)) {
+            int valueStart = start + ID_FIELD.length;
+            mId =
+                    Optional.of(
+                            mBuffer.toString(valueStart, end - valueStart, StandardCharsets.UTF_8)
+                                    .trim());
+        }
     }
 
-    /** Discards the buffered bytes. */
-    void clear() {
-        mBuffer.clear();
-        mNextLineStart = 0;
+    private Event takeEvent() {
+        Event event = new Event(mBuffer.readSlice(mScannedBytes), mId, mOnlyComments);
+        mIgnoredBytes = mOnlyComments ? mIgnoredBytes + mScannedBytes : 0;
+        mScannedBytes = 0;
+        mLineOffset = 0;
+        mId = Optional.empty();
+        mOnlyComments = true;
+        return event;
     }
 
-    // Returns the index after the empty line that ends the next event, or -1 if there is none.
-    // Lines end with LF or CR LF.
-    private int findEventEnd() {
-        int lineStart = mNextLineStart;
-        for (int i = mNextLineStart; i < mBuffer.writerIndex(); i++) {
-            if (mBuffer.getByte(i) != '\n') {
-                continue;
-            }
-            int lineLength = i - lineStart;
-            boolean isEmptyLine =
-                    lineLength == 0 || (lineLength == 1 && mBuffer.getByte(lineStart) == '\r');
-            if (isEmptyLine) {
-                return i + 1;
-            }
-            lineStart = i + 1;
+    private static boolean startsWith(ByteBuf bytes, int start, int end, byte[] prefix) {
+        if (end - start < prefix.length) {
+            return false;
         }
-        mNextLineStart = lineStart;
-        return -1;
-    }
-
-    private static Optional<String> parseId(ByteBuf bytes) {
-        for (String line : bytes.toString(StandardCharsets.UTF_8).split("\r?\n", -1)) {
-            if (line.startsWith(ID_FIELD)) {
-                return Optional.of(line.substring(ID_FIELD.length()).trim());
+        for (int i = 0; i < prefix.length; i++) {
+            if (bytes.getByte(start + i) != prefix[i]) {
+                return false;
             }
         }
-        return Optional.empty();
+        return true;
     }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/StreamProgress.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StreamProgress.java
@@ -1,6 +1,7 @@
 package org.oleandertrack.gateway.call;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -13,6 +14,7 @@
     private Optional<String> mLastEventId = Optional.empty();
     private long mFirstEventNanos;
     private long mLastEventNanos;
+    private OptionalLong mLastActivityNanos = OptionalLong.empty();
     private long mLongestGapNanos;
 
     /** Returns whether the response head was sent to the caller. */
@@ -29,12 +31,13 @@
     }
 
     /**
-     * Returns the time of the last event or of the last send, whichever is later.
+     * Returns the time of the last event, the last comment or the last send, whichever is latest.
      *
      * @param sentNanos when the request was last sent to a target
      */
     long lastActivityNanos(long sentNanos) {
-        return mEventCount == 0 || sentNanos - mLastEventNanos > 0 ? sentNanos : mLastEventNanos;
+        long activityNanos = mLastActivityNanos.orElse(sentNanos);
+        return sentNanos - activityNanos > 0 ? sentNanos : activityNanos;
     }
 
     /** Returns the time from the given moment to the first event; 0 if there was no event. */
@@ -50,6 +53,11 @@
         mStarted = true;
     }
 
+    /** Records that the target has sent something that shows that it still runs the request. */
+    void recordActivity(long nowNanos) {
+        mLastActivityNanos = OptionalLong.of(nowNanos);
+    }
+
     void recordEvent(Optional<String> id, long nowNanos) {
         if (mEventCount++ == 0) {
             mFirstEventNanos = nowNanos;
@@ -57,6 +65,7 @@
             mLongestGapNanos = Math.max(mLongestGapNanos, nowNanos - mLastEventNanos);
         }
         mLastEventNanos = nowNanos;
+        recordActivity(nowNanos);
         if (id.isPresent()) {
             mLastEventId = id;
         }
--- /dev/null
+++ b/gateway/src/test/java/org/oleandertrack/gateway/call/EventSplitterTest.java
@@ -0,0 +1,112 @@
+package org.oleandertrack.gateway.call;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.buffer.UnpooledHeapByteBuf;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against streams that are split differently, or at a higher cost, when cut differently. */
+final class EventSplitterTest {
+
+    private static final int TOTAL_BYTES = 64 * 1024;
+    private static final int MAX_OPERATIONS_PER_BYTE = 16;
+
+    /** A buffer that counts the bytes that are read one by one and the bytes that are moved. */
+    private static final class CountingBuffer extends UnpooledHeapByteBuf {
+        private long mOperations;
+
+        private CountingBuffer() {
+            super(UnpooledByteBufAllocator.DEFAULT, 0, Integer.MAX_VALUE);
+        }
+
+        @Override
+        public byte getByte(int index) {
+            mOperations++;
+            return super.getByte(index);
+        }
+
+        @Override
+        public ByteBuf discardReadBytes() {
+            mOperations += readableBytes();
+            return super.discardReadBytes();
+        }
+    }
+
+    private static ByteBuf bytes(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+    }
+
+    private static List<String> split(EventSplitter splitter, String stream, int partLength) {
+        List<String> events = new ArrayList<>();
+        for (int start = 0; start < stream.length(); start += partLength) {
+            int end = Math.min(stream.length(), start + partLength);
+            splitter.add(bytes(stream.substring(start, end)));
+            for (Optional<EventSplitter.Event> event = splitter.next();
+                    event.isPresent();
+                    event = splitter.next()) {
+                String text = event.get().bytes().toString(StandardCharsets.UTF_8);
+                events.add(
+                        (event.get().isComment() ? "comment " : "event ")
+                                + event.get().id().orElse("")
+                                + "|"
+                                + text);
+            }
+        }
+        return events;
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", "\r\n", ":\n\n", "id:1\n\n", "data: x\n", "data: a line\r\n\r\n"})
+    void theWorkIsProportionalToTheBytes(String repeated) {
+        String stream = repeated.repeat(TOTAL_BYTES / repeated.length());
+        for (int partLength : new int[] {1, 7, 1_024, TOTAL_BYTES}) {
+            CountingBuffer buffer = new CountingBuffer();
+            split(new EventSplitter(buffer), stream, partLength);
+            long limit = (long) MAX_OPERATIONS_PER_BYTE * TOTAL_BYTES;
+            assertTrue(
+                    buffer.mOperations <= limit,
+                    buffer.mOperations + " operations in parts of " + partLength + " bytes");
+        }
+    }
+
+    @Test
+    void theEventsDoNotDependOnHowTheStreamIsCut() {
+        String stream =
+                "\n\r\nid: 1\ndata: a\n\n\n:\n\nversion: 3\r\nid: 2\r\ndata: b\r\ndata: ü\r\n\r\n"
+                        + ": note\nid:3\n\ndata: c\n\nid: 4\ndata: rest";
+        List<String> expected =
+                List.of(
+                        "event 1|id: 1\ndata: a\n\n",
+                        "comment |:\n\n",
+                        "event 2|version: 3\r\nid: 2\r\ndata: b\r\ndata: ü\r\n\r\n",
+                        "event 3|: note\nid:3\n\n",
+                        "event |data: c\n\n");
+        for (int partLength = 1; partLength <= stream.length(); partLength++) {
+            EventSplitter splitter = new EventSplitter(Unpooled.buffer(0));
+            assertEquals(expected, split(splitter, stream, partLength));
+            assertTrue(splitter.hasPartialEvent());
+        }
+    }
+
+    @Test
+    void onlyBytesWithoutAnEventCountTowardsTheLimit() {
+        EventSplitter splitter = new EventSplitter(Unpooled.buffer(0));
+        split(splitter, "\n".repeat(200 * 1_024), 1_024);
+        assertFalse(splitter.isWithoutEvents());
+        split(splitter, "data: x\n\n" + ":\n\n".repeat(50 * 1_024), 1_024);
+        assertFalse(splitter.isWithoutEvents());
+        split(splitter, "\n".repeat(150 * 1_024), 1_024);
+        assertTrue(splitter.isWithoutEvents());
+    }
+}
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayHostileTargetTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayHostileTargetTest.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against targets in trouble that harm other requests: bytes without end, late second copies
@@ -20,6 +22,11 @@
     private static final int BUFFERED_KILOBYTES = 8 * 1_024;
     // Far more than a gateway may buffer for one response.
     private static final int MANY_KILOBYTES = 32 * 1_024;
+    private static final String STREAM_HEAD =
+            "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Type: text/event-stream\r\n\r\n";
+    private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
+    // Line feeds and the size of a chunk of up to 15 bytes.
+    private static final int CHUNK_OVERHEAD_BYTES = 5;
 
     /** Writes bytes until the peer closes the connection; counts the kilobytes written. */
     private static ScriptedTarget.Script endless(String head, String line, AtomicLong written) {
@@ -71,6 +78,44 @@
         }
     }
 
+    /** Guards against lines without content that count as events and are forwarded one by one. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", "\r\n", ":\n\n"})
+    void aStreamThatGoesOnWithoutEventsIsCutOff(String line) throws IOException {
+        AtomicLong written = new AtomicLong();
+        String head = STREAM_HEAD + FIRST_EVENT;
+        String kilobyte = line.repeat(1_024 / line.length());
+        try (ScriptedTarget target = new ScriptedTarget(endless(head, kilobyte, written));
+                TestGateway gateway = TestGateway.with("engine", target)) {
+            String answer = answer(gateway, "/talk/x");
+            assertTrue(answer.contains("data: a"), answer);
+            assertTrue(answer.endsWith("<closed>"), answer);
+            assertTrue(written.get() < BUFFERED_KILOBYTES, written + " KB were read");
+            assertTrue(gateway.logs().contains("\"reason\":\"malformed\""));
+        }
+    }
+
+    /** Guards against a write to the caller for each of many events that arrive together. */
+    @Test
+    void eventsThatArriveTogetherAreWrittenTogether() throws IOException {
+        StringBuilder events = new StringBuilder();
+        for (int i = 1; i <= 1_000; i++) {
+            events.append("id: ").append(i).append("\ndata: a\n\n");
+        }
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    exchange.startStream(events.toString());
+                                    exchange.endStream();
+                                });
+                TestGateway gateway = TestGateway.with("engine", target)) {
+            String answer = answer(gateway, "/talk/x");
+            assertEquals(1_000, answer.split("data: a\n\n", -1).length - 1);
+            int chunks = (answer.length() - events.length()) / CHUNK_OVERHEAD_BYTES;
+            assertTrue(chunks < 100, chunks + " chunks");
+        }
+    }
+
     @Test
     void aRefusalWithoutEndCountsAsRefusal() throws IOException {
         AtomicLong written = new AtomicLong();
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestClient.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestClient.java
@@ -1,7 +1,9 @@
 package org.oleandertrack.gateway.host;
 
+import java.io.BufferedInputStream;
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -12,11 +14,13 @@
     private static final int READ_TIMEOUT_MILLIS = 10_000;
 
     private final Socket mSocket;
+    private final InputStream mInput;
 
     TestClient(InetSocketAddress address) throws IOException {
         mSocket = new Socket(address.getAddress(), address.getPort());
         mSocket.setSoTimeout(READ_TIMEOUT_MILLIS);
         mSocket.setTcpNoDelay(true);
+        mInput = new BufferedInputStream(mSocket.getInputStream());
     }
 
     void send(String method, String path, String id, String headers, String body)
@@ -49,8 +53,8 @@
      */
     String readUntil(String end) throws IOException {
         StringBuilder text = new StringBuilder();
-        while (text.indexOf(end) < 0) {
-            int next = mSocket.getInputStream().read();
+        while (text.indexOf(end, Math.max(0, text.length() - end.length())) < 0) {
+            int next = mInput.read();
             if (next < 0) {
                 return text + "<closed>";
             }
@@ -66,7 +70,7 @@
         if (length.isEmpty()) {
             return head.contains("chunked") ? head + readUntil("\r\n0\r\n\r\n") : head;
         }
-        byte[] body = mSocket.getInputStream().readNBytes(Integer.parseInt(length));
+        byte[] body = mInput.readNBytes(Integer.parseInt(length));
         return head + new String(body, StandardCharsets.UTF_8);
     }
 
--- a/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
+++ b/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
@@ -77,6 +77,7 @@
                         .group(loop)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.RECVBUF_ALLOCATOR, ReadLimits.allocator())
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
                         .handler(
                                 new ChannelInitializer<SocketChannel>() {
@@ -192,6 +193,13 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (mExchange != null) {
+            mExchange.onReadComplete();
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         Logger.debug("connection to {} failed: {}", mChannel.remoteAddress(), cause.toString());
--- a/http/src/main/java/org/oleandertrack/http/OutboundExchange.java
+++ b/http/src/main/java/org/oleandertrack/http/OutboundExchange.java
@@ -21,6 +21,12 @@
     /** Receives a part of the body. The buffer is valid only until this method returns. */
     void onContent(ByteBuf part);
 
+    /**
+     * All bytes that were read from the connection at once have been passed on. What they cause to
+     * be written to others can be written now, together.
+     */
+    default void onReadComplete() {}
+
     /** The response is complete. If the connection is reusable, it can take another request. */
     void onEnd();
 
