Issue outage allowances only from tokens that the store has granted

Cause: a quarter of a budget was kept back from grants and issued from the memory of one process. Whoever considered itself the issuer could issue it again: after a restart, with other peers in view, after 120 s. And its size followed from the turn that asked, so that a budget that long turns had used up had an allowance for short ones.

Fix: the first grant of a program, a durable write, includes the allowance, and the granting host moves it to the issuer. Hosts take from it what a turn misses, in an outage and when the row has nothing left. Why it works: spent and reserved <= granted in the row <= budget, since a granted token is in one memory only; restarts, lost messages and other views of the peers lose tokens and never copy them. A program that begins in an outage gets nothing, because nobody can know what others issued.

--- a/coordination/src/main/java/org/oleandertrack/coordination/spending/GrantPolicy.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/spending/GrantPolicy.java
@@ -1,6 +1,6 @@
 package org.oleandertrack.coordination.spending;
 
-import java.util.OptionalLong;
+import java.util.Optional;
 
 /**
  * Decides how many tokens of a program's budget a host is granted at once. While much of the budget
@@ -10,6 +10,19 @@
  */
 final class GrantPolicy {
 
+    /**
+     * Tokens of one grant.
+     *
+     * @param hostTokens tokens for the host that asks
+     * @param allowanceTokens tokens for the program's outage allowance
+     */
+    record GrantSize(long hostTokens, long allowanceTokens) {
+
+        long totalTokens() {
+            return hostTokens + allowanceTokens;
+        }
+    }
+
     // The size of a grant is the number of ungranted tokens divided by this. Turns of one program
     // arrive at up to six hosts, and a turn generates a quarter of its maximum.
     private static final int GRANT_DIVISOR = 8;
@@ -17,24 +30,9 @@
     private static final int SCARCITY_DIVISOR = 2;
     // The outage allowance is the budget divided by this.
     private static final int OUTAGE_DIVISOR = 4;
-    // Smallest budget that has an outage allowance, in turns of the maximum size.
-    private static final int MIN_TURNS_FOR_ALLOWANCE = 8;
 
     private GrantPolicy() {}
 
-    /**
-     * Returns the size of a program's outage allowance: the tokens that are never granted through
-     * the store, because they are issued during its outages. A budget of a few turns has no
-     * allowance, because a single excess turn would be a large part of it.
-     *
-     * @param maxTurnTokens largest number of tokens that a turn may generate
-     */
-    static long outageAllowanceTokens(long budgetTokens, long maxTurnTokens) {
-        return budgetTokens >= MIN_TURNS_FOR_ALLOWANCE * maxTurnTokens
-                ? budgetTokens / OUTAGE_DIVISOR
-                : 0;
-    }
-
     /**
      * Returns whether so much of a budget is granted that idle hosts have to return their unused
      * tokens.
@@ -44,17 +42,28 @@
     }
 
     /**
-     * Returns the size of the next grant; empty if the budget does not cover the needed tokens.
+     * Returns the size of the next grant; empty if the budget does not cover the needed tokens. The
+     * first grant of a program includes its outage allowance, so that whatever is issued during an
+     * outage has been granted before.
      *
-     * @param budgetTokens the program's budget without its outage allowance
-     * @param grantedTokens tokens granted to all hosts so far
+     * @param grantedTokens tokens granted to all hosts and to the allowance so far
      * @param neededTokens tokens that the host needs now
      */
-    static OptionalLong nextGrantTokens(long budgetTokens, long grantedTokens, long neededTokens) {
+    static Optional<GrantSize> nextGrant(long budgetTokens, long grantedTokens, long neededTokens) {
         long ungrantedTokens = budgetTokens - grantedTokens;
         if (ungrantedTokens < neededTokens) {
-            return OptionalLong.empty();
+            return Optional.empty();
         }
-        return OptionalLong.of(Math.max(neededTokens, ungrantedTokens / GRANT_DIVISOR));
+        long allowanceTokens =
+                grantedTokens == 0 ? outageAllowanceTokens(budgetTokens, neededTokens) : 0;
+        long hostTokens =
+                Math.max(neededTokens, (ungrantedTokens - allowanceTokens) / GRANT_DIVISOR);
+        return Optional.of(new GrantSize(hostTokens, allowanceTokens));
+    }
+
+    // A budget whose allowance would not cover a turn has none.
+    private static long outageAllowanceTokens(long budgetTokens, long turnTokens) {
+        long tokens = budgetTokens / OUTAGE_DIVISOR;
+        return tokens >= turnTokens ? tokens : 0;
     }
 }
--- a/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingAccount.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingAccount.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import org.oleandertrack.coordination.spending.GrantPolicy.GrantSize;
 
 /**
  * Account of one program at this host: tokens that are granted, tokens that are used or reserved,
@@ -17,12 +18,14 @@
 
     final String mProgram;
     final ArrayDeque<Waiter> mWaiters = new ArrayDeque<>();
-    // Sizes in tokens of the grants whose write has not been confirmed, by write id. A grant is
-    // confirmed when the row is read with its write id.
-    final Map<String, Long> mUnconfirmedGrants = new HashMap<>();
+    // Grants whose write has not been confirmed, by write id. A grant is confirmed when the row is
+    // read with its write id.
+    final Map<String, GrantSize> mUnconfirmedGrants = new HashMap<>();
     long mBudgetTokens;
     long mTokensGrantedToThisHost;
     long mUsedOrReservedTokens;
+    // Granted tokens that are to be moved to the program's outage allowance.
+    long mTokensToDeposit;
     // Granted tokens in the program's row and version of the row, as last read or written.
     long mTokensGrantedToAllHosts;
     long mRowVersion;
@@ -43,6 +46,13 @@
         mOpenReservations++;
     }
 
+    /** Removes and returns the tokens that are to be moved to the program's outage allowance. */
+    long takeTokensToDeposit() {
+        long tokens = mTokensToDeposit;
+        mTokensToDeposit = 0;
+        return tokens;
+    }
+
     /**
      * Updates the account from the program's row. If the row carries the write id of an unconfirmed
      * grant of this host, the grant is confirmed and its tokens are added.
@@ -50,9 +60,10 @@
     void updateFromRow(long version, SpendingRow row) {
         mRowVersion = version;
         mTokensGrantedToAllHosts = row.grantedTokens();
-        Long tokens = mUnconfirmedGrants.remove(row.writeId());
-        if (tokens != null) {
-            mTokensGrantedToThisHost += tokens;
+        GrantSize size = mUnconfirmedGrants.remove(row.writeId());
+        if (size != null) {
+            mTokensGrantedToThisHost += size.hostTokens();
+            mTokensToDeposit += size.allowanceTokens();
         }
     }
 }
--- a/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingResult.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingResult.java
@@ -6,7 +6,7 @@
     /**
      * The tokens are reserved.
      *
-     * @param fromAllowance whether the tokens come from the outage allowance rather than a grant
+     * @param fromAllowance whether tokens were taken from the program's outage allowance
      */
     record Reserved(long tokens, boolean fromAllowance) implements SpendingResult {}
 
--- a/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingService.java
@@ -5,10 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.oleandertrack.coordination.spending.GrantPolicy.GrantSize;
 import org.oleandertrack.coordination.spending.SpendingAccount.Waiter;
 import org.oleandertrack.coordination.store.RowId;
 import org.oleandertrack.coordination.store.RowJson;
@@ -25,7 +25,9 @@
  * Reserves tokens from the budgets of programs. A host spends only tokens that were granted to it
  * by a durable write to the program's row. The write is conditional on the version of the row, so
  * the grants of all hosts together never exceed the budget. Tokens of a grant that a host has not
- * used when it dies count as spent.
+ * used when it dies count as spent. The first grant of a program includes an outage allowance,
+ * which one host holds for all; hosts take from it while the store does not answer, and once the
+ * rest of the budget is granted. So what all hosts spend never exceeds what the store has granted.
  *
  * <p>Accounts are spread over stripes with a lock each. Thread-safe.
  */
@@ -53,7 +55,7 @@
     /**
      * Creates a service without accounts.
      *
-     * @param issuer issues tokens of outage allowances while the store does not answer
+     * @param issuer holds the outage allowances
      */
     public SpendingService(
             RowStore store, AllowanceIssuer issuer, WriteIds writeIds, LongSupplier nanoClock) {
@@ -97,27 +99,20 @@
      * Reserves tokens from the program's outage allowance, for a caller that cannot wait longer for
      * {@link #reserve}.
      *
-     * @param budgetTokens tokens that all turns of the program together may generate
      * @param maxTokens largest number of tokens that the turn may generate
      */
-    public CompletableFuture<SpendingResult> reserveFromAllowance(
-            String program, long budgetTokens, long maxTokens) {
-        return mIssuer.take(program, budgetTokens, maxTokens)
-                .thenApply(
-                        taken ->
-                                taken
-                                        ? new SpendingResult.Reserved(maxTokens, true)
-                                        : new SpendingResult.Unavailable(
-                                                "the store has not answered in time"));
+    public CompletableFuture<SpendingResult> reserveFromAllowance(String program, long maxTokens) {
+        CompletableFuture<SpendingResult> result = new CompletableFuture<>();
+        takeAllowance(
+                program,
+                new Waiter(maxTokens, result),
+                new SpendingResult.Unavailable("the store has not answered in time"));
+        return result;
     }
 
     /** Ends a reservation; the tokens that the turn did not generate can be reserved again. */
     public void settle(String program, SpendingResult.Reserved reserved, long generatedTokens) {
         long unusedTokens = Math.max(0, reserved.tokens() - generatedTokens);
-        if (reserved.fromAllowance()) {
-            mIssuer.returnTokens(program, unusedTokens);
-            return;
-        }
         Map<String, SpendingAccount> stripe = stripeOf(program);
         synchronized (stripe) {
             SpendingAccount account = stripe.get(program);
@@ -166,11 +161,13 @@
         Map<String, SpendingAccount> stripe = stripeOf(program);
         List<Waiter> served = new ArrayList<>();
         Optional<Grant> grant = Optional.empty();
+        long tokensToDeposit;
         synchronized (stripe) {
             SpendingAccount account = stripe.get(program);
             if (account == null || account.mStoreRequestInFlight) {
                 return;
             }
+            tokensToDeposit = account.takeTokensToDeposit();
             serveFromGrant(account, served);
             if (!account.mWaiters.isEmpty()) {
                 grant = Optional.of(nextGrant(account));
@@ -181,9 +178,32 @@
                 waiter ->
                         waiter.result()
                                 .complete(new SpendingResult.Reserved(waiter.tokens(), false)));
+        if (tokensToDeposit > 0) {
+            deposit(program, tokensToDeposit);
+        }
         grant.ifPresent(this::writeGrant);
     }
 
+    private void deposit(String program, long tokens) {
+        var _ =
+                mIssuer.deposit(program, tokens)
+                        .thenAccept(
+                                deposited -> {
+                                    if (!deposited) {
+                                        credit(program, tokens);
+                                    }
+                                });
+    }
+
+    private void credit(String program, long tokens) {
+        Map<String, SpendingAccount> stripe = stripeOf(program);
+        synchronized (stripe) {
+            SpendingAccount account = stripe.computeIfAbsent(program, SpendingAccount::new);
+            account.mTokensGrantedToThisHost += tokens;
+            account.mLastUsedNanos = mNanoClock.getAsLong();
+        }
+    }
+
     private static void serveFromGrant(SpendingAccount account, List<Waiter> served) {
         while (!account.mWaiters.isEmpty()
                 && account.availableTokens() >= account.mWaiters.peek().tokens()) {
@@ -265,39 +285,36 @@
     /**
      * A grant to be written.
      *
-     * @param grantedBeforeTokens tokens granted to all hosts before this grant
-     * @param sizeTokens tokens to grant; empty if the budget, as last read, does not cover the
-     *     tokens needed
+     * @param grantedBeforeTokens tokens granted before this grant
+     * @param size tokens to grant; empty if the budget, as last read, does not cover the tokens
+     *     needed
      */
     private record Grant(
             String program,
             long expectedVersion,
             long grantedBeforeTokens,
-            OptionalLong sizeTokens) {}
+            Optional<GrantSize> size) {}
 
     private static Grant nextGrant(SpendingAccount account) {
         long neededTokens = account.mWaiters.peek().tokens() - account.availableTokens();
-        OptionalLong size =
-                GrantPolicy.nextGrantTokens(
-                        account.mBudgetTokens
-                                - GrantPolicy.outageAllowanceTokens(
-                                        account.mBudgetTokens, account.mWaiters.peek().tokens()),
-                        account.mTokensGrantedToAllHosts,
-                        neededTokens);
+        Optional<GrantSize> size =
+                GrantPolicy.nextGrant(
+                        account.mBudgetTokens, account.mTokensGrantedToAllHosts, neededTokens);
         return new Grant(
                 account.mProgram, account.mRowVersion, account.mTokensGrantedToAllHosts, size);
     }
 
     private void writeGrant(Grant grant) {
-        if (grant.sizeTokens().isEmpty()) {
+        if (grant.size().isEmpty()) {
             confirmExhausted(grant.program());
             return;
         }
-        long sizeTokens = grant.sizeTokens().getAsLong();
+        GrantSize size = grant.size().get();
         String writeId = mWriteIds.next();
-        SpendingRow row = new SpendingRow(grant.grantedBeforeTokens() + sizeTokens, writeId);
+        SpendingRow row =
+                new SpendingRow(grant.grantedBeforeTokens() + size.totalTokens(), writeId);
         synchronized (stripeOf(grant.program())) {
-            account(grant.program()).mUnconfirmedGrants.put(writeId, sizeTokens);
+            account(grant.program()).mUnconfirmedGrants.put(writeId, size);
         }
         RowTransaction transaction =
                 RowTransaction.replace(
@@ -395,39 +412,77 @@
             account.mStoreRequestInFlight = false;
             updateFromRows(account, rows);
             grantedTokens = account.mTokensGrantedToAllHosts;
-            if (nextGrant(account).sizeTokens().isEmpty()) {
+            if (nextGrant(account).size().isEmpty()) {
                 refused = Optional.of(account.mWaiters.poll());
             }
         }
         refused.ifPresent(
-                waiter -> waiter.result().complete(new SpendingResult.Exhausted(grantedTokens)));
+                waiter ->
+                        takeAllowance(
+                                program, waiter, new SpendingResult.Exhausted(grantedTokens)));
         serveWaiters(program);
     }
 
     /** Serves all waiters from the outage allowance after a failed request to the store. */
     private void serveFromAllowance(String program, Throwable failure) {
         List<Waiter> waiters;
-        long budgetTokens;
         synchronized (stripeOf(program)) {
             SpendingAccount account = account(program);
             account.mStoreRequestInFlight = false;
-            budgetTokens = account.mBudgetTokens;
             waiters = new ArrayList<>(account.mWaiters);
             account.mWaiters.clear();
         }
         String reason = StoreFailures.asStoreException(failure).getMessage();
-        waiters.forEach(waiter -> takeAllowance(program, budgetTokens, waiter, reason));
+        waiters.forEach(
+                waiter -> takeAllowance(program, waiter, new SpendingResult.Unavailable(reason)));
     }
 
-    private void takeAllowance(String program, long budgetTokens, Waiter waiter, String reason) {
+    /**
+     * Serves a waiter from the tokens of this host and, if these are not enough, from the outage
+     * allowance.
+     *
+     * @param refusal result if both do not cover the waiter's tokens
+     */
+    private void takeAllowance(String program, Waiter waiter, SpendingResult refusal) {
+        long availableTokens;
+        synchronized (stripeOf(program)) {
+            SpendingAccount account =
+                    stripeOf(program).computeIfAbsent(program, SpendingAccount::new);
+            availableTokens = Math.min(account.availableTokens(), waiter.tokens());
+            account.reserve(availableTokens);
+        }
+        long missingTokens = waiter.tokens() - availableTokens;
+        if (missingTokens == 0) {
+            waiter.result().complete(new SpendingResult.Reserved(waiter.tokens(), false));
+            return;
+        }
         var _ =
-                mIssuer.take(program, budgetTokens, waiter.tokens())
-                        .thenApply(
+                mIssuer.take(program, missingTokens)
+                        .thenAccept(
                                 taken ->
-                                        taken
-                                                ? new SpendingResult.Reserved(waiter.tokens(), true)
-                                                : new SpendingResult.Unavailable(reason))
-                        .thenAccept(waiter.result()::complete);
+                                        onAllowance(
+                                                program, waiter, missingTokens, taken, refusal));
+    }
+
+    private void onAllowance(
+            String program,
+            Waiter waiter,
+            long missingTokens,
+            boolean taken,
+            SpendingResult refusal) {
+        if (taken) {
+            synchronized (stripeOf(program)) {
+                SpendingAccount account =
+                        stripeOf(program).computeIfAbsent(program, SpendingAccount::new);
+                account.mTokensGrantedToThisHost += missingTokens;
+                account.mUsedOrReservedTokens += missingTokens;
+                account.mLastUsedNanos = mNanoClock.getAsLong();
+            }
+            waiter.result().complete(new SpendingResult.Reserved(waiter.tokens(), true));
+            return;
+        }
+        settle(program, new SpendingResult.Reserved(waiter.tokens() - missingTokens, false), 0);
+        waiter.result().complete(refusal);
     }
 
     // Called only while the program has a store request in flight, so that its account exists.
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/TokenReservation.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/TokenReservation.java
@@ -65,7 +65,7 @@
         onLate.run();
         var _ =
                 mSpending
-                        .reserveFromAllowance(mProgram, mBudgetTokens, mMaxTokens)
+                        .reserveFromAllowance(mProgram, mMaxTokens)
                         .thenAccept(result -> mLoop.execute(() -> complete(result)));
     }
 
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerAllowanceIssuer.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerAllowanceIssuer.java
@@ -5,13 +5,14 @@
 import java.util.concurrent.CompletableFuture;
 import org.oleandertrack.coordination.spending.AllowanceIssuer;
 import org.oleandertrack.coordination.spending.OutageAllowances;
+import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.telemetry.logging.EventLog;
 
 /**
- * Takes tokens of a program's outage allowance, which is the part of its budget that is kept back
- * for outages of the store. They are taken from the program's issuer, which is the gateway that
- * rendezvous hashing selects among all announced gateways. While gateways know different peers, a
- * program may have several issuers, and each of them hands out the whole allowance. Thread-safe.
+ * Holds the outage allowance of each program at one gateway, which rendezvous hashing selects among
+ * all announced gateways. Gateways that know different peers may look for an allowance where it is
+ * not, and then get nothing. Thread-safe.
  */
 public final class PeerAllowanceIssuer implements AllowanceIssuer {
 
@@ -22,7 +23,7 @@
     /**
      * Creates an issuer.
      *
-     * @param ownAllowances allowances of the programs for which this gateway is the issuer
+     * @param ownAllowances allowances that this gateway holds
      */
     public PeerAllowanceIssuer(PeerDirectory peers, OutageAllowances ownAllowances, EventLog log) {
         mPeers = peers;
@@ -31,11 +32,29 @@
     }
 
     @Override
-    public CompletableFuture<Boolean> take(String program, long budgetTokens, long maxTokens) {
+    public CompletableFuture<Boolean> deposit(String program, long tokens) {
         Optional<PeerClient> issuer = mPeers.selectedPeerFor(program);
         if (issuer.isEmpty()) {
-            return CompletableFuture.completedFuture(
-                    mOwnAllowances.take(program, budgetTokens, maxTokens));
+            mOwnAllowances.deposit(program, tokens);
+            return CompletableFuture.completedFuture(true);
+        }
+        if (!issuer.get().isResponsive(System.nanoTime())) {
+            return CompletableFuture.completedFuture(false);
+        }
+        return issuer.get()
+                .depositAllowance(new PeerMessages.MoveAllowance(program, tokens))
+                .exceptionally(
+                        failure -> {
+                            logFailure(program, "deposit", failure);
+                            return StoreFailures.executionOf(failure) != Execution.NOT_RUN;
+                        });
+    }
+
+    @Override
+    public CompletableFuture<Boolean> take(String program, long tokens) {
+        Optional<PeerClient> issuer = mPeers.selectedPeerFor(program);
+        if (issuer.isEmpty()) {
+            return CompletableFuture.completedFuture(mOwnAllowances.take(program, tokens));
         }
         if (!issuer.get().isResponsive(System.nanoTime())) {
             return CompletableFuture.completedFuture(
@@ -46,23 +65,10 @@
                                     "the issuing gateway did not respond to the last call")));
         }
         return issuer.get()
-                .takeAllowance(new PeerMessages.TakeAllowance(program, budgetTokens, maxTokens))
+                .takeAllowance(new PeerMessages.MoveAllowance(program, tokens))
                 .exceptionally(failure -> logFailure(program, "take", failure));
     }
 
-    @Override
-    public void returnTokens(String program, long tokens) {
-        Optional<PeerClient> issuer = mPeers.selectedPeerFor(program);
-        if (issuer.isEmpty()) {
-            mOwnAllowances.returnTokens(program, tokens);
-            return;
-        }
-        var _ =
-                issuer.get()
-                        .returnAllowance(new PeerMessages.ReturnAllowance(program, tokens))
-                        .exceptionally(failure -> logFailure(program, "return", failure));
-    }
-
     private boolean logFailure(String program, String operation, Throwable failure) {
         mLog.info("issuer of the outage allowance failed")
                 .text("program", program)
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
@@ -112,22 +112,12 @@
                 .thenApply(PeerMessages.Changes::toRowChanges);
     }
 
-    CompletableFuture<Boolean> takeAllowance(PeerMessages.TakeAllowance message) {
-        return call(
-                        PeerMessages.TAKE_ALLOWANCE_PATH,
-                        message,
-                        PeerMessages.AllowanceResult.class,
-                        CALL_TIMEOUT_MILLIS)
-                .thenApply(PeerMessages.AllowanceResult::taken);
+    CompletableFuture<Boolean> depositAllowance(PeerMessages.MoveAllowance message) {
+        return moveAllowance(PeerMessages.DEPOSIT_ALLOWANCE_PATH, message);
     }
 
-    CompletableFuture<Boolean> returnAllowance(PeerMessages.ReturnAllowance message) {
-        return call(
-                        PeerMessages.RETURN_ALLOWANCE_PATH,
-                        message,
-                        PeerMessages.AllowanceResult.class,
-                        CALL_TIMEOUT_MILLIS)
-                .thenApply(PeerMessages.AllowanceResult::taken);
+    CompletableFuture<Boolean> takeAllowance(PeerMessages.MoveAllowance message) {
+        return moveAllowance(PeerMessages.TAKE_ALLOWANCE_PATH, message);
     }
 
     CompletableFuture<Boolean> holdTurn(PeerMessages.HoldTurn message) {
@@ -199,6 +189,12 @@
         mHttpClient.close();
     }
 
+    private CompletableFuture<Boolean> moveAllowance(
+            String path, PeerMessages.MoveAllowance message) {
+        return call(path, message, PeerMessages.AllowanceMoved.class, CALL_TIMEOUT_MILLIS)
+                .thenApply(PeerMessages.AllowanceMoved::moved);
+    }
+
     private <T> CompletableFuture<T> call(
             String path, Object message, Class<T> responseType, long timeoutMillis) {
         byte[] body = RowJson.encode(message).getBytes(StandardCharsets.UTF_8);
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
@@ -45,7 +45,7 @@
      *
      * @param directStore the store, reached without relaying through peers
      * @param directStoreFails returns whether direct calls to the store currently fail
-     * @param ownAllowances outage allowances of the programs for which this host is the issuer
+     * @param ownAllowances outage allowances that this host holds
      * @param ownPacers pacers of the targets that this host paces for all hosts
      */
     public PeerHandler(
@@ -89,18 +89,18 @@
 
     private CompletableFuture<?> call(String path, String body) {
         return switch (path) {
-            case PeerMessages.TAKE_ALLOWANCE_PATH -> {
-                PeerMessages.TakeAllowance take =
-                        RowJson.decode(path, body, PeerMessages.TakeAllowance.class);
-                boolean taken =
-                        mOwnAllowances.take(take.program(), take.budgetTokens(), take.maxTokens());
-                yield CompletableFuture.completedFuture(new PeerMessages.AllowanceResult(taken));
+            case PeerMessages.DEPOSIT_ALLOWANCE_PATH -> {
+                PeerMessages.MoveAllowance deposit =
+                        RowJson.decode(path, body, PeerMessages.MoveAllowance.class);
+                mOwnAllowances.deposit(deposit.program(), deposit.tokens());
+                yield CompletableFuture.completedFuture(new PeerMessages.AllowanceMoved(true));
             }
-            case PeerMessages.RETURN_ALLOWANCE_PATH -> {
-                PeerMessages.ReturnAllowance returned =
-                        RowJson.decode(path, body, PeerMessages.ReturnAllowance.class);
-                mOwnAllowances.returnTokens(returned.program(), returned.tokens());
-                yield CompletableFuture.completedFuture(new PeerMessages.AllowanceResult(false));
+            case PeerMessages.TAKE_ALLOWANCE_PATH -> {
+                PeerMessages.MoveAllowance take =
+                        RowJson.decode(path, body, PeerMessages.MoveAllowance.class);
+                yield CompletableFuture.completedFuture(
+                        new PeerMessages.AllowanceMoved(
+                                mOwnAllowances.take(take.program(), take.tokens())));
             }
             case PeerMessages.TAKE_PERMIT_PATH -> {
                 PeerMessages.TakePermit take =
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
@@ -21,8 +21,10 @@
     static final String APPLY_PATH = "/peer/apply";
     static final String CHANGES_PATH = "/peer/changes";
 
-    static final String TAKE_ALLOWANCE_PATH = "/peer/allowance-take";
-    static final String RETURN_ALLOWANCE_PATH = "/peer/allowance-return";
+    // The names differ from those of earlier releases, in which a host issued tokens that were not
+    // granted before.
+    static final String DEPOSIT_ALLOWANCE_PATH = "/peer/granted-allowance-deposit";
+    static final String TAKE_ALLOWANCE_PATH = "/peer/granted-allowance-take";
 
     static final String HOLD_TURN_PATH = "/peer/turn-hold";
     static final String FIND_TURN_PATH = "/peer/turn-find";
@@ -158,29 +160,24 @@
      */
     record FoundTurn(boolean found, String text, boolean remembers) {}
 
-    /** Request to take tokens of a program's outage allowance. */
-    record TakeAllowance(String program, long budgetTokens, long maxTokens) {
-
-        TakeAllowance {
-            Objects.requireNonNull(program, "program is missing");
-        }
-    }
-
     /**
-     * Response to a request to take or give back tokens.
+     * Request to move tokens to or from a program's outage allowance.
      *
-     * @param taken whether tokens were taken; false in each response to a {@link ReturnAllowance}
+     * @param tokens more than 0
      */
-    record AllowanceResult(boolean taken) {}
-
-    /** Request to give back tokens of a program's outage allowance. */
-    record ReturnAllowance(String program, long tokens) {
+    record MoveAllowance(String program, long tokens) {
 
-        ReturnAllowance {
+        MoveAllowance {
             Objects.requireNonNull(program, "program is missing");
+            if (tokens <= 0) {
+                throw new IllegalArgumentException("tokens must be positive: " + tokens);
+            }
         }
     }
 
+    /** Response to a {@link MoveAllowance}: whether the tokens were moved. */
+    record AllowanceMoved(boolean moved) {}
+
     /** Request to read rows of a part; an empty {@code fromKey} starts at its first row. */
     record Read(String table, String part, String fromKey, int limit) {
 
