Test that a host out of step guesses no version for a stream

Report of other operators: a machine that was cut off or stood still while targets of a new version joined continued their streams at another one.

Not found here: the version of a stream that a host does not know is read from the store after the caller has asked, and a version is written there before the first use of a target that has it. The test plays a host that knew one version, a second one registered by another host, the loss of the origin, and the store away: the stream is refused each time.

--- a/coordination/src/test/java/org/oleandertrack/coordination/stream/StreamOriginServiceTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/stream/StreamOriginServiceTest.java
@@ -240,4 +240,20 @@
         }
         assertEquals(List.of(), mStore.rows(OriginRows.TABLE));
     }
+
+    /** Guards against a host out of step that continues a stream at the only version it knows. */
+    @Test
+    void aHostThatKnewOneVersionDoesNotGuessOnceAnotherHostUsesASecond() {
+        mHosts.get(1).mVersions.register(ORIGIN, () -> {});
+        mTime.runFor(VirtualTime.SECOND);
+        assertFound(OriginLookup.Source.SOLE_VERSION, find(1, Optional.empty()));
+        // The stream's host is killed before the origin is stored; its peers do not have it.
+        mHosts.get(0).mVersions.register(new StreamOrigin("engine", "v2"), () -> {});
+        mTime.runFor(VirtualTime.SECOND);
+        assertInstanceOf(OriginLookup.NotFound.class, find(1, "r1"));
+        assertInstanceOf(OriginLookup.NotFound.class, find(1, Optional.empty()));
+        mStore.setDown(true);
+        assertInstanceOf(OriginLookup.Unavailable.class, find(1, "r1"));
+        assertInstanceOf(OriginLookup.Unavailable.class, find(1, Optional.empty()));
+    }
 }
