Test second copies of refusals on kept connections

Report of other operators: a target wrote an earlier refusal once more on a kept connection, and requests that ran were reported as not run.

Not found here: a refusal is told by the id it echoes, a connection that carried one without id is closed, and bytes outside of an exchange close the connection. The tests send a copy with the earlier id before the next head, whole and in two parts, and a refusal behind a complete response.

--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayHostileTargetTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayHostileTargetTest.java
@@ -179,6 +179,57 @@
         }
     }
 
+    /** Guards against a second copy of a refusal that hides that the next request runs. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 30, 60})
+    void aLateCopyOfARefusalWithIdDoesNotRefuseTheNextRequest(int splitAt) throws IOException {
+        String refusal =
+                "HTTP/1.1 503 X\r\nId: r0\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfull";
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    if (number == 0) {
+                                        exchange.write(refusal);
+                                        return;
+                                    }
+                                    if (exchange.isLaterOnConnection()) {
+                                        exchange.write(refusal.substring(0, splitAt));
+                                        exchange.write(refusal.substring(splitAt));
+                                    }
+                                    exchange.answer(200, "", "ran");
+                                });
+                TestGateway gateway = TestGateway.with("tool", target);
+                TestClient client = gateway.client()) {
+            client.send("POST", "/unsafe/x", "r0", "", "body");
+            assertTrue(client.readAnswer().startsWith("HTTP/1.1 503"));
+            client.send("POST", "/unsafe/x", "r1", "", "body");
+            assertTrue(client.readAnswer().endsWith("ran"));
+            assertEquals(2, target.requests().size());
+        }
+    }
+
+    /** Guards against a copy of a refusal after a response that lets the next request look new. */
+    @Test
+    void aRefusalBehindAResponseBelongsToNoRequest() throws IOException {
+        String refusal =
+                "HTTP/1.1 503 X\r\nId: ID\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfull";
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    exchange.answer(200, "", "ran" + number);
+                                    exchange.write(refusal.replace("ID", exchange.id()));
+                                });
+                TestGateway gateway = TestGateway.with("tool", target);
+                TestClient client = gateway.client()) {
+            for (int i = 0; i < 5; i++) {
+                client.send("POST", "/unsafe/x", "r" + i, "", "body");
+                String answer = client.readAnswer();
+                assertTrue(answer.endsWith("ran" + i) || answer.startsWith("HTTP/1.1 502"), answer);
+                assertFalse(answer.contains("\"execution\":\"not run\""), answer);
+            }
+        }
+    }
+
     @Test
     void aLateCopyOfAResponseDoesNotReachTheNextCaller() throws IOException {
         try (ScriptedTarget target =
