Read a connection again after an exchange that a slow caller suspended

What callers would see: a request that is sent on a kept connection gets no answer until it counts as stalled, and its target counts as hung.

Cause: while a caller is slow, reading from its target is suspended. The bytes already read can hold the end of the response; the connection then went back to the pool with reading suspended, and nothing resumed it.

Fix: the end of an exchange resumes reading. Why it works: only an exchange suspends reading, so between exchanges it is always on.

Evidence: SuspendedReadingTest timed out in its second exchange before.

--- a/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
+++ b/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
@@ -268,6 +268,8 @@
         OutboundExchange exchange = mExchange;
         mExchange = null;
         mIdleSinceNanos = System.nanoTime();
+        // A slow caller concerns its own exchange only.
+        setReading(true);
         if (!mRequestWritten.isDone()) {
             mReusable = false;
             mRequestWritten.addListener(ChannelFutureListener.CLOSE);
