--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayStreamTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayStreamTest.java
@@ -218,8 +218,7 @@
             gateway.store().setUnresponsive(true);
             assertTrue(stream(gateway, begun).contains("e1"));
             // The call is logged after its response has ended.
-            Awaitility.await()
-                    .until(() -> gateway.logs().contains("\"outageAllowance\":true"));
+            Awaitility.await().until(() -> gateway.logs().contains("\"outageAllowance\":true"));
             String unknown = stream(gateway, "Program: q\r\nBudget: 2000\r\n");
             assertTrue(unknown.startsWith("HTTP/1.1 503"), unknown);
             assertTrue(unknown.contains("STORE_UNAVAILABLE"), unknown);
