--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -117,9 +117,12 @@
         // A refusal may omit the request id; any other response must state it.
         boolean belongsToRequest =
                 metadata.requestId().map(id -> id.equals(mCall.requestId())).orElse(refused);
+        int status = head.status().code();
         if (!belongsToRequest) {
+            mCall.log().responseSkipped(mHandle, status, metadata.requestId());
             return false;
         }
+        mCall.log().targetAnswered(mHandle, status, mCall.progress());
         metadata.load()
                 .ifPresent(
                         load ->
@@ -224,6 +227,7 @@
         }
         mBodyMode = BodyMode.FORWARD;
         mCall.progress().markStarted();
+        mCall.log().recordForwardedHead(mHandle, mHead.status().code());
         mCall.writer().start(streamHead());
         mOutput.add(mBody);
         mBody.release();
@@ -241,6 +245,7 @@
         } else {
             HttpUtil.setContentLength(response, mBody.readableBytes());
         }
+        mCall.log().recordForwardedHead(mHandle, mHead.status().code());
         mCall.writer().respond(response);
     }
 
@@ -254,6 +259,7 @@
     private void startEvents() {
         if (!mCall.progress().isStarted()) {
             mCall.progress().markStarted();
+            mCall.log().recordForwardedHead(mHandle, mHead.status().code());
             mCall.writer().start(streamHead());
         }
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -179,6 +179,10 @@
         return mProgress;
     }
 
+    CallLog log() {
+        return mLog;
+    }
+
     String requestId() {
         return mMetadata.requestId();
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
@@ -24,6 +24,8 @@
     private final CallMetrics mMetrics;
     private final Route mRoute;
     private final CallMetadata mMetadata;
+    private int mSend;
+    private Optional<ForwardedHead> mForwardedHead = Optional.empty();
 
     CallLog(EventLog log, CallMetrics metrics, Route route, CallMetadata metadata) {
         mLog = log;
@@ -50,6 +52,9 @@
             long firstByteNanos,
             Optional<SpendingResult.Reserved> reservation) {}
 
+    /** Status of a response head that was written to the caller, and the target that sent it. */
+    private record ForwardedHead(int status, String targetId) {}
+
     void placed(
             TargetHandle handle,
             PlacementChoice choice,
@@ -59,6 +64,7 @@
             long remainingMillis,
             Optional<TurnRequest> turn,
             StreamProgress progress) {
+        mSend = send;
         mMetrics.recordDecision("placement", sameTarget ? "same target" : "least cost");
         var line =
                 mLog.info("placed")
@@ -148,6 +154,37 @@
                 .write();
     }
 
+    /** Logs a response that answers another request of the target's connection. */
+    void responseSkipped(TargetHandle handle, int status, Optional<String> otherRequestId) {
+        mMetrics.recordDecision(
+                "response skipped", otherRequestId.isPresent() ? "other request" : "no request id");
+        mLog.info("response skipped")
+                .text("request", mMetadata.requestId())
+                .text("target", handle.id())
+                .text("otherRequest", otherRequestId.orElse(""))
+                .number("status", status)
+                .write();
+    }
+
+    /** Logs the head of a response, unless the request was sent once only. */
+    void targetAnswered(TargetHandle handle, int status, StreamProgress progress) {
+        if (mSend <= 1) {
+            return;
+        }
+        mLog.info("target answered")
+                .text("request", mMetadata.requestId())
+                .text("target", handle.id())
+                .number("status", status)
+                .number("send", mSend)
+                .flag("responseStarted", progress.isStarted())
+                .write();
+    }
+
+    /** Records the head that is written to the caller. */
+    void recordForwardedHead(TargetHandle handle, int status) {
+        mForwardedHead = Optional.of(new ForwardedHead(status, handle.id()));
+    }
+
     void previousTurn(String previousTurnId, TurnLookup lookup, long durationNanos) {
         String result =
                 switch (lookup) {
@@ -217,6 +254,8 @@
                                 TimeUnit.NANOSECONDS.toMillis(summary.durationNanos()))
                         .number("sends", summary.sends())
                         .number("refusals", summary.refusals());
+        mForwardedHead.ifPresent(
+                head -> line.number("status", head.status()).text("target", head.targetId()));
         // For a call that was never placed, no other log line names the program.
         mMetadata.program().ifPresent(program -> line.text("program", program.programId()));
         if (mRoute.kind() == RequestKind.STREAMING) {
--- a/http/src/main/java/org/oleandertrack/http/InboundConnection.java
+++ b/http/src/main/java/org/oleandertrack/http/InboundConnection.java
@@ -3,10 +3,12 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.EncoderException;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -329,7 +331,7 @@
             }
             mStarted = true;
             prepare(head);
-            var _ = mContext.write(head);
+            logIfFailed(mContext.write(head));
         }
 
         @Override
@@ -338,7 +340,7 @@
                 part.release();
                 return;
             }
-            var _ = mContext.writeAndFlush(new DefaultHttpContent(part));
+            logIfFailed(mContext.writeAndFlush(new DefaultHttpContent(part)));
         }
 
         @Override
@@ -387,9 +389,20 @@
             }
         }
 
+        // Without this, a part that the encoder refuses would be dropped unseen.
+        private void logIfFailed(ChannelFuture write) {
+            write.addListener(
+                    done -> {
+                        if (done.cause() instanceof EncoderException failure) {
+                            Logger.error(failure, "part of a response could not be written");
+                        }
+                    });
+        }
+
         private void finish(Object last) {
             mEnded = true;
-            var written = mContext.writeAndFlush(last);
+            ChannelFuture written = mContext.writeAndFlush(last);
+            logIfFailed(written);
             if (mCloseAfterResponse) {
                 written.addListener(ChannelFutureListener.CLOSE);
             }
--- a/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
+++ b/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
@@ -174,6 +174,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (mExchange == null) {
+                logUnexpected(message);
                 mReusable = false;
                 var _ = mChannel.close();
                 return;
@@ -228,6 +229,16 @@
         mRequestWritten = mChannel.writeAndFlush(new DefaultLastHttpContent(body));
     }
 
+    // A connection that is closed with bytes on their way may still bring some.
+    private void logUnexpected(Object message) {
+        if (mReusable && message instanceof HttpResponse head) {
+            Logger.info(
+                    "connection to {} closed: a response with status {} answers no request",
+                    mChannel.remoteAddress(),
+                    head.status().code());
+        }
+    }
+
     private void acceptHead(HttpResponse head) {
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             mSkippingResponse = true;
