Test that nothing of a second response follows a started one (known red)

A stream breaks off, and the next target answers without events: a failure (short, long, in chunks, without length, empty), an overload, a client error or a success that is no stream.

--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestTables.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestTables.java
@@ -51,6 +51,7 @@
                                 route("turn", RequestKind.STREAMING, "engine"),
                                 route("talk", RequestKind.STREAMING, "engine"),
                                 route("kept", RequestKind.STREAMING, "engine"),
+                                route("relay", RequestKind.STREAMING, "engine"),
                                 route("safe", RequestKind.SAFE, "tool"),
                                 route("unsafe", RequestKind.UNSAFE, "tool"),
                                 route(
@@ -76,7 +77,7 @@
                 timeoutMillis,
                 200,
                 0,
-                1,
+                name.equals("relay") ? 3 : 1,
                 !name.equals("talk"),
                 300,
                 name.equals("talk") || name.equals("kept"),
