Write nothing of another response behind a started one

Cause: each attempt wrote its response to the caller by itself, whatever the caller already had, and the call counted as answered. The encoder refused the second head; nobody looked at the result of the write.

ContinuationPolicy decides what follows when an attempt ends, from what the caller already has, whether the request may run again, and the targets and sends that are left. A response that is not a stream of events is given to the caller only if nothing was forwarded; otherwise the stream goes on at another target, as far as the route's number allows, or is broken off at once, so that its caller can take it up.

--- /dev/null
+++ b/core/src/main/java/org/oleandertrack/core/attempt/AttemptEnd.java
@@ -0,0 +1,24 @@
+package org.oleandertrack.core.attempt;
+
+/** How an attempt, one send of a call's request to a target, has come to its end. */
+public sealed interface AttemptEnd {
+
+    /** The target states that it has not run the request. */
+    record Refused() implements AttemptEnd {}
+
+    /** The request was not sent, because there was no connection to the target. */
+    record NotReached() implements AttemptEnd {}
+
+    /** The response ended early, or was none; the target may have run the request. */
+    record BrokenOff() implements AttemptEnd {}
+
+    /**
+     * The target was silent for longer than its load explains; the attempt has not ended yet.
+     *
+     * @param hung whether the target is considered to answer nothing any more
+     */
+    record Stalled(boolean hung) implements AttemptEnd {}
+
+    /** The target answered with a response that is not a stream of events, whatever its status. */
+    record Answered() implements AttemptEnd {}
+}
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.oleandertrack.core.attempt.ForwardedPart;
 import org.oleandertrack.core.traffic.RequestKind;
 import org.oleandertrack.gateway.targets.TargetHandle;
 import org.oleandertrack.http.OutboundConnection;
@@ -139,6 +140,9 @@
         mHead = head;
         mRefusalHasId = metadata.requestId().isPresent();
         mBodyMode = refused ? BodyMode.REFUSAL : bodyModeOf(head);
+        if (mBodyMode == BodyMode.BUFFER && !mCall.onAnswer(this, status)) {
+            mConnection.close();
+        }
         return true;
     }
 
@@ -226,7 +230,7 @@
             return;
         }
         mBodyMode = BodyMode.FORWARD;
-        mCall.progress().markStarted();
+        mCall.progress().markStarted(ForwardedPart.PART_OF_BODY);
         mCall.log().recordForwardedHead(mHandle, mHead.status().code());
         mCall.writer().start(streamHead());
         mOutput.add(mBody);
@@ -258,7 +262,7 @@
 
     private void startEvents() {
         if (!mCall.progress().isStarted()) {
-            mCall.progress().markStarted();
+            mCall.progress().markStarted(ForwardedPart.EVENTS);
             mCall.log().recordForwardedHead(mHandle, mHead.status().code());
             mCall.writer().start(streamHead());
         }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -4,14 +4,16 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.oleandertrack.coordination.conversation.KeepOutcome;
 import org.oleandertrack.coordination.conversation.TurnLookup;
+import org.oleandertrack.core.attempt.AttemptEnd;
+import org.oleandertrack.core.attempt.CallProgress;
+import org.oleandertrack.core.attempt.ContinuationPolicy;
+import org.oleandertrack.core.attempt.NextStep;
 import org.oleandertrack.core.rate.PermitPatience;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
@@ -34,16 +36,12 @@
  */
 final class Call implements ResponseWriter.Listener {
 
-    // Limit on the number of times that one call is sent, including sends that a target refuses.
-    private static final int MAX_SENDS = 5;
     // How long to avoid a target that is unreachable or has restarted as another incarnation.
     private static final long AVOID_NANOS = TimeUnit.SECONDS.toNanos(1);
     // How long to avoid a target with a full queue; the target ends several requests in 100 ms.
     private static final long FULL_AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     // With less time left, a resumed stream, which starts after tens of ms, would come too late.
     private static final long MIN_REMAINING_TO_RETRY_MILLIS = 50;
-    // A stalled call is sent again. After this many stalls, its latest target is considered hung.
-    private static final int MAX_STALLS = 2;
 
     private final CallContext mContext;
     private final TrafficConfig mConfig;
@@ -59,15 +57,10 @@
     private final TargetSelection mSelection;
     private final CrashGuard mCrashGuard;
     private final StreamContinuation mContinuation;
-    private final Set<String> mExcludedTargetIds = new HashSet<>();
-    private final Set<String> mMayHaveRunTargetIds = new HashSet<>();
+    private final SendHistory mSends;
     private ScheduledFuture<?> mTimeoutTimer;
     private Optional<Attempt> mCurrentAttempt = Optional.empty();
-    private int mSendCount;
-    private int mRefusalCount;
     private boolean mEnded;
-    private boolean mMayHaveRun;
-    private int mStallCount;
     private long mPredictedMillis;
     private long mSentNanos;
     private StreamProgress mProgress = new StreamProgress();
@@ -86,6 +79,7 @@
         mMetadata = metadata;
         mRequest = request;
         mWriter = writer;
+        mSends = new SendHistory(route.maxAttempts());
         mService = route.serviceFor(metadata.routingKey());
         Optional<EngineSpec> engine =
                 Optional.ofNullable(config.services().get(mService)).flatMap(ServiceSpec::engine);
@@ -262,14 +256,14 @@
     private void dispatch(Optional<TargetHandle> target) {
         // A target that leaves takes nothing new, and no other one may run what it may have run.
         boolean targetLeaves = target.filter(TargetHandle::isLeaving).isPresent();
-        Optional<TargetFilter> filter = mContinuation.targetsExcept(mExcludedTargetIds);
+        Optional<TargetFilter> filter = mContinuation.targetsExcept(mSends.excludedTargetIds());
         if (targetLeaves || filter.isEmpty()) {
             failWithoutTarget();
             return;
         }
         Optional<TargetHandle> required = target.filter(handle -> !handle.isRemoved());
         long maxPermitWaitMillis =
-                mMayHaveRun
+                mSends.mayHaveRun()
                         ? PermitPatience.maxWaitMillisOfStarted(remainingMillis())
                         : PermitPatience.maxWaitMillis(
                                 mRoute.latencyObjectiveMillis(),
@@ -279,7 +273,7 @@
                 required,
                 filter.get(),
                 maxPermitWaitMillis,
-                !mMayHaveRun && !mProgress.isStarted(),
+                !mSends.mayHaveRun() && !mProgress.isStarted(),
                 result -> onSelection(result, required.isPresent()));
     }
 
@@ -294,14 +288,14 @@
 
     private void send(TargetSelection.Result.Selected selected, boolean sameTarget) {
         PlacedTarget placed = selected.target();
-        mSendCount++;
+        mSends.recordSend();
         TargetHandle handle = placed.handle();
         mLog.placed(
                 handle,
                 placed.choice(),
                 sameTarget,
                 selected.permitWaitMillis(),
-                mSendCount,
+                mSends.sendCount(),
                 remainingMillis(),
                 mTurn,
                 mProgress);
@@ -311,7 +305,7 @@
         if (mTurn.isPresent() && !sameTarget) {
             mPredictedMillis = (long) placed.choice().predictedCost();
         }
-        if (mRoute.isRepeatable() && mStallCount < MAX_STALLS) {
+        if (mRoute.isRepeatable() && mSends.mayStall()) {
             new StallDetector(this, attempt, mPredictedMillis).start();
         }
         attempt.send(
@@ -328,8 +322,8 @@
     }
 
     private void failWithoutTarget() {
-        if (mMayHaveRun || mProgress.isStarted()) {
-            failAfterStart();
+        if (mSends.mayHaveRun() || mProgress.isStarted()) {
+            failAfterStart("no other target can be tried");
             return;
         }
         fail(
@@ -340,23 +334,23 @@
                                         CallFailures.noTarget(
                                                 mService,
                                                 mContext.targets().targetCount(mService),
-                                                mExcludedTargetIds.size())));
+                                                mSends.excludedTargetIds().size())));
     }
 
     private void failWithoutPermit(long waitMillis) {
-        if (mMayHaveRun || mProgress.isStarted()) {
-            failAfterStart();
+        if (mSends.mayHaveRun() || mProgress.isStarted()) {
+            failAfterStart("no other target can be tried");
             return;
         }
         fail(CallFailures.rateLimited(mService, waitMillis, remainingMillis()));
     }
 
-    private void failAfterStart() {
+    private void failAfterStart(String reason) {
         if (mProgress.isStarted()) {
-            abort("no other target can resume the stream");
+            abort(reason);
             return;
         }
-        fail(ResultCode.TARGET_FAILED, Execution.UNKNOWN, "no other target can be tried", 0);
+        fail(ResultCode.TARGET_FAILED, Execution.UNKNOWN, reason, 0);
     }
 
     // Stalls
@@ -378,38 +372,18 @@
     void onStalled(Attempt attempt, long silentMillis) {
         TargetHandle handle = attempt.handle();
         long nowNanos = System.nanoTime();
-        mStallCount++;
-        boolean hung = mStallCount >= MAX_STALLS || mContext.targets().isFailing(handle);
+        mSends.recordStall();
+        boolean hung = !mSends.mayStall() || mContext.targets().isFailing(handle);
         mContext.targets().recordNoResponse(handle, mSentNanos, nowNanos);
         logEvent("target stalled", handle, "no data for " + silentMillis + " ms");
-        boolean mayUseOtherTarget = mayRunAtOtherTarget(handle);
-        if (hung && !mayUseOtherTarget && mProgress.isStarted()) {
-            // No other target may resume the partly forwarded stream, so this attempt continues.
+        mSends.recordMayHaveRun(handle);
+        NextStep step = nextStep(new AttemptEnd.Stalled(hung));
+        if (step instanceof NextStep.KeepWaiting) {
             return;
         }
-        mMayHaveRun = true;
-        mMayHaveRunTargetIds.add(handle.id());
         attempt.cancel();
-        if (mayUseOtherTarget) {
-            mExcludedTargetIds.add(handle.id());
-            retry(Optional.empty(), "stalled");
-            return;
-        }
-        if (hung) {
-            fail(
-                    ResultCode.TARGET_FAILED,
-                    Execution.UNKNOWN,
-                    "target " + handle.id() + " does not answer",
-                    0);
-            return;
-        }
-        retry(Optional.of(handle), "stalled");
-    }
-
-    private boolean mayRunAtOtherTarget(TargetHandle handle) {
-        Set<String> targetIds = new HashSet<>(mMayHaveRunTargetIds);
-        targetIds.add(handle.id());
-        return targetIds.size() < mRoute.maxAttempts();
+        String reason = hung ? "target " + handle.id() + " does not answer" : "stalled";
+        follow(step, handle, reason);
     }
 
     // Callbacks of attempts
@@ -417,7 +391,7 @@
     /** Handles a response that states that the target has not run the request. */
     void onRefused(Attempt attempt, int status) {
         attempt.removeFromLoad();
-        mRefusalCount++;
+        mSends.recordRefusal();
         TargetHandle handle = attempt.handle();
         boolean otherIncarnation = status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
         mContext.targets()
@@ -425,9 +399,9 @@
                         handle,
                         System.nanoTime() + (otherIncarnation ? AVOID_NANOS : FULL_AVOID_NANOS));
         mContext.targets().recordAbandoned(handle);
-        mExcludedTargetIds.add(handle.id());
+        mSends.exclude(handle);
         logEvent("target refused", handle, "status " + status);
-        retry(Optional.empty(), "refused with status " + status);
+        follow(nextStep(new AttemptEnd.Refused()), handle, "refused with status " + status);
     }
 
     /** Handles an attempt that ended without a complete, valid response. */
@@ -439,26 +413,32 @@
                 .recordFailure(handle, failure.name().toLowerCase(Locale.ROOT), System.nanoTime());
         if (!failure.mayHaveRun()) {
             mContext.targets().avoid(handle, System.nanoTime() + AVOID_NANOS);
-            mExcludedTargetIds.add(handle.id());
-            retry(Optional.empty(), "not reached: " + failure);
+            mSends.exclude(handle);
+            follow(nextStep(new AttemptEnd.NotReached()), handle, "not reached: " + failure);
             return;
         }
-        mMayHaveRun = true;
-        mMayHaveRunTargetIds.add(handle.id());
+        mSends.recordMayHaveRun(handle);
         mCrashGuard.watch(attempt);
-        if (!mRoute.isRepeatable()) {
-            if (mProgress.isStarted()) {
-                abort("the target's stream failed: " + failure);
-            } else {
-                fail(ResultCode.TARGET_FAILED, Execution.UNKNOWN, failure.toString(), 0);
-            }
-            return;
-        }
-        boolean mayUseOtherTarget = mayRunAtOtherTarget(handle);
-        if (mayUseOtherTarget) {
-            mExcludedTargetIds.add(handle.id());
+        follow(nextStep(new AttemptEnd.BrokenOff()), handle, failure.toString());
+    }
+
+    /**
+     * Handles the head of a response that is not a stream of events.
+     *
+     * @return whether the response is to be given to the caller; if not, the attempt has ended
+     */
+    boolean onAnswer(Attempt attempt, int status) {
+        TargetHandle handle = attempt.handle();
+        mSends.recordMayHaveRun(handle);
+        NextStep step = nextStep(new AttemptEnd.Answered());
+        if (step instanceof NextStep.ForwardResponse) {
+            return true;
         }
-        retry(mayUseOtherTarget ? Optional.empty() : Optional.of(handle), failure.toString());
+        recordOutcome(attempt, status);
+        String reason = "status " + status + " instead of the rest of the response";
+        logEvent("target failed", handle, reason);
+        follow(step, handle, reason);
+        return false;
     }
 
     /** Handles a stream whose last event was forwarded, before the response has ended. */
@@ -492,13 +472,42 @@
         }
     }
 
-    private void retry(Optional<TargetHandle> sameTarget, String reason) {
-        if (mSendCount >= MAX_SENDS
-                || remainingMillis() < MIN_REMAINING_TO_RETRY_MILLIS
-                || mCrashGuard.isQuarantined()) {
-            failWithoutTarget();
+    private NextStep nextStep(AttemptEnd end) {
+        boolean sendAllowed =
+                mSends.maySendAgain()
+                        && remainingMillis() >= MIN_REMAINING_TO_RETRY_MILLIS
+                        && !mCrashGuard.isQuarantined();
+        return ContinuationPolicy.next(
+                new CallProgress(
+                        mProgress.forwardedPart(),
+                        mRoute.isRepeatable(),
+                        mSends.allowsOtherTarget(),
+                        sendAllowed),
+                end);
+    }
+
+    private void follow(NextStep step, TargetHandle handle, String reason) {
+        switch (step) {
+            case NextStep.SendToOtherTarget other -> {
+                mSends.exclude(handle);
+                retry(Optional.empty(), reason);
+            }
+            case NextStep.SendToSameTarget same -> retry(Optional.of(handle), reason);
+            case NextStep.GiveUp giveUp -> giveUp(reason);
+            case NextStep.ForwardResponse forward -> {}
+            case NextStep.KeepWaiting wait -> {}
+        }
+    }
+
+    private void giveUp(String reason) {
+        if (mSends.mayHaveRun() || mProgress.isStarted()) {
+            failAfterStart(reason);
             return;
         }
+        failWithoutTarget();
+    }
+
+    private void retry(Optional<TargetHandle> sameTarget, String reason) {
         mContext.metrics()
                 .recordDecision("retry", sameTarget.isPresent() ? "same target" : "other target");
         logEvent("retrying", null, reason);
@@ -517,7 +526,7 @@
             abort("time is up");
             return;
         }
-        if (dispatched || mMayHaveRun) {
+        if (dispatched || mSends.mayHaveRun()) {
             fail(ResultCode.TARGET_TIMEOUT, Execution.UNKNOWN, "no response by the deadline", 0);
             return;
         }
@@ -558,8 +567,8 @@
                         reason,
                         mConfig.version(),
                         durationNanos,
-                        mSendCount,
-                        mRefusalCount,
+                        mSends.sendCount(),
+                        mSends.refusalCount(),
                         mProgress,
                         mRequest.firstByteNanos(),
                         mBudget.reservation()));
@@ -581,7 +590,7 @@
                 event,
                 Optional.ofNullable(handle),
                 reason,
-                mSendCount,
+                mSends.sendCount(),
                 mProgress.eventCount(),
                 remainingMillis());
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/StreamProgress.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StreamProgress.java
@@ -3,13 +3,14 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.oleandertrack.core.attempt.ForwardedPart;
 
 /**
  * Records which part of a response was forwarded to the caller. Confined to the call's event loop.
  */
 final class StreamProgress {
 
-    private boolean mStarted;
+    private ForwardedPart mForwardedPart = ForwardedPart.NOTHING;
     private long mEventCount;
     private Optional<String> mLastEventId = Optional.empty();
     private long mFirstEventNanos;
@@ -19,7 +20,11 @@
 
     /** Returns whether the response head was sent to the caller. */
     boolean isStarted() {
-        return mStarted;
+        return mForwardedPart != ForwardedPart.NOTHING;
+    }
+
+    ForwardedPart forwardedPart() {
+        return mForwardedPart;
     }
 
     long eventCount() {
@@ -49,8 +54,8 @@
         return TimeUnit.NANOSECONDS.toMillis(mLongestGapNanos);
     }
 
-    void markStarted() {
-        mStarted = true;
+    void markStarted(ForwardedPart part) {
+        mForwardedPart = part;
     }
 
     /** Records that the target has sent something that shows that it still runs the request. */
