Break off a response that is given a second head

Callers saw no end of a response, and no close, when the code that handles a call wrote a second head: the encoder refuses it, the connection counts as free, and whatever is written later is refused too.

The connection now reports it and closes, whoever writes.

--- a/http/src/main/java/org/oleandertrack/http/InboundConnection.java
+++ b/http/src/main/java/org/oleandertrack/http/InboundConnection.java
@@ -320,6 +320,11 @@
                 response.release();
                 return;
             }
+            if (mStarted) {
+                response.release();
+                abortSecondHead(response);
+                return;
+            }
             prepare(response);
             finish(response);
         }
@@ -329,6 +334,10 @@
             if (mEnded) {
                 return;
             }
+            if (mStarted) {
+                abortSecondHead(head);
+                return;
+            }
             mStarted = true;
             prepare(head);
             logIfFailed(mContext.write(head));
@@ -382,6 +391,13 @@
             return mContext.channel().eventLoop();
         }
 
+        private void abortSecondHead(HttpResponse head) {
+            Logger.error(
+                    "response broken off: a second head with status {} follows a started response",
+                    head.status().code());
+            abort();
+        }
+
         private void prepare(HttpResponse head) {
             mCloseAfterResponse = !mKeepAlive || mServer.isDraining();
             if (mCloseAfterResponse) {
