Do not ask again for a body of which a part was forwarded

Cause: like the broken streams, a retry did not look at what the caller already had. Events can go on at another target after the last of them; a plain body has no such place.

Evidence: aBodyOfWhichAPartWasForwardedIsNotBegunAgain failed before (the target got the request twice and the end looked complete). Now the policy breaks such a response off; an attempt that is silent in the middle of a body goes on until the call's time is up.

--- a/core/src/main/java/org/oleandertrack/core/attempt/ContinuationPolicy.java
+++ b/core/src/main/java/org/oleandertrack/core/attempt/ContinuationPolicy.java
@@ -13,8 +13,8 @@
     public static NextStep next(CallProgress progress, AttemptEnd end) {
         NextStep step =
                 switch (end) {
-                    case AttemptEnd.Refused refused -> afterNoRun();
-                    case AttemptEnd.NotReached notReached -> afterNoRun();
+                    case AttemptEnd.Refused refused -> afterNoRun(progress);
+                    case AttemptEnd.NotReached notReached -> afterNoRun(progress);
                     case AttemptEnd.BrokenOff brokenOff -> afterBreak(progress);
                     case AttemptEnd.Stalled stalled -> afterStall(progress, stalled.hung());
                     case AttemptEnd.Answered answered -> afterAnswer(progress);
@@ -25,16 +25,18 @@
         return sends && !progress.sendAllowed() ? new NextStep.GiveUp() : step;
     }
 
-    private static NextStep afterNoRun() {
-        return new NextStep.SendToOtherTarget();
+    private static NextStep afterNoRun(CallProgress progress) {
+        return progress.forwarded() == ForwardedPart.PART_OF_BODY
+                ? new NextStep.GiveUp()
+                : new NextStep.SendToOtherTarget();
     }
 
     private static NextStep afterBreak(CallProgress progress) {
-        return progress.repeatable() ? sendAgain(progress) : new NextStep.GiveUp();
+        return mayBeSentAgain(progress) ? sendAgain(progress) : new NextStep.GiveUp();
     }
 
     private static NextStep afterStall(CallProgress progress, boolean hung) {
-        if (progress.repeatable() && (!hung || progress.otherTargetAllowed())) {
+        if (mayBeSentAgain(progress) && (!hung || progress.otherTargetAllowed())) {
             return sendAgain(progress);
         }
         return progress.forwarded() == ForwardedPart.NOTHING
@@ -46,11 +48,15 @@
         if (progress.forwarded() == ForwardedPart.NOTHING) {
             return new NextStep.ForwardResponse();
         }
-        return progress.repeatable() && progress.otherTargetAllowed()
+        return mayBeSentAgain(progress) && progress.otherTargetAllowed()
                 ? new NextStep.SendToOtherTarget()
                 : new NextStep.GiveUp();
     }
 
+    private static boolean mayBeSentAgain(CallProgress progress) {
+        return progress.repeatable() && progress.forwarded() != ForwardedPart.PART_OF_BODY;
+    }
+
     private static NextStep sendAgain(CallProgress progress) {
         return progress.otherTargetAllowed()
                 ? new NextStep.SendToOtherTarget()
--- a/core/src/test/java/org/oleandertrack/core/attempt/ContinuationPolicyTest.java
+++ b/core/src/test/java/org/oleandertrack/core/attempt/ContinuationPolicyTest.java
@@ -73,7 +73,27 @@
                             ForwardedPart.EVENTS,
                             false,
                             false,
-                            List.of(OTHER, OTHER, GIVE_UP, WAIT, WAIT, GIVE_UP)));
+                            List.of(OTHER, OTHER, GIVE_UP, WAIT, WAIT, GIVE_UP)),
+                    new Row(
+                            ForwardedPart.PART_OF_BODY,
+                            true,
+                            true,
+                            List.of(GIVE_UP, GIVE_UP, GIVE_UP, WAIT, WAIT, GIVE_UP)),
+                    new Row(
+                            ForwardedPart.PART_OF_BODY,
+                            true,
+                            false,
+                            List.of(GIVE_UP, GIVE_UP, GIVE_UP, WAIT, WAIT, GIVE_UP)),
+                    new Row(
+                            ForwardedPart.PART_OF_BODY,
+                            false,
+                            true,
+                            List.of(GIVE_UP, GIVE_UP, GIVE_UP, WAIT, WAIT, GIVE_UP)),
+                    new Row(
+                            ForwardedPart.PART_OF_BODY,
+                            false,
+                            false,
+                            List.of(GIVE_UP, GIVE_UP, GIVE_UP, WAIT, WAIT, GIVE_UP)));
 
     @TestFactory
     Stream<DynamicTest> everyPairHasItsStep() {
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/StartedResponseTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/StartedResponseTest.java
@@ -119,6 +119,47 @@
         }
     }
 
+    /** Answers with a long body that ends early, and completely when it is asked again. */
+    private static ScriptedTarget.Script breakingOffBodies(int sentBytes) {
+        return (exchange, number) -> {
+            exchange.write(
+                    "HTTP/1.1 200 X\r\nId: "
+                            + exchange.id()
+                            + "\r\nContent-Length: "
+                            + LONG_BODY.length()
+                            + "\r\n\r\n"
+                            + LONG_BODY.substring(0, number == 0 ? sentBytes : LONG_BODY.length()));
+            if (number == 0) {
+                exchange.socket().close();
+            }
+        };
+    }
+
+    @Test
+    void aBodyOfWhichAPartWasForwardedIsNotBegunAgain() throws IOException {
+        try (ScriptedTarget target = new ScriptedTarget(breakingOffBodies(LONG_BODY.length() - 1));
+                TestGateway gateway = TestGateway.with("tool", target);
+                TestClient client = gateway.client()) {
+            client.send("GET", "/safe/x", "r1", "", "");
+            String answer = client.readAnswer();
+            assertTrue(answer.endsWith("<closed>"), "the end looks complete");
+            assertTrue(answer.length() < 2 * LONG_BODY.length(), answer.length() + " bytes");
+            assertEquals(1, target.requests().size());
+        }
+    }
+
+    @Test
+    void aBodyOfWhichNothingWasForwardedIsRequestedAgain() throws IOException {
+        try (ScriptedTarget target = new ScriptedTarget(breakingOffBodies(1_000));
+                TestGateway gateway = TestGateway.with("tool", target);
+                TestClient client = gateway.client()) {
+            client.send("GET", "/safe/x", "r1", "", "");
+            String answer = client.readAnswer();
+            assertTrue(answer.endsWith("0\r\n\r\n"), "the response is not complete");
+            assertEquals(2, target.requests().size());
+        }
+    }
+
     @Test
     void theLogNamesTheTargetsThatAnsweredACall() throws IOException {
         try (ScriptedTarget target =
