Count a body that arrives as progress

Cause: only events counted as signs that a target still works.

Evidence: aBodyThatArrivesSlowlyIsNotCut failed before for both sizes (with 300,000 bytes the response was cut, with 1,000 the request was sent again). Each part of a body now counts; a target that sends a byte now and then is bounded by the call's deadline.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -150,8 +150,14 @@
     public void onContent(ByteBuf part) {
         switch (mBodyMode) {
             case REFUSAL -> skipRefusalBody(part);
-            case BUFFER -> bufferOrForward(part);
-            case FORWARD -> mOutput.add(part);
+            case BUFFER -> {
+                mCall.progress().recordActivity(System.nanoTime());
+                bufferOrForward(part);
+            }
+            case FORWARD -> {
+                mCall.progress().recordActivity(System.nanoTime());
+                mOutput.add(part);
+            }
             case EVENTS -> {
                 mSplitter.add(part);
                 forwardEvents();
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/ScriptedTarget.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/ScriptedTarget.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -181,6 +182,18 @@
             socket.close();
         }
 
+        /** Lets time pass on the connection; ends earlier if the peer closes it. */
+        void pauseMillis(int millis) throws IOException {
+            socket.setSoTimeout(millis);
+            try {
+                if (socket.getInputStream().read() < 0) {
+                    throw new IOException("the peer has closed the connection");
+                }
+            } catch (SocketTimeoutException e) {
+                socket.setSoTimeout(0);
+            }
+        }
+
         /** Waits until the peer closes the connection, and records that it did. */
         void awaitPeerClose() throws IOException {
             if (socket.getInputStream().read() < 0) {
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/StartedResponseTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/StartedResponseTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against bytes of a second response behind a response that its caller already has. */
 @ExtendWith(KnownFailureExtension.class)
@@ -160,6 +161,37 @@
         }
     }
 
+    /** Guards against a sound body that is cut because it takes longer than a silent target may. */
+    @ParameterizedTest
+    @ValueSource(ints = {1_000, 300_000})
+    void aBodyThatArrivesSlowlyIsNotCut(int firstBytes) throws IOException {
+        int parts = 20;
+        String part = "0123456789";
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    exchange.write(
+                                            "HTTP/1.1 200 X\r\nId: "
+                                                    + exchange.id()
+                                                    + "\r\nContent-Length: "
+                                                    + (firstBytes + parts * part.length())
+                                                    + "\r\n\r\n"
+                                                    + LONG_BODY.substring(0, firstBytes));
+                                    for (int i = 0; i < parts; i++) {
+                                        exchange.pauseMillis(60);
+                                        exchange.write(part);
+                                    }
+                                });
+                TestGateway gateway = TestGateway.with("tool", target);
+                TestClient client = gateway.client()) {
+            client.send("GET", "/safe/x", "r1", "", "");
+            String answer = client.readAnswer();
+            assertFalse(answer.endsWith("<closed>"), "the response was cut");
+            assertEquals(parts, answer.split(part, -1).length - 1);
+            assertEquals(1, target.requests().size());
+        }
+    }
+
     @Test
     void theLogNamesTheTargetsThatAnsweredACall() throws IOException {
         try (ScriptedTarget target =
