Keep the bound on attempts when a second send is refused

Cause: only a broken attempt looked at the targets that may have run the request; a refusal or a connection that was reset before the request was sent did not. The policy now asks in all cases. A target that has ended, that is one that cannot be connected to or whose place another incarnation has taken, does not bind the call, so its rest can still go on elsewhere.

Evidence: aTargetThatIsFullOnASecondSendDoesNotLetAFurtherTargetRunTheRequest failed before, both with and without a started stream (a second target answered); aTargetThatHasEndedLetsAnotherTargetRunTheRequest passed before and after.

--- a/core/src/main/java/org/oleandertrack/core/attempt/AttemptEnd.java
+++ b/core/src/main/java/org/oleandertrack/core/attempt/AttemptEnd.java
@@ -3,11 +3,19 @@
 /** How an attempt, one send of a call's request to a target, has come to its end. */
 public sealed interface AttemptEnd {
 
-    /** The target states that it has not run the request. */
-    record Refused() implements AttemptEnd {}
+    /**
+     * The target states that it has not run the request.
+     *
+     * @param targetEnded whether another incarnation answered in the target's place
+     */
+    record Refused(boolean targetEnded) implements AttemptEnd {}
 
-    /** The request was not sent, because there was no connection to the target. */
-    record NotReached() implements AttemptEnd {}
+    /**
+     * The request was not sent, because there was no connection to the target.
+     *
+     * @param targetEnded whether no connection could be opened, as after the target's end
+     */
+    record NotReached(boolean targetEnded) implements AttemptEnd {}
 
     /** The response ended early, or was none; the target may have run the request. */
     record BrokenOff() implements AttemptEnd {}
--- a/core/src/main/java/org/oleandertrack/core/attempt/ContinuationPolicy.java
+++ b/core/src/main/java/org/oleandertrack/core/attempt/ContinuationPolicy.java
@@ -13,8 +13,9 @@
     public static NextStep next(CallProgress progress, AttemptEnd end) {
         NextStep step =
                 switch (end) {
-                    case AttemptEnd.Refused refused -> afterNoRun(progress);
-                    case AttemptEnd.NotReached notReached -> afterNoRun(progress);
+                    case AttemptEnd.Refused refused -> afterNoRun(progress, refused.targetEnded());
+                    case AttemptEnd.NotReached notReached ->
+                            afterNoRun(progress, notReached.targetEnded());
                     case AttemptEnd.BrokenOff brokenOff -> afterBreak(progress);
                     case AttemptEnd.Stalled stalled -> afterStall(progress, stalled.hung());
                     case AttemptEnd.Answered answered -> afterAnswer(progress);
@@ -25,10 +26,12 @@
         return sends && !progress.sendAllowed() ? new NextStep.GiveUp() : step;
     }
 
-    private static NextStep afterNoRun(CallProgress progress) {
-        return progress.forwarded() == ForwardedPart.PART_OF_BODY
-                ? new NextStep.GiveUp()
-                : new NextStep.SendToOtherTarget();
+    // A target that has ended no longer counts among those that may run the request.
+    private static NextStep afterNoRun(CallProgress progress, boolean targetEnded) {
+        boolean mayMove = progress.otherTargetAllowed() || targetEnded;
+        return mayMove && progress.forwarded() != ForwardedPart.PART_OF_BODY
+                ? new NextStep.SendToOtherTarget()
+                : new NextStep.GiveUp();
     }
 
     private static NextStep afterBreak(CallProgress progress) {
--- a/core/src/test/java/org/oleandertrack/core/attempt/ContinuationPolicyTest.java
+++ b/core/src/test/java/org/oleandertrack/core/attempt/ContinuationPolicyTest.java
@@ -18,8 +18,10 @@
 
     private static final List<AttemptEnd> ENDS =
             List.of(
-                    new AttemptEnd.Refused(),
-                    new AttemptEnd.NotReached(),
+                    new AttemptEnd.Refused(false),
+                    new AttemptEnd.NotReached(false),
+                    new AttemptEnd.Refused(true),
+                    new AttemptEnd.NotReached(true),
                     new AttemptEnd.BrokenOff(),
                     new AttemptEnd.Stalled(false),
                     new AttemptEnd.Stalled(true),
@@ -38,62 +40,74 @@
                             ForwardedPart.NOTHING,
                             true,
                             true,
-                            List.of(OTHER, OTHER, OTHER, OTHER, OTHER, FORWARD)),
+                            List.of(OTHER, OTHER, OTHER, OTHER, OTHER, OTHER, OTHER, FORWARD)),
                     new Row(
                             ForwardedPart.NOTHING,
                             true,
                             false,
-                            List.of(OTHER, OTHER, SAME, SAME, GIVE_UP, FORWARD)),
+                            List.of(GIVE_UP, GIVE_UP, OTHER, OTHER, SAME, SAME, GIVE_UP, FORWARD)),
                     new Row(
                             ForwardedPart.NOTHING,
                             false,
                             true,
-                            List.of(OTHER, OTHER, GIVE_UP, GIVE_UP, GIVE_UP, FORWARD)),
+                            List.of(
+                                    OTHER, OTHER, OTHER, OTHER, GIVE_UP, GIVE_UP, GIVE_UP,
+                                    FORWARD)),
                     new Row(
                             ForwardedPart.NOTHING,
                             false,
                             false,
-                            List.of(OTHER, OTHER, GIVE_UP, GIVE_UP, GIVE_UP, FORWARD)),
+                            List.of(
+                                    GIVE_UP, GIVE_UP, OTHER, OTHER, GIVE_UP, GIVE_UP, GIVE_UP,
+                                    FORWARD)),
                     new Row(
                             ForwardedPart.EVENTS,
                             true,
                             true,
-                            List.of(OTHER, OTHER, OTHER, OTHER, OTHER, OTHER)),
+                            List.of(OTHER, OTHER, OTHER, OTHER, OTHER, OTHER, OTHER, OTHER)),
                     new Row(
                             ForwardedPart.EVENTS,
                             true,
                             false,
-                            List.of(OTHER, OTHER, SAME, SAME, WAIT, GIVE_UP)),
+                            List.of(GIVE_UP, GIVE_UP, OTHER, OTHER, SAME, SAME, WAIT, GIVE_UP)),
                     new Row(
                             ForwardedPart.EVENTS,
                             false,
                             true,
-                            List.of(OTHER, OTHER, GIVE_UP, WAIT, WAIT, GIVE_UP)),
+                            List.of(OTHER, OTHER, OTHER, OTHER, GIVE_UP, WAIT, WAIT, GIVE_UP)),
                     new Row(
                             ForwardedPart.EVENTS,
                             false,
                             false,
-                            List.of(OTHER, OTHER, GIVE_UP, WAIT, WAIT, GIVE_UP)),
+                            List.of(GIVE_UP, GIVE_UP, OTHER, OTHER, GIVE_UP, WAIT, WAIT, GIVE_UP)),
                     new Row(
                             ForwardedPart.PART_OF_BODY,
                             true,
                             true,
-                            List.of(GIVE_UP, GIVE_UP, GIVE_UP, WAIT, WAIT, GIVE_UP)),
+                            List.of(
+                                    GIVE_UP, GIVE_UP, GIVE_UP, GIVE_UP, GIVE_UP, WAIT, WAIT,
+                                    GIVE_UP)),
                     new Row(
                             ForwardedPart.PART_OF_BODY,
                             true,
                             false,
-                            List.of(GIVE_UP, GIVE_UP, GIVE_UP, WAIT, WAIT, GIVE_UP)),
+                            List.of(
+                                    GIVE_UP, GIVE_UP, GIVE_UP, GIVE_UP, GIVE_UP, WAIT, WAIT,
+                                    GIVE_UP)),
                     new Row(
                             ForwardedPart.PART_OF_BODY,
                             false,
                             true,
-                            List.of(GIVE_UP, GIVE_UP, GIVE_UP, WAIT, WAIT, GIVE_UP)),
+                            List.of(
+                                    GIVE_UP, GIVE_UP, GIVE_UP, GIVE_UP, GIVE_UP, WAIT, WAIT,
+                                    GIVE_UP)),
                     new Row(
                             ForwardedPart.PART_OF_BODY,
                             false,
                             false,
-                            List.of(GIVE_UP, GIVE_UP, GIVE_UP, WAIT, WAIT, GIVE_UP)));
+                            List.of(
+                                    GIVE_UP, GIVE_UP, GIVE_UP, GIVE_UP, GIVE_UP, WAIT, WAIT,
+                                    GIVE_UP)));
 
     @TestFactory
     Stream<DynamicTest> everyPairHasItsStep() {
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -36,10 +36,6 @@
  */
 final class Call implements ResponseWriter.Listener {
 
-    // How long to avoid a target that is unreachable or has restarted as another incarnation.
-    private static final long AVOID_NANOS = TimeUnit.SECONDS.toNanos(1);
-    // How long to avoid a target with a full queue; the target ends several requests in 100 ms.
-    private static final long FULL_AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     // With less time left, a resumed stream, which starts after tens of ms, would come too late.
     private static final long MIN_REMAINING_TO_RETRY_MILLIS = 50;
 
@@ -58,6 +54,7 @@
     private final CrashGuard mCrashGuard;
     private final StreamContinuation mContinuation;
     private final SendHistory mSends;
+    private final TargetReports mReports;
     private ScheduledFuture<?> mTimeoutTimer;
     private Optional<Attempt> mCurrentAttempt = Optional.empty();
     private boolean mEnded;
@@ -80,6 +77,7 @@
         mRequest = request;
         mWriter = writer;
         mSends = new SendHistory(route.maxAttempts());
+        mReports = new TargetReports(context.targets());
         mService = route.serviceFor(metadata.routingKey());
         Optional<EngineSpec> engine =
                 Optional.ofNullable(config.services().get(mService)).flatMap(ServiceSpec::engine);
@@ -394,14 +392,13 @@
         mSends.recordRefusal();
         TargetHandle handle = attempt.handle();
         boolean otherIncarnation = status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
-        mContext.targets()
-                .avoid(
-                        handle,
-                        System.nanoTime() + (otherIncarnation ? AVOID_NANOS : FULL_AVOID_NANOS));
-        mContext.targets().recordAbandoned(handle);
+        mReports.refused(handle, otherIncarnation);
         mSends.exclude(handle);
         logEvent("target refused", handle, "status " + status);
-        follow(nextStep(new AttemptEnd.Refused()), handle, "refused with status " + status);
+        follow(
+                nextStep(new AttemptEnd.Refused(otherIncarnation)),
+                handle,
+                "refused with status " + status);
     }
 
     /** Handles an attempt that ended without a complete, valid response. */
@@ -409,12 +406,13 @@
         attempt.removeFromLoad();
         TargetHandle handle = attempt.handle();
         logEvent("target failed", handle, failure.name().toLowerCase(Locale.ROOT));
-        mContext.targets()
-                .recordFailure(handle, failure.name().toLowerCase(Locale.ROOT), System.nanoTime());
+        mReports.failed(handle, failure);
         if (!failure.mayHaveRun()) {
-            mContext.targets().avoid(handle, System.nanoTime() + AVOID_NANOS);
             mSends.exclude(handle);
-            follow(nextStep(new AttemptEnd.NotReached()), handle, "not reached: " + failure);
+            follow(
+                    nextStep(new AttemptEnd.NotReached(failure.isUnreachable())),
+                    handle,
+                    "not reached: " + failure);
             return;
         }
         mSends.recordMayHaveRun(handle);
@@ -464,12 +462,7 @@
     private void recordOutcome(Attempt attempt, int status) {
         mCrashGuard.recordAnswer();
         attempt.removeFromLoad();
-        long nowNanos = System.nanoTime();
-        if (status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
-            mContext.targets().recordFailure(attempt.handle(), "status " + status, nowNanos);
-        } else {
-            mContext.targets().recordSuccess(attempt.handle(), nowNanos - mSentNanos, nowNanos);
-        }
+        mReports.answered(attempt.handle(), status, mSentNanos);
     }
 
     private NextStep nextStep(AttemptEnd end) {
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/StartedResponseTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/StartedResponseTest.java
@@ -192,6 +192,65 @@
         }
     }
 
+    /** Breaks off the first request after some events, answers the second, completes later ones. */
+    private static ScriptedTarget.Script inOrder(
+            AtomicInteger requests, String events, String secondAnswer) {
+        return (exchange, number) -> {
+            switch (requests.getAndIncrement()) {
+                case 0 -> {
+                    if (!events.isEmpty()) {
+                        exchange.startStream(events);
+                    }
+                    exchange.reset();
+                }
+                case 1 -> exchange.write(secondAnswer.replace("ID", exchange.id()));
+                default -> {
+                    exchange.startStream(SECOND_EVENT);
+                    exchange.endStream();
+                }
+            }
+        };
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", FIRST_EVENT})
+    void aTargetThatIsFullOnASecondSendDoesNotLetAFurtherTargetRunTheRequest(String events)
+            throws IOException {
+        ScriptedTarget.Script script =
+                inOrder(
+                        new AtomicInteger(),
+                        events,
+                        "HTTP/1.1 503 X\r\nId: ID\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        try (ScriptedTarget first = new ScriptedTarget(script);
+                ScriptedTarget second = new ScriptedTarget(script);
+                TestGateway gateway = TestGateway.with("engine", first, second)) {
+            String answer = stream(gateway, "/turn/x");
+            assertFalse(answer.contains("e2"), answer);
+            assertTrue(
+                    events.isEmpty()
+                            ? answer.contains("\"execution\":\"unknown\"")
+                            : answer.endsWith("<closed>"),
+                    answer);
+            assertTrue(first.requests().isEmpty() || second.requests().isEmpty());
+        }
+    }
+
+    @Test
+    void aTargetThatHasEndedLetsAnotherTargetRunTheRequest() throws IOException {
+        ScriptedTarget.Script script =
+                inOrder(
+                        new AtomicInteger(),
+                        FIRST_EVENT,
+                        "HTTP/1.1 421 X\r\nId: ID\r\nContent-Length: 0\r\n\r\n");
+        try (ScriptedTarget first = new ScriptedTarget(script);
+                ScriptedTarget second = new ScriptedTarget(script);
+                TestGateway gateway = TestGateway.with("engine", first, second)) {
+            String answer = stream(gateway, "/turn/x");
+            assertTrue(answer.contains("e2"), answer);
+            assertTrue(answer.endsWith("0\r\n\r\n"), answer);
+        }
+    }
+
     @Test
     void theLogNamesTheTargetsThatAnsweredACall() throws IOException {
         try (ScriptedTarget target =
--- a/http/src/main/java/org/oleandertrack/http/OutboundFailure.java
+++ b/http/src/main/java/org/oleandertrack/http/OutboundFailure.java
@@ -21,6 +21,11 @@
         mMayHaveRun = mayHaveRun;
     }
 
+    /** Returns whether no connection to the server could be opened. */
+    public boolean isUnreachable() {
+        return this == CONNECT_REFUSED || this == CONNECT_TIMEOUT;
+    }
+
     /** Returns whether the server may have received and executed the request. */
     public boolean mayHaveRun() {
         return mMayHaveRun;
