Reject a response head that holds the status line of another one

A caller got a success where its target had answered with a failure: the target's status 500, with its own id, headers and body, arrived as 200.

Cause: a target sent the start of a second response to the request before, cut off within its head. The decoder accepts any bytes as reason phrase and header value, so it read the status line of the next response as a part of them: status and first headers of the late response, and id, headers and body of the right one. The check of the id passes, because the id is the right one.

A valid head holds one status line. A head with a second one in its reason phrase or in a header's value is treated as malformed, so the request is retried if it may be, and its connection is closed. Cuts within a header's name and within the status code were already refused by the decoder.

--- a/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
+++ b/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
@@ -184,6 +184,10 @@
                 return;
             }
             if (message instanceof HttpResponse head) {
+                if (!ResponseHeads.isValid(head)) {
+                    failAndClose(OutboundFailure.MALFORMED);
+                    return;
+                }
                 acceptHead(head);
             }
             if (message instanceof HttpContent part) {
