Accept a refusal without id only from a new connection

A request that ran at its target was refused to its caller (503), or ran at a second target too, whose answer the caller got.

Cause: a refusal may omit the request's id, and then counted for whatever request was in progress on its connection. A target that had answered a request wrote a second response to it, a refusal without id, and the gateway read it when the next request was in progress there. The connection was closed only after a refusal without id that came first.

A refusal without id is now accepted only in the first exchange of a connection, where it can refuse no other request. On a connection that has carried a request it is skipped like any other response that is not identified, and the connection is not reused.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -114,9 +114,12 @@
         boolean otherIncarnation =
                 head.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
         boolean refused = metadata.notExecuted() || otherIncarnation;
-        // A refusal may omit the request id; any other response must state it.
+        // A refusal may omit the request id, unless it could refuse an earlier request on the
+        // connection; any other response must state it.
         boolean belongsToRequest =
-                metadata.requestId().map(id -> id.equals(mCall.requestId())).orElse(refused);
+                metadata.requestId()
+                        .map(id -> id.equals(mCall.requestId()))
+                        .orElse(refused && !mConnection.isReused());
         int status = head.status().code();
         if (!belongsToRequest) {
             mCall.log().responseSkipped(mHandle, status, metadata.requestId());
--- a/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
+++ b/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
@@ -54,6 +54,7 @@
     private OutboundFailure mFirstFailure;
     private boolean mSkippingResponse;
     private boolean mReusable = true;
+    private int mExchangeCount;
     private boolean mClosed;
     private long mIdleSinceNanos;
     private Optional<Long> mAnnouncedIdleTimeoutMillis = Optional.empty();
@@ -109,6 +110,11 @@
         return mReusable && !mClosed && mExchange == null && mChannel.isActive();
     }
 
+    /** Returns whether the connection has carried an exchange before the current or last one. */
+    public boolean isReused() {
+        return mExchangeCount > 1;
+    }
+
     /** Returns when the last exchange ended, as {@link System#nanoTime}. */
     public long idleSinceNanos() {
         return mIdleSinceNanos;
@@ -133,6 +139,7 @@
                     "an exchange is already in progress on this connection");
         }
         mExchange = exchange;
+        mExchangeCount++;
         mSkippingResponse = false;
         mRequestWritten = null;
         mDecoder.mIsHeadRequest = head.method().equals(HttpMethod.HEAD);
