Reject responses of an unknown status or protocol version

Callers got heads such as "HTTP/1.1 0 X", "HTTP/1.1 2000 X" or, from a target that wrote "HTTP/2.0 200 OK", a success.

Cause: the decoder accepts any number as status and any word with a version as protocol, and nothing behind it checks them. Bytes that are no response, for example what is left of one whose start belongs to another response, can look like a head that way.

Evidence: MalformedHeadTest.

A head must be of HTTP/1.0 or HTTP/1.1 and have a status of 100 to 599. Any other one is malformed: the request is retried if it may be, and the connection is closed.

--- /dev/null
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/MalformedHeadTest.java
@@ -0,0 +1,47 @@
+package org.oleandertrack.gateway.host;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against responses of no known status or protocol that callers get as answers. */
+final class MalformedHeadTest {
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 0 X",
+                "HTTP/1.1 20 X",
+                "HTTP/1.1 099 X",
+                "HTTP/1.1 600 X",
+                "HTTP/1.1 999 X",
+                "HTTP/1.1 2000 X",
+                "HTTP/2.0 200 OK",
+                "HTTP/0.9 200 OK",
+                "HTTP/1.2 200 OK",
+                "TP/1.1 200 OK",
+                "HHTTP/1.1 200 OK",
+                "ICY/1.1 200 OK",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+            })
+    void aMalformedHeadIsNoAnswer(String start) throws IOException {
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) ->
+                                        exchange.write(
+                                                start
+                                                        + "\r\nId: r1\r\nContent-Length: 6"
+                                                        + "\r\n\r\nanswer"));
+                TestGateway gateway = TestGateway.with("tool", target);
+                TestClient client = gateway.client()) {
+            client.send("POST", "/unsafe/x", "r1", "", "body");
+            String answer = client.readAnswer();
+            assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+            assertEquals(1, target.requests().size());
+        }
+    }
+}
--- a/http/src/main/java/org/oleandertrack/http/ResponseHeads.java
+++ b/http/src/main/java/org/oleandertrack/http/ResponseHeads.java
@@ -1,20 +1,30 @@
 package org.oleandertrack.http;
 
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.Map;
 import java.util.regex.Pattern;
 
 /** Checks of response heads that the decoder, which is lenient, does not make. */
 final class ResponseHeads {
 
+    private static final int MIN_STATUS = 100;
+    private static final int MAX_STATUS = 599;
     private static final String VERSION_PREFIX = "HTTP/1.";
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] +[0-9]{3}");
 
     private ResponseHeads() {}
 
-    /** Returns whether a head can be the head of one response. */
+    /** Returns whether a head can be the head of one HTTP/1.x response. */
     static boolean isValid(HttpResponse head) {
-        return !containsStatusLine(head);
+        HttpVersion version = head.protocolVersion();
+        boolean isKnownVersion =
+                version.equals(HttpVersion.HTTP_1_1) || version.equals(HttpVersion.HTTP_1_0);
+        int status = head.status().code();
+        return isKnownVersion
+                && status >= MIN_STATUS
+                && status <= MAX_STATUS
+                && !containsStatusLine(head);
     }
 
     // If a response is cut off within its head, the decoder reads the next one as a part of it.
