Reject a switch of protocols that no request has asked for

A caller waited until its deadline (504) for a target that had sent a 101.

Cause: a 101 was skipped like any interim response, but the decoder passes on what follows it as bytes that are no HTTP, which the connection drops.

Evidence: MalformedHeadTest.aSwitchOfProtocolsEndsTheAttempt. Before this change it failed with "HTTP/1.1 504 Gateway Timeout ... no response by the deadline".

The gateway does not forward Upgrade, so no target may switch; a 101 is malformed, and the request is retried if it may be.

--- a/gateway/src/test/java/org/oleandertrack/gateway/host/MalformedHeadTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/MalformedHeadTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -44,4 +45,21 @@
             assertEquals(1, target.requests().size());
         }
     }
+
+    /** Guards against a caller that waits until its deadline for a target that left HTTP. */
+    @Test
+    void aSwitchOfProtocolsEndsTheAttempt() throws IOException {
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    exchange.write("HTTP/1.1 101 X\r\nId: r1\r\n\r\n");
+                                    exchange.answer(200, "", "answer");
+                                });
+                TestGateway gateway = TestGateway.with("tool", target);
+                TestClient client = gateway.client()) {
+            client.send("POST", "/unsafe/x", "r1", "", "body");
+            String answer = client.readAnswer();
+            assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+        }
+    }
 }
--- a/http/src/main/java/org/oleandertrack/http/ResponseHeads.java
+++ b/http/src/main/java/org/oleandertrack/http/ResponseHeads.java
@@ -1,6 +1,7 @@
 package org.oleandertrack.http;
 
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Map;
 import java.util.regex.Pattern;
@@ -21,9 +22,11 @@
         boolean isKnownVersion =
                 version.equals(HttpVersion.HTTP_1_1) || version.equals(HttpVersion.HTTP_1_0);
         int status = head.status().code();
+        // No request asks for a switch of protocols, and after it the connection has no responses.
         return isKnownVersion
                 && status >= MIN_STATUS
                 && status <= MAX_STATUS
+                && status != HttpResponseStatus.SWITCHING_PROTOCOLS.code()
                 && !containsStatusLine(head);
     }
 
