End a stream where the head of another response begins

A caller found the whole head of a second response as an event in its stream, and after it the events of the first one once more.

Cause: a stream without length or chunks ends with its connection, so the bytes of a second response behind it are decoded as a part of it. The head of a response ends with an empty line like an event, and EventSplitter forwards events of any form. Behind an unfinished event the two became one.

Evidence: SecondResponseTest.aSecondResponseBehindAStreamWithoutLength... and EventSplitterTest.theHeadOfAnotherResponseIsNoEvent.

A line that begins with a status line, or one that is no field of an event after a status line within the same event, cannot belong to a stream of events. No further event is taken, and the attempt fails as malformed: the stream goes on elsewhere if it may be resumed, and is broken off if not. Text that contains a status line is still forwarded, because each of its lines is in a field.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/EventSplitter.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/EventSplitter.java
@@ -8,8 +8,9 @@
 /**
  * Splits a stream of server-sent events into complete events. If the stream fails within an event,
  * the incomplete event is not forwarded, and another target can resume after the last complete one.
- * Empty lines outside of an event have no meaning and are dropped. Each byte is examined a constant
- * number of times, however the stream is cut into parts. Not thread-safe.
+ * Empty lines outside of an event have no meaning and are dropped. The head of an HTTP response
+ * among the events ends the stream: it is the start of a second response. Each byte is examined a
+ * constant number of times, however the stream is cut into parts. Not thread-safe.
  */
 final class EventSplitter {
 
@@ -62,6 +63,9 @@
 
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] EVENT_FIELD = "event:".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] RETRY_FIELD = "retry:".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] STATUS_LINE = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
     // An event holds a few tokens; a target that sends more bytes without completing one does not
     // send a stream of events.
@@ -73,6 +77,8 @@
     private int mLineOffset;
     private Optional<String> mId = Optional.empty();
     private boolean mOnlyComments = true;
+    private boolean mEventHasStatusLine;
+    private boolean mHasOtherResponse;
     // Bytes of empty lines and comments since the last event.
     private long mIgnoredBytes;
 
@@ -105,7 +111,7 @@
 
     /** Removes and returns the next complete event or block of comments, if there is one. */
     Optional<Event> next() {
-        while (mScannedBytes < mBuffer.readableBytes()) {
+        while (!mHasOtherResponse && mScannedBytes < mBuffer.readableBytes()) {
             int index = mBuffer.readerIndex() + mScannedBytes++;
             if (mBuffer.getByte(index) != '\n') {
                 continue;
@@ -129,9 +135,13 @@
         return Optional.empty();
     }
 
-    /** Returns whether more bytes have arrived since the last event than an event may have. */
+    /**
+     * Returns whether no more events can follow: another response has begun, or more bytes have
+     * arrived since the last event than an event may have.
+     */
     boolean isWithoutEvents() {
-        return mIgnoredBytes + mBuffer.readableBytes() > MAX_BYTES_WITHOUT_EVENT;
+        return mHasOtherResponse
+                || mIgnoredBytes + mBuffer.readableBytes() > MAX_BYTES_WITHOUT_EVENT;
     }
 
     /** Returns whether bytes of an incomplete event are buffered. */
@@ -140,6 +150,12 @@
     }
 
     private void scanLine(int start, int end) {
+        // The text of an event may contain a status line, but the lines of a head have no field of
+        // an event.
+        mHasOtherResponse =
+                startsWith(mBuffer, start, end, STATUS_LINE)
+                        || (mEventHasStatusLine && !isEventField(start, end));
+        mEventHasStatusLine |= containsStatusLine(start, end);
         mOnlyComments &= mBuffer.getByte(start) == ':';
         if (mId.isEmpty() && startsWith(mBuffer, start, end, ID_FIELD)) {
             int valueStart = start + ID_FIELD.length;
@@ -157,9 +173,26 @@
         mLineOffset = 0;
         mId = Optional.empty();
         mOnlyComments = true;
+        mEventHasStatusLine = false;
         return event;
     }
 
+    private boolean isEventField(int start, int end) {
+        return mBuffer.getByte(start) == ':'
+                || startsWith(mBuffer, start, end, DATA_FIELD)
+                || startsWith(mBuffer, start, end, ID_FIELD)
+                || startsWith(mBuffer, start, end, EVENT_FIELD)
+                || startsWith(mBuffer, start, end, RETRY_FIELD);
+    }
+
+    private boolean containsStatusLine(int start, int end) {
+        int index = mBuffer.indexOf(start, end, STATUS_LINE[0]);
+        while (index >= 0 && !startsWith(mBuffer, index, end, STATUS_LINE)) {
+            index = mBuffer.indexOf(index + 1, end, STATUS_LINE[0]);
+        }
+        return index >= 0;
+    }
+
     private static boolean startsWith(ByteBuf bytes, int start, int end, byte[] prefix) {
         if (end - start < prefix.length) {
             return false;
--- a/gateway/src/test/java/org/oleandertrack/gateway/call/EventSplitterTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/call/EventSplitterTest.java
@@ -109,4 +109,43 @@
         split(splitter, "\n".repeat(150 * 1_024), 1_024);
         assertTrue(splitter.isWithoutEvents());
     }
+
+    /** Guards against the head of a second response that is forwarded as an event. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "\n",
+                "d",
+                "data: b",
+                "data: b\n",
+                "id: 2\ndata: b\r\n",
+                ":",
+                "x-version: 2\ndata: b"
+            })
+    void theHeadOfAnotherResponseIsNoEvent(String unfinished) {
+        String stream =
+                "id: 1\ndata: a\n\n"
+                        + unfinished
+                        + "HTTP/1.1 200 OK\r\nAge: 1\r\n\r\nid: 2\ndata: b\n\n";
+        for (int partLength = 1; partLength <= stream.length(); partLength++) {
+            EventSplitter splitter = new EventSplitter(Unpooled.buffer(0));
+            assertEquals(
+                    List.of("event 1|id: 1\ndata: a\n\n"), split(splitter, stream, partLength));
+            assertTrue(splitter.isWithoutEvents());
+            assertTrue(splitter.hasPartialEvent());
+        }
+    }
+
+    @Test
+    void aStatusLineInTheTextOfAnEventIsForwarded() {
+        String event =
+                "version: 1\n: HTTP/1.1 200 OK\nevent: text\ndata: HTTP/1.1 200 OK\n"
+                        + "data: HTTP/1.1 404\nid: 2\nretry: 5\n\n";
+        EventSplitter splitter = new EventSplitter(Unpooled.buffer(0));
+        assertEquals(
+                List.of("event 2|" + event, "event |data: H HTTP/1.1\n\n"),
+                split(splitter, event + "data: H HTTP/1.1\n\n", 7));
+        assertFalse(splitter.isWithoutEvents());
+    }
 }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/SecondResponseTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/SecondResponseTest.java
@@ -49,4 +49,27 @@
             assertEquals(requestCount, first.requests().size() + second.requests().size());
         }
     }
+
+    /** Guards against the head of a second response that is forwarded as an event. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "id: 2\ndata: b"})
+    void aSecondResponseBehindAStreamWithoutLengthIsNotForwarded(String unfinished)
+            throws IOException {
+        String head = "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Type: text/event-stream\r\n\r\n";
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    exchange.write(head + "id: 1\ndata: a\n\n" + unfinished);
+                                    exchange.write(head + "id: 1\ndata: a\n\n");
+                                    exchange.socket().close();
+                                });
+                TestGateway gateway = TestGateway.with("engine", target);
+                TestClient client = gateway.client()) {
+            client.send("POST", "/talk/x", "r1", "", "prompt");
+            String answer = client.readAnswer();
+            assertTrue(answer.endsWith("<closed>"), answer);
+            assertEquals(2, answer.split("data: a", -1).length, answer);
+            assertEquals(2, answer.split("HTTP/1.1", -1).length, answer);
+        }
+    }
 }
