Close a connection on which bytes arrive outside of an exchange

A request failed (502), or waited in vain, at a target that was fine, because its response was decoded together with the start of another one.

Cause: bytes outside of an exchange close their connection only once they form a part of a message. The start of a second response stays in the decoder, and the connection counts as reusable.

Evidence: SecondResponseTest.aConnectionWithBytesBehindAResponseIsNotReused and aConnectionOnWhichAResponseBeginsUnaskedIsClosed. Before this change three of the four cases of the first failed with "HTTP/1.1 502 Bad Gateway", and the second with "not fulfilled within 10 seconds": the connection stayed open.

The decoder now reports bytes before it decodes them, and an exchange that ends while bytes are left gives its connection up. A new line names such connections in the log; the one with the status of the unasked response still follows if there is one.

--- a/gateway/src/test/java/org/oleandertrack/gateway/host/SecondResponseTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/SecondResponseTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -72,4 +75,44 @@
             assertEquals(2, answer.split("HTTP/1.1", -1).length, answer);
         }
     }
+
+    /** Guards against the start of a second response that is decoded with the next response. */
+    @ParameterizedTest
+    @ValueSource(strings = {"H", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nId: r1\r\n", "\r\n"})
+    void aConnectionWithBytesBehindAResponseIsNotReused(String start) throws IOException {
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) ->
+                                        exchange.write(
+                                                "HTTP/1.1 200 OK\r\nId: "
+                                                        + exchange.id()
+                                                        + "\r\nContent-Length: 3\r\n\r\nran"
+                                                        + start));
+                TestGateway gateway = TestGateway.with("tool", target);
+                TestClient client = gateway.client()) {
+            for (int i = 0; i < 4; i++) {
+                String answer = post(client, "r" + i);
+                assertTrue(answer.endsWith("ran"), answer);
+            }
+        }
+    }
+
+    @Test
+    void aConnectionOnWhichAResponseBeginsUnaskedIsClosed() throws IOException {
+        CountDownLatch answered = new CountDownLatch(1);
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    exchange.answer(200, "", "ran");
+                                    TestGateway.awaitLatch(answered);
+                                    exchange.write("HTTP/1.1 200 OK\r\n");
+                                    exchange.awaitPeerClose();
+                                });
+                TestGateway gateway = TestGateway.with("tool", target);
+                TestClient client = gateway.client()) {
+            assertTrue(post(client, "r0").endsWith("ran"));
+            answered.countDown();
+            Awaitility.await().until(() -> target.closedByPeer().size() == 1);
+        }
+    }
 }
--- a/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
+++ b/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
@@ -34,8 +34,8 @@
 
 /**
  * A connection to a server, with at most one exchange at a time. If bytes arrive outside of an
- * exchange, the connection is closed, because they belong to no request. Confined to its event
- * loop.
+ * exchange, even a part of a message, the connection is closed, because they belong to no request
+ * and would be decoded together with the next response. Confined to its event loop.
  */
 public final class OutboundConnection extends ChannelInboundHandlerAdapter {
 
@@ -45,7 +45,7 @@
     private static final long UNSENT_BODY_TIMEOUT_MILLIS = 5_000;
 
     private final Runnable mOnClosed;
-    private final ResponseDecoder mDecoder = new ResponseDecoder();
+    private final ResponseDecoder mDecoder = new ResponseDecoder(this::onBytes);
     private Channel mChannel;
     private OutboundExchange mExchange;
     private HttpRequest mQueuedHead;
@@ -54,6 +54,7 @@
     private OutboundFailure mFirstFailure;
     private boolean mSkippingResponse;
     private boolean mReusable = true;
+    private boolean mHasUnexpectedBytes;
     private int mExchangeCount;
     private boolean mClosed;
     private long mIdleSinceNanos;
@@ -181,8 +182,8 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (mExchange == null) {
+                rejectUnexpectedBytes();
                 logUnexpected(message);
-                mReusable = false;
                 var _ = mChannel.close();
                 return;
             }
@@ -242,7 +243,8 @@
 
     // A connection that is closed with bytes on their way may still bring some.
     private void logUnexpected(Object message) {
-        if (mReusable && message instanceof HttpResponse head) {
+        if (mHasUnexpectedBytes && message instanceof HttpResponse head) {
+            mHasUnexpectedBytes = false;
             Logger.info(
                     "connection to {} closed: a response with status {} answers no request",
                     mChannel.remoteAddress(),
@@ -250,6 +252,23 @@
         }
     }
 
+    private void rejectUnexpectedBytes() {
+        if (mReusable) {
+            Logger.info(
+                    "connection to {} closed: bytes belong to no request",
+                    mChannel.remoteAddress());
+            mHasUnexpectedBytes = true;
+        }
+        mReusable = false;
+    }
+
+    private void onBytes() {
+        if (mExchange == null) {
+            rejectUnexpectedBytes();
+            var _ = mChannel.close();
+        }
+    }
+
     private void acceptHead(HttpResponse head) {
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             mSkippingResponse = true;
@@ -290,6 +309,9 @@
         OutboundExchange exchange = mExchange;
         mExchange = null;
         mIdleSinceNanos = System.nanoTime();
+        if (mDecoder.hasUndecodedBytes()) {
+            rejectUnexpectedBytes();
+        }
         // A slow caller concerns its own exchange only.
         setReading(true);
         if (!mRequestWritten.isDone()) {
@@ -349,13 +371,25 @@
 
     /** Decodes responses, knowing that the response to a HEAD request has no body. */
     private static final class ResponseDecoder extends HttpResponseDecoder {
+        private final Runnable mOnBytes;
         private boolean mIsHeadRequest;
 
-        private ResponseDecoder() {
+        private ResponseDecoder(Runnable onBytes) {
             super(
                     new HttpDecoderConfig()
                             .setMaxHeaderSize(MAX_HEADER_BYTES)
                             .setMaxChunkSize(MAX_CHUNK_BYTES));
+            mOnBytes = onBytes;
+        }
+
+        private boolean hasUndecodedBytes() {
+            return actualReadableBytes() > 0;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+            mOnBytes.run();
+            super.channelRead(context, message);
         }
 
         @Override
