Count a connection as busy until its response is written

A caller that read a large response slowly got only a part of it when the gateway stopped: the connection counted as idle as soon as the end of the response was handed to Netty, so closeIdle() closed it, and the stop did not wait for it.

Evidence: a client that reads nothing until closeIdle() has run got 3,596,288 of 67,108,864 bytes, both with and without Connection: close.

A connection now has a count of responses whose end Netty has not written yet, and is idle only at zero. The fields that other threads read to tell whether it is idle are volatile, and an exchange begins before the request ends, so that a busy connection never looks idle in between.

SlowReaderTest failed before: aResponseThatIsStillBeingWrittenIsNotCutOff: expected: <> but was: <3596288> theLastResponseOfADrainedConnectionIsNotCutOff: expected: <> but was: <3596288> aConnectionWhoseResponseIsStillBeingWrittenIsBusy: expected: <1> but was: <0>

--- a/http/src/main/java/org/oleandertrack/http/HttpServer.java
+++ b/http/src/main/java/org/oleandertrack/http/HttpServer.java
@@ -96,7 +96,10 @@
         mDraining = true;
     }
 
-    /** Closes the connections that have neither an exchange nor a partly received request. */
+    /**
+     * Closes the connections that have no exchange, no partly received request and no partly
+     * written response.
+     */
     public void closeIdle() {
         mConnections.forEach(connection -> connection.runOnLoop(connection::closeIfIdle));
     }
@@ -119,7 +122,10 @@
         return mConnections.size();
     }
 
-    /** Returns the number of connections that have an exchange or a partly received request. */
+    /**
+     * Returns the number of connections that have an exchange, a partly received request or a
+     * partly written response.
+     */
     public int busyConnectionCount() {
         return (int) mConnections.stream().filter(connection -> !connection.isIdle()).count();
     }
--- a/http/src/main/java/org/oleandertrack/http/InboundConnection.java
+++ b/http/src/main/java/org/oleandertrack/http/InboundConnection.java
@@ -27,6 +27,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.tinylog.Logger;
 
 /**
@@ -43,11 +44,13 @@
     private final HttpServer mServer;
     private final ArrayDeque<Object> mQueuedParts = new ArrayDeque<>();
     private ChannelHandlerContext mContext;
-    private HttpRequest mHead;
     private CompositeByteBuf mBody;
-    private Exchange mExchange;
     private boolean mDiscardInput;
-    private boolean mRequestBegun;
+    // Written on the event loop, and read by other threads that ask whether the connection is idle.
+    private volatile HttpRequest mHead;
+    private volatile Exchange mExchange;
+    private volatile boolean mRequestBegun;
+    private final AtomicInteger mUnwrittenResponses = new AtomicInteger();
     private long mFirstByteNanos;
     private long mLastActivityNanos = System.nanoTime();
 
@@ -86,8 +89,12 @@
         return mExchange != null;
     }
 
+    /** Returns whether there is neither an exchange, nor a part of a request or response. */
     boolean isIdle() {
-        return mExchange == null && mHead == null && !mRequestBegun;
+        return mExchange == null
+                && mHead == null
+                && !mRequestBegun
+                && mUnwrittenResponses.get() == 0;
     }
 
     void close() {
@@ -231,10 +238,10 @@
                         mBody,
                         mFirstByteNanos,
                         (InetSocketAddress) mContext.channel().remoteAddress());
-        boolean keepAlive = HttpUtil.isKeepAlive(mHead);
+        // Set first, so that the connection never seems idle to other threads.
+        mExchange = new Exchange(HttpUtil.isKeepAlive(mHead));
         mHead = null;
         mRequestBegun = false;
-        mExchange = new Exchange(keepAlive);
         mServer.handler().handle(request, mExchange);
     }
 
@@ -270,7 +277,14 @@
         mDiscardInput = true;
         FullHttpResponse response = mServer.makeRejection(status);
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        mContext.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        writeLast(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    // Until a slow client has taken the end of a response, closing the connection cuts it off.
+    private ChannelFuture writeLast(Object last) {
+        mUnwrittenResponses.incrementAndGet();
+        return mContext.writeAndFlush(last)
+                .addListener(done -> mUnwrittenResponses.decrementAndGet());
     }
 
     private static HttpResponseStatus statusFor(Throwable cause) {
@@ -359,8 +373,7 @@
             if (mStarted) {
                 // Flushes queued data before closing, so that the client receives all written
                 // events.
-                mContext.writeAndFlush(Unpooled.EMPTY_BUFFER)
-                        .addListener(ChannelFutureListener.CLOSE);
+                writeLast(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             } else {
                 var _ = mContext.close();
             }
@@ -401,7 +414,7 @@
 
         private void finish(Object last) {
             mEnded = true;
-            ChannelFuture written = mContext.writeAndFlush(last);
+            ChannelFuture written = writeLast(last);
             logIfFailed(written);
             if (mCloseAfterResponse) {
                 written.addListener(ChannelFutureListener.CLOSE);
