Add an operation that ends a call because its host shuts down

The call is answered with the new code 3007 STOPPED_DURING_CALL (502, execution unknown) if its request was sent, and with SHUTTING_DOWN (503, not run) if not; a started response is broken off, so that it does not look complete. The deadline and the shutdown share Call.endEarly.

--- a/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
+++ b/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
@@ -205,6 +205,12 @@
             RetryAdvice.LATER,
             Execution.NOT_RUN,
             "The process is stopping and takes no new calls."),
+    STOPPED_DURING_CALL(
+            3007,
+            502,
+            RetryAdvice.CALLER_DECIDES,
+            Execution.UNKNOWN,
+            "The process stopped before the call had ended."),
     // Targets.
     NO_TARGET_AVAILABLE(
             4001,
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -152,6 +152,11 @@
         end(ResultCode.CANCELLED.name(), "the caller closed its connection");
     }
 
+    @Override
+    public void onShutdown() {
+        endEarly(EarlyEnd.atShutdown());
+    }
+
     @Override
     public void onWritabilityChanged(boolean writable) {
         mCurrentAttempt.ifPresent(attempt -> attempt.setReading(writable));
@@ -508,20 +513,20 @@
     // End
 
     private void onTimeout() {
+        endEarly(EarlyEnd.atDeadline());
+    }
+
+    private void endEarly(EarlyEnd earlyEnd) {
         if (mEnded) {
             return;
         }
-        boolean dispatched = mCurrentAttempt.isPresent();
+        boolean sent = mCurrentAttempt.isPresent() || mMayHaveRun;
         mCurrentAttempt.ifPresent(Attempt::cancel);
         if (mProgress.isStarted()) {
-            abort("time is up");
+            abort(earlyEnd.abortResult(), earlyEnd.abortReason());
             return;
         }
-        if (dispatched || mMayHaveRun) {
-            fail(ResultCode.TARGET_TIMEOUT, Execution.UNKNOWN, "no response by the deadline", 0);
-            return;
-        }
-        fail(CallFailures.overloaded());
+        fail(sent ? earlyEnd.sentFailure() : earlyEnd.unsentFailure());
     }
 
     private void fail(ResultCode code, Execution execution, String message, long retryAfterMillis) {
@@ -538,10 +543,14 @@
     }
 
     private void abort(String reason) {
+        abort(ResultCode.TARGET_FAILED, reason);
+    }
+
+    private void abort(ResultCode result, String reason) {
         if (mEnded) {
             return;
         }
-        end(ResultCode.TARGET_FAILED.name(), reason);
+        end(result.name(), reason);
         mWriter.abort();
     }
 
@@ -568,12 +577,8 @@
     // Helpers
 
     long remainingMillis() {
-        long limitMillis =
-                Math.min(
-                        mMetadata.timeoutMillis().orElse(mRoute.timeoutMillis()),
-                        mRoute.timeoutMillis());
         long elapsedNanos = System.nanoTime() - mRequest.firstByteNanos();
-        return limitMillis - TimeUnit.NANOSECONDS.toMillis(elapsedNanos);
+        return mMetadata.limitMillis(mRoute) - TimeUnit.NANOSECONDS.toMillis(elapsedNanos);
     }
 
     private void logEvent(String event, TargetHandle handle, String reason) {
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallFailures.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallFailures.java
@@ -13,6 +13,8 @@
     private static final long STORE_RETRY_AFTER_MILLIS = 500;
     // Nothing changes for the stream, so the caller may begin a new one at once.
     private static final long NEW_STREAM_RETRY_AFTER_MILLIS = 10;
+    // Short, because the load balancer sends the caller's next connection to another host.
+    private static final long STOPPING_RETRY_AFTER_MILLIS = 20;
     // Largest Retry-After relative to the remaining time, so that another try can still succeed.
     private static final long RETRY_REMAINING_DIVISOR = 3;
 
@@ -93,6 +95,27 @@
                 NEW_STREAM_RETRY_AFTER_MILLIS);
     }
 
+    static ResultException shuttingDown() {
+        return new ResultException(
+                ResultCode.SHUTTING_DOWN,
+                Execution.NOT_RUN,
+                "this host is stopping and takes no new calls",
+                STOPPING_RETRY_AFTER_MILLIS);
+    }
+
+    static ResultException stoppedDuringCall() {
+        return new ResultException(
+                ResultCode.STOPPED_DURING_CALL,
+                Execution.UNKNOWN,
+                "this host stopped before the target had answered",
+                0);
+    }
+
+    static ResultException noResponse() {
+        return new ResultException(
+                ResultCode.TARGET_TIMEOUT, Execution.UNKNOWN, "no response by the deadline", 0);
+    }
+
     static ResultException overloaded() {
         return new ResultException(
                 ResultCode.OVERLOADED,
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallHandler.java
@@ -18,8 +18,6 @@
 
     // A process usually receives its configuration within one second of its start.
     private static final long NO_CONFIG_RETRY_MILLIS = 500;
-    // Short, because the load balancer sends the caller's next connection to another host.
-    private static final long STOPPING_RETRY_MILLIS = 20;
 
     private final CallContext mContext;
     private final AtomicReference<Optional<Routing>> mRouting =
@@ -69,15 +67,7 @@
             return;
         }
         if (mRefusingNewCalls) {
-            refuse(
-                    request,
-                    writer,
-                    new ResultException(
-                            ResultCode.SHUTTING_DOWN,
-                            Execution.NOT_RUN,
-                            "this host is stopping and takes no new calls",
-                            STOPPING_RETRY_MILLIS),
-                    metadata.requestId());
+            refuse(request, writer, CallFailures.shuttingDown(), metadata.requestId());
             return;
         }
         Optional<Routing> routing = mRouting.get();
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallMetadata.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallMetadata.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.oleandertrack.core.traffic.Route;
 
 /**
  * Values of the headers of a caller's request.
@@ -22,6 +23,11 @@
         Optional<String> previousTurnId,
         Optional<StreamTakeUp> takeUp) {
 
+    /** Returns the longest time that the caller and the route allow the call to last. */
+    long limitMillis(Route route) {
+        return Math.min(timeoutMillis.orElse(route.timeoutMillis()), route.timeoutMillis());
+    }
+
     /** Returns the key that selects one of several services of a route. */
     String routingKey() {
         return program.map(ProgramMetadata::programId).orElse(requestId);
--- a/http/src/main/java/org/oleandertrack/http/ResponseWriter.java
+++ b/http/src/main/java/org/oleandertrack/http/ResponseWriter.java
@@ -46,5 +46,8 @@
 
         /** The result of {@link ResponseWriter#isWritable} has changed. */
         void onWritabilityChanged(boolean writable);
+
+        /** The server shuts down: the response must be ended or aborted at once. */
+        void onShutdown();
     }
 }
