Answer the calls that are in progress at the end of the grace period

Callers whose call was still in progress 0.6 s before the end of the grace period of a planned stop got a closed connection and no answer (LOST): calls that a target was running, among them ones that may not be repeated, calls that still waited for the store and had not been sent, and requests whose body was half received.

Cause: HttpServer.stop() closed every connection, and nothing told the calls to end before. A grace period of up to 1.2 s ended before new calls were refused at all.

GracefulStop now has three phases, whose times StopSchedule computes from the grace period: serve, refuse new calls, end calls. In the last one the server stops listening, each call in progress is ended with an answer (502 STOPPED_DURING_CALL, execution unknown, if it was sent; 503 SHUTTING_DOWN, not run, if not), a started stream is broken off so that it does not look complete, half received requests are answered 503, and each connection is closed once its response is written. The log line `stopped` counts the connections whose call was ended early (`ended`), beside `cutOff`.

--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -224,9 +224,9 @@
     }
 
     /**
-     * Stops gracefully: reports that the process is not ready, completes calls in progress, and
-     * returns when there are none left or the grace period is over. Blocks, so it must not be
-     * called on an event loop.
+     * Stops gracefully: reports that the process is not ready, completes calls in progress, ends
+     * those that are left shortly before the grace period is over, and returns. Blocks, so it must
+     * not be called on an event loop.
      */
     public void stop() {
         mStopping = true;
@@ -236,11 +236,8 @@
                 .number("busy", mCallerServer.busyConnectionCount())
                 .write();
         mCallerServer.drain();
-        new GracefulStop(
-                        mSettings.graceMillis(),
-                        () -> mCallerServer.busyConnectionCount() + mConversations.heldCount(),
-                        this::refuseNewCalls)
-                .awaitCompletion();
+        StoppingHost host = new StoppingHost();
+        new GracefulStop(StopSchedule.of(mSettings.graceMillis()), host).awaitCompletion();
         int interruptedConnectionCount = mCallerServer.busyConnectionCount();
         mConfigFollower.stop();
         mTargetFollower.stop();
@@ -252,6 +249,7 @@
         mMetricsServer.stop();
         mLog.notice("stopped")
                 .text("node", mSettings.nodeName())
+                .number("ended", host.endedConnectionCount())
                 .number("cutOff", interruptedConnectionCount)
                 .write();
     }
@@ -338,11 +336,6 @@
                 ConversationLimits.DEFAULT);
     }
 
-    private void refuseNewCalls() {
-        mCallHandler.refuseNewCalls();
-        mCallerServer.closeIdle();
-    }
-
     // The row is replaced without a condition: if two processes use the same node name, the one
     // that started last is the current one.
     private void announce() {
@@ -396,6 +389,7 @@
                     case 413 -> ResultCode.BODY_TOO_LARGE;
                     case 431, 414 -> ResultCode.HEADER_TOO_LARGE;
                     case 408 -> ResultCode.REQUEST_TOO_SLOW;
+                    case 503 -> ResultCode.SHUTTING_DOWN;
                     default -> ResultCode.MALFORMED_REQUEST;
                 };
         mLog.info("rejected").text("result", code.name()).number("status", status.code()).write();
@@ -427,4 +421,35 @@
                 .set(HttpHeaderNames.CONTENT_LENGTH, text.size());
         writer.respond(response);
     }
+
+    /** What a graceful stop does with this gateway. */
+    private final class StoppingHost implements GracefulStop.Host {
+        private int mEndedConnectionCount;
+
+        int endedConnectionCount() {
+            return mEndedConnectionCount;
+        }
+
+        @Override
+        public boolean isBusy() {
+            return mCallerServer.busyConnectionCount() + mConversations.heldCount() > 0;
+        }
+
+        @Override
+        public void refuseNewCalls() {
+            mCallHandler.refuseNewCalls();
+            mCallerServer.closeIdle();
+        }
+
+        @Override
+        public void endCalls() {
+            mEndedConnectionCount = mCallerServer.busyConnectionCount();
+            mCallerServer.shutDown();
+        }
+
+        @Override
+        public boolean isConnected() {
+            return mCallerServer.connectionCount() > 0;
+        }
+    }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GracefulStop.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GracefulStop.java
@@ -1,55 +1,65 @@
 package org.oleandertrack.gateway.host;
 
 import java.util.concurrent.TimeUnit;
-import java.util.function.IntSupplier;
+import java.util.function.BooleanSupplier;
 
-/** Waits until a stopping process has completed its calls, or its grace period is almost over. */
+/**
+ * Waits until a stopping process has completed its calls, and ends those that are left shortly
+ * before its grace period is over.
+ */
 final class GracefulStop {
 
-    // The load balancer checks readiness once a second and sends no new connections after two
-    // negative responses.
-    private static final long LOAD_BALANCER_DELAY_MILLIS = 2_600;
-    // Reserved at the end of the grace period to close the connections and exit.
-    private static final long EXIT_RESERVE_MILLIS = 600;
     private static final long POLL_MILLIS = 50;
 
-    private final long mGraceMillis;
-    private final IntSupplier mBusyConnectionCount;
-    private final Runnable mRefuseNewCalls;
-
-    /**
-     * Creates a graceful stop, which begins when {@link #awaitCompletion} is called.
-     *
-     * @param busyConnectionCount returns the number of connections with a call in progress
-     * @param refuseNewCalls called once, when the load balancer should have stopped sending new
-     *     connections; a call that starts later might not end within the grace period
-     */
-    GracefulStop(long graceMillis, IntSupplier busyConnectionCount, Runnable refuseNewCalls) {
-        mGraceMillis = graceMillis;
-        mBusyConnectionCount = busyConnectionCount;
-        mRefuseNewCalls = refuseNewCalls;
+    private final StopSchedule mSchedule;
+    private final Host mHost;
+    private final long mStartNanos = System.nanoTime();
+
+    /** The host that stops. */
+    interface Host {
+
+        /** Returns whether a call, or something that a call has left, is in progress. */
+        boolean isBusy();
+
+        /**
+         * Refuses new calls. Called once, when the load balancer should have stopped sending new
+         * connections.
+         */
+        void refuseNewCalls();
+
+        /** Ends the calls in progress with a response, and closes each connection after it. */
+        void endCalls();
+
+        /** Returns whether a connection of a caller is open. */
+        boolean isConnected();
+    }
+
+    /** Creates a graceful stop, whose grace period begins now. */
+    GracefulStop(StopSchedule schedule, Host host) {
+        mSchedule = schedule;
+        mHost = host;
     }
 
     void awaitCompletion() {
-        long startNanos = System.nanoTime();
-        boolean refusing = false;
         try {
-            while (true) {
-                long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
-                if (!refusing
-                        && elapsedMillis
-                                >= Math.min(LOAD_BALANCER_DELAY_MILLIS, mGraceMillis / 2)) {
-                    refusing = true;
-                    mRefuseNewCalls.run();
-                }
-                boolean allCallsEnded = refusing && mBusyConnectionCount.getAsInt() == 0;
-                if (allCallsEnded || elapsedMillis >= mGraceMillis - EXIT_RESERVE_MILLIS) {
-                    return;
-                }
-                Thread.sleep(POLL_MILLIS);
-            }
+            awaitWhile(() -> true, mSchedule.refuseMillis());
+            mHost.refuseNewCalls();
+            awaitWhile(mHost::isBusy, mSchedule.endCallsMillis());
+            mHost.endCalls();
+            awaitWhile(mHost::isConnected, mSchedule.exitMillis());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
+
+    private void awaitWhile(BooleanSupplier condition, long untilMillis)
+            throws InterruptedException {
+        while (elapsedMillis() < untilMillis && condition.getAsBoolean()) {
+            Thread.sleep(POLL_MILLIS);
+        }
+    }
+
+    private long elapsedMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mStartNanos);
+    }
 }
--- a/http/src/main/java/org/oleandertrack/http/HttpServer.java
+++ b/http/src/main/java/org/oleandertrack/http/HttpServer.java
@@ -104,6 +104,18 @@
         mConnections.forEach(connection -> connection.runOnLoop(connection::closeIfIdle));
     }
 
+    /**
+     * Stops listening, asks the handler to end the exchanges in progress, rejects partly received
+     * requests, and closes each connection once its last response is written.
+     */
+    public void shutDown() {
+        mDraining = true;
+        if (mListener != null) {
+            mListener.close().syncUninterruptibly();
+        }
+        mConnections.forEach(connection -> connection.runOnLoop(connection::shutDown));
+    }
+
     /** Stops listening and closes all connections, including those with an exchange in progress. */
     public void stop() {
         if (mTimeoutCheck != null) {
--- a/http/src/main/java/org/oleandertrack/http/InboundConnection.java
+++ b/http/src/main/java/org/oleandertrack/http/InboundConnection.java
@@ -107,6 +107,20 @@
         }
     }
 
+    /** Ends what is in progress with a response, and closes the connection after it. */
+    void shutDown() {
+        if (mExchange != null) {
+            mExchange.notifyShutdown();
+            return;
+        }
+        if (!mDiscardInput && (mHead != null || mRequestBegun)) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            return;
+        }
+        mDiscardInput = true;
+        writeLast(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+
     /** Runs a task on the connection's event loop: immediately if called on it, otherwise later. */
     void runOnLoop(Runnable task) {
         EventLoop loop = mContext.channel().eventLoop();
@@ -323,6 +337,12 @@
             }
         }
 
+        private void notifyShutdown() {
+            if (mListener != null) {
+                mListener.onShutdown();
+            }
+        }
+
         @Override
         public void setListener(Listener listener) {
             mListener = listener;
