Refuse calls that may last beyond the grace period of a stop

In the first 2.6 s of a planned stop a host took every call that reached it, on kept connections and from a load balancer that had not yet reacted, also calls whose own deadline was later than the end of the grace period. Those that still ran then ended without an answer (LOST), and their callers could not repeat them if they were unsafe.

StopAdmission decides from the route, the call's remaining time and the rest of the grace period: a call that may not be repeated and a stream are taken only if their deadline is before the end, a safe one if its latency objective is. The others are refused at once with 503 SHUTTING_DOWN, not run, and Retry-After, so that their callers go to another host with most of their time left. It has an injected clock and needs no network.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallHandler.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
@@ -22,7 +23,6 @@
     private final CallContext mContext;
     private final AtomicReference<Optional<Routing>> mRouting =
             new AtomicReference<>(Optional.empty());
-    private volatile boolean mRefusingNewCalls;
 
     /** Creates a handler that refuses calls until {@link #configure} is called. */
     public CallHandler(CallContext context) {
@@ -52,11 +52,6 @@
         return mRouting.get().map(Routing::config);
     }
 
-    /** Refuses every new call from now on, because the process is about to exit. */
-    public void refuseNewCalls() {
-        mRefusingNewCalls = true;
-    }
-
     @Override
     public void handle(InboundRequest request, ResponseWriter writer) {
         CallMetadata metadata;
@@ -66,7 +61,7 @@
             refuse(request, writer, e, "");
             return;
         }
-        if (mRefusingNewCalls) {
+        if (mContext.stopAdmission().isClosed()) {
             refuse(request, writer, CallFailures.shuttingDown(), metadata.requestId());
             return;
         }
@@ -100,6 +95,13 @@
                     metadata.requestId());
             return;
         }
+        long elapsedNanos = System.nanoTime() - request.firstByteNanos();
+        long remainingMillis =
+                metadata.limitMillis(route.get()) - TimeUnit.NANOSECONDS.toMillis(elapsedNanos);
+        if (!mContext.stopAdmission().maySend(route.get(), remainingMillis)) {
+            refuse(request, writer, CallFailures.shuttingDown(), metadata.requestId());
+            return;
+        }
         new Call(mContext, routing.get().config(), route.get(), metadata, request, writer).start();
     }
 
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -44,6 +44,7 @@
 import org.oleandertrack.gateway.call.CallMetrics;
 import org.oleandertrack.gateway.call.GatewayResponses;
 import org.oleandertrack.gateway.call.HeaderCodec;
+import org.oleandertrack.gateway.call.StopAdmission;
 import org.oleandertrack.gateway.peer.PeerAllowanceIssuer;
 import org.oleandertrack.gateway.peer.PeerConversations;
 import org.oleandertrack.gateway.peer.PeerCrashReports;
@@ -92,6 +93,7 @@
     private final StreamOriginService mStreamOrigins;
     private final ConversationService mConversations;
     private final Gauge mHeldTurns;
+    private final StopAdmission mStopAdmission = new StopAdmission(System::nanoTime);
     private final CallHandler mCallHandler;
     private final TargetFeed mTargetFeed;
     private final TableFollower mConfigFollower;
@@ -172,6 +174,7 @@
                                 new AnsweredPaths(ANSWERED_PATHS),
                                 mStreamOrigins,
                                 mConversations,
+                                mStopAdmission,
                                 log,
                                 new CallMetrics(metrics)));
         mTargetFeed = new TargetFeed(tables, mTargetDirectory, System::nanoTime, log);
@@ -230,6 +233,8 @@
      */
     public void stop() {
         mStopping = true;
+        StopSchedule schedule = StopSchedule.of(mSettings.graceMillis());
+        mStopAdmission.beginStop(schedule.endCallsMillis());
         mLog.notice("stopping")
                 .text("node", mSettings.nodeName())
                 .number("connections", mCallerServer.connectionCount())
@@ -237,7 +242,7 @@
                 .write();
         mCallerServer.drain();
         StoppingHost host = new StoppingHost();
-        new GracefulStop(StopSchedule.of(mSettings.graceMillis()), host).awaitCompletion();
+        new GracefulStop(schedule, host).awaitCompletion();
         int interruptedConnectionCount = mCallerServer.busyConnectionCount();
         mConfigFollower.stop();
         mTargetFollower.stop();
@@ -437,7 +442,7 @@
 
         @Override
         public void refuseNewCalls() {
-            mCallHandler.refuseNewCalls();
+            mStopAdmission.close();
             mCallerServer.closeIdle();
         }
 
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GraceEndTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GraceEndTest.java
@@ -1,8 +1,10 @@
 package org.oleandertrack.gateway.host;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.CountDownLatch;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
 
@@ -10,6 +12,7 @@
 final class GraceEndTest {
 
     private static final long SHORT_GRACE_MILLIS = 1_000;
+    private static final long LONG_GRACE_MILLIS = 10_000;
 
     private static ScriptedTarget silentTarget() throws Exception {
         return new ScriptedTarget((exchange, number) -> exchange.awaitPeerClose());
@@ -109,4 +112,45 @@
             assertEquals(1, target.requests().size());
         }
     }
+
+    @Test
+    void aRequestThatMayLastBeyondTheGraceIsRefusedFromTheStartOfAStop() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        try (ScriptedTarget target =
+                new ScriptedTarget(
+                        (exchange, number) -> {
+                            if (number == 0) {
+                                TestGateway.awaitLatch(release);
+                            }
+                            exchange.answer(200, "", "done");
+                        })) {
+            TestGateway gateway = TestGateway.with(LONG_GRACE_MILLIS, "tool", target);
+            TestClient busy = gateway.client();
+            busy.send("POST", "/patient/x", "r0", "", "body");
+            Awaitility.await().until(() -> target.requests().size() == 1);
+            TestClient kept = gateway.client();
+            Thread stop = startStop(gateway);
+            kept.send("POST", "/patient/x", "r1", "", "body");
+            String answer = kept.readAnswer();
+            assertAnswer(answer, 503, "SHUTTING_DOWN", "not run");
+            assertFalse(ScriptedTarget.header(answer, "Retry-After").isEmpty(), answer);
+            assertEquals(1, target.requests().size());
+            release.countDown();
+            assertTrue(busy.readAnswer().endsWith("done"));
+            stop.join();
+        }
+    }
+
+    @Test
+    void aRequestThatEndsWithinTheGraceIsServedUntilTheLoadBalancerHasReacted() throws Exception {
+        try (ScriptedTarget target =
+                new ScriptedTarget((exchange, number) -> exchange.answer(200, "", "done"))) {
+            TestGateway gateway = TestGateway.with(LONG_GRACE_MILLIS, "tool", target);
+            TestClient client = gateway.client();
+            Thread stop = startStop(gateway);
+            client.send("POST", "/unsafe/x", "r1", "", "body");
+            assertTrue(client.readAnswer().endsWith("done"));
+            stop.join();
+        }
+    }
 }
