Check the rest of the grace period again before a call is sent

A call that its host had taken before a planned stop could wait (for a permit, the store, or a target that refused it in the end) and then be sent late in the grace period, although its deadline was after the end. It ended without an answer, or with 502 of unknown execution, while a refusal as not run was still possible when it was sent.

TargetSelection, which every send passes, now asks StopAdmission before it hands out a target for a call that cannot have run yet, and the call is refused with 503 SHUTTING_DOWN, not run. Calls that may have run already are not affected.

GraceEndTest.aCallThatATargetRefusesDuringAStopIsNotSentAgainIfItMayLastBeyond- TheGrace failed before: the second target ran the request ("HTTP/1.1 200 X" in place of 503).

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -125,6 +125,7 @@
                         mTurn,
                         route.isRepeatable(),
                         () -> mEnded,
+                        () -> context.stopAdmission().maySend(route, remainingMillis()),
                         mLog);
     }
 
@@ -294,6 +295,7 @@
             case TargetSelection.Result.NoTarget noTarget -> failWithoutTarget();
             case TargetSelection.Result.RateLimited limited ->
                     failWithoutPermit(limited.waitMillis());
+            case TargetSelection.Result.Stopping stopping -> fail(CallFailures.shuttingDown());
         }
     }
 
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/TargetSelection.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/TargetSelection.java
@@ -45,6 +45,9 @@
          * @param waitMillis shortest known wait, in milliseconds; 0 if none is known
          */
         record RateLimited(long waitMillis) implements Result {}
+
+        /** The process stops, and the call may last beyond that. */
+        record Stopping() implements Result {}
     }
 
     // Each denied permit costs a round trip to another host.
@@ -59,12 +62,14 @@
     private final Optional<TurnRequest> mTurn;
     private final boolean mRepeatable;
     private final BooleanSupplier mAbandoned;
+    private final BooleanSupplier mMaySend;
     private final CallLog mLog;
 
     /**
      * Creates the selection for a call.
      *
      * @param abandoned returns whether the call has ended and needs no target any more
+     * @param maySend returns whether a call that has not run yet may be sent
      */
     TargetSelection(
             CallContext context,
@@ -73,6 +78,7 @@
             Optional<TurnRequest> turn,
             boolean repeatable,
             BooleanSupplier abandoned,
+            BooleanSupplier maySend,
             CallLog log) {
         mTargets = context.targets();
         mPermits = context.permits();
@@ -81,6 +87,7 @@
         mTurn = turn;
         mRepeatable = repeatable;
         mAbandoned = abandoned;
+        mMaySend = maySend;
         mLog = log;
     }
 
@@ -225,6 +232,11 @@
                 mTargets.withdraw(placed.handle());
                 return;
             }
+            if (mMayRefuse && !mMaySend.getAsBoolean()) {
+                mTargets.withdraw(placed.handle());
+                mOnResult.accept(new Result.Stopping());
+                return;
+            }
             mTurn.filter(turn -> mRequired.isEmpty())
                     .ifPresent(turn -> mTargets.recordPrefill(placed.handle(), turn));
             mOnResult.accept(new Result.Selected(placed, permitWaitMillis));
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GraceEndTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GraceEndTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
 
@@ -153,4 +154,32 @@
             stop.join();
         }
     }
+
+    @Test
+    void aCallThatATargetRefusesDuringAStopIsNotSentAgainIfItMayLastBeyondTheGrace()
+            throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        AtomicInteger requests = new AtomicInteger();
+        ScriptedTarget.Script script =
+                (exchange, number) -> {
+                    if (requests.getAndIncrement() == 0) {
+                        TestGateway.awaitLatch(release);
+                        exchange.answer(503, "Not-Executed: 1\r\n", "full");
+                        return;
+                    }
+                    exchange.answer(200, "", "done");
+                };
+        try (ScriptedTarget target = new ScriptedTarget(script);
+                ScriptedTarget otherTarget = new ScriptedTarget(script)) {
+            TestGateway gateway = TestGateway.with(LONG_GRACE_MILLIS, "tool", target, otherTarget);
+            TestClient client = gateway.client();
+            client.send("POST", "/patient/x", "r1", "", "body");
+            Awaitility.await().until(() -> requests.get() == 1);
+            Thread stop = startStop(gateway);
+            release.countDown();
+            assertAnswer(client.readAnswer(), 503, "SHUTTING_DOWN", "not run");
+            stop.join();
+            assertEquals(1, requests.get());
+        }
+    }
 }
