Let a second stop wait for the first one

A second call of GatewayHost.stop() during a stop began another grace period beside the first and closed what the first was still completing, or waited for a whole grace period after the host had stopped. On the platform this could not happen: PlatformMain calls it once, and a second SIGTERM has no effect.

A later call now returns when the stop that has begun has ended. GraceEndTest.aSecondStopDoesNotBeginAnotherGrace failed before: `stopping` was logged twice ("expected: <1> but was: <2>").

--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -14,7 +14,9 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.oleandertrack.coordination.conversation.ConversationLimits;
 import org.oleandertrack.coordination.conversation.ConversationService;
 import org.oleandertrack.coordination.feed.TableFollower;
@@ -109,6 +111,8 @@
     private final HttpServer mMetricsServer;
     private volatile GatewaySettings mSettings;
     private volatile boolean mStopping;
+    private final AtomicBoolean mStopBegun = new AtomicBoolean();
+    private final CountDownLatch mStopped = new CountDownLatch(1);
 
     // Life-cycle
 
@@ -229,9 +233,29 @@
     /**
      * Stops gracefully: reports that the process is not ready, completes calls in progress, ends
      * those that are left shortly before the grace period is over, and returns. Blocks, so it must
-     * not be called on an event loop.
+     * not be called on an event loop. If a stop has begun, waits until it has ended.
      */
     public void stop() {
+        if (!mStopBegun.compareAndSet(false, true)) {
+            awaitStopped();
+            return;
+        }
+        try {
+            runStop();
+        } finally {
+            mStopped.countDown();
+        }
+    }
+
+    private void awaitStopped() {
+        try {
+            mStopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void runStop() {
         mStopping = true;
         StopSchedule schedule = StopSchedule.of(mSettings.graceMillis());
         mStopAdmission.beginStop(schedule.endCallsMillis());
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GraceEndTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GraceEndTest.java
@@ -182,4 +182,16 @@
             assertEquals(1, requests.get());
         }
     }
+
+    @Test
+    void aSecondStopDoesNotBeginAnotherGrace() throws Exception {
+        try (TestGateway gateway = new TestGateway(SHORT_GRACE_MILLIS)) {
+            Thread first = startStop(gateway);
+            Thread second = Thread.startVirtualThread(gateway.host()::stop);
+            first.join();
+            second.join();
+            assertEquals(1, gateway.logs().split("\"stopping\"", -1).length - 1);
+            assertEquals(1, gateway.logs().split("\"stopped\"", -1).length - 1);
+        }
+    }
 }
