--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallHandler.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
@@ -18,13 +19,10 @@
 
     // A process usually receives its configuration within one second of its start.
     private static final long NO_CONFIG_RETRY_MILLIS = 500;
-    // Short, because the load balancer sends the caller's next connection to another host.
-    private static final long STOPPING_RETRY_MILLIS = 20;
 
     private final CallContext mContext;
     private final AtomicReference<Optional<Routing>> mRouting =
             new AtomicReference<>(Optional.empty());
-    private volatile boolean mRefusingNewCalls;
 
     /** Creates a handler that refuses calls until {@link #configure} is called. */
     public CallHandler(CallContext context) {
@@ -54,11 +52,6 @@
         return mRouting.get().map(Routing::config);
     }
 
-    /** Refuses every new call from now on, because the process is about to exit. */
-    public void refuseNewCalls() {
-        mRefusingNewCalls = true;
-    }
-
     @Override
     public void handle(InboundRequest request, ResponseWriter writer) {
         CallMetadata metadata;
@@ -68,16 +61,8 @@
             refuse(request, writer, e, "");
             return;
         }
-        if (mRefusingNewCalls) {
-            refuse(
-                    request,
-                    writer,
-                    new ResultException(
-                            ResultCode.SHUTTING_DOWN,
-                            Execution.NOT_RUN,
-                            "this host is stopping and takes no new calls",
-                            STOPPING_RETRY_MILLIS),
-                    metadata.requestId());
+        if (mContext.stopAdmission().isClosed()) {
+            refuse(request, writer, CallFailures.shuttingDown(), metadata.requestId());
             return;
         }
         Optional<Routing> routing = mRouting.get();
@@ -110,6 +95,13 @@
                     metadata.requestId());
             return;
         }
+        long elapsedNanos = System.nanoTime() - request.firstByteNanos();
+        long remainingMillis =
+                metadata.limitMillis(route.get()) - TimeUnit.NANOSECONDS.toMillis(elapsedNanos);
+        if (!mContext.stopAdmission().maySend(route.get(), remainingMillis)) {
+            refuse(request, writer, CallFailures.shuttingDown(), metadata.requestId());
+            return;
+        }
         new Call(mContext, routing.get().config(), route.get(), metadata, request, writer).start();
     }
 
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -14,7 +14,9 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.oleandertrack.coordination.conversation.ConversationLimits;
 import org.oleandertrack.coordination.conversation.ConversationService;
 import org.oleandertrack.coordination.feed.TableFollower;
@@ -44,6 +46,7 @@
 import org.oleandertrack.gateway.call.CallMetrics;
 import org.oleandertrack.gateway.call.GatewayResponses;
 import org.oleandertrack.gateway.call.HeaderCodec;
+import org.oleandertrack.gateway.call.StopAdmission;
 import org.oleandertrack.gateway.peer.PeerAllowanceIssuer;
 import org.oleandertrack.gateway.peer.PeerConversations;
 import org.oleandertrack.gateway.peer.PeerCrashReports;
@@ -92,6 +95,7 @@
     private final StreamOriginService mStreamOrigins;
     private final ConversationService mConversations;
     private final Gauge mHeldTurns;
+    private final StopAdmission mStopAdmission = new StopAdmission(System::nanoTime);
     private final CallHandler mCallHandler;
     private final TargetFeed mTargetFeed;
     private final TableFollower mConfigFollower;
@@ -107,6 +111,8 @@
     private final HttpServer mMetricsServer;
     private volatile GatewaySettings mSettings;
     private volatile boolean mStopping;
+    private final AtomicBoolean mStopBegun = new AtomicBoolean();
+    private final CountDownLatch mStopped = new CountDownLatch(1);
 
     // Life-cycle
 
@@ -172,6 +178,7 @@
                                 new AnsweredPaths(ANSWERED_PATHS),
                                 mStreamOrigins,
                                 mConversations,
+                                mStopAdmission,
                                 log,
                                 new CallMetrics(metrics)));
         mTargetFeed = new TargetFeed(tables, mTargetDirectory, System::nanoTime, log);
@@ -224,23 +231,42 @@
     }
 
     /**
-     * Stops gracefully: reports that the process is not ready, completes calls in progress, and
-     * returns when there are none left or the grace period is over. Blocks, so it must not be
-     * called on an event loop.
+     * Stops gracefully: reports that the process is not ready, completes calls in progress, ends
+     * those that are left shortly before the grace period is over, and returns. Blocks, so it must
+     * not be called on an event loop. If a stop has begun, waits until it has ended.
      */
     public void stop() {
+        if (!mStopBegun.compareAndSet(false, true)) {
+            awaitStopped();
+            return;
+        }
+        try {
+            runStop();
+        } finally {
+            mStopped.countDown();
+        }
+    }
+
+    private void awaitStopped() {
+        try {
+            mStopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void runStop() {
         mStopping = true;
+        StopSchedule schedule = StopSchedule.of(mSettings.graceMillis());
+        mStopAdmission.beginStop(schedule.endCallsMillis());
         mLog.notice("stopping")
                 .text("node", mSettings.nodeName())
                 .number("connections", mCallerServer.connectionCount())
                 .number("busy", mCallerServer.busyConnectionCount())
                 .write();
         mCallerServer.drain();
-        new GracefulStop(
-                        mSettings.graceMillis(),
-                        () -> mCallerServer.busyConnectionCount() + mConversations.heldCount(),
-                        this::refuseNewCalls)
-                .awaitCompletion();
+        StoppingHost host = new StoppingHost();
+        new GracefulStop(schedule, host).awaitCompletion();
         int interruptedConnectionCount = mCallerServer.busyConnectionCount();
         mConfigFollower.stop();
         mTargetFollower.stop();
@@ -252,6 +278,7 @@
         mMetricsServer.stop();
         mLog.notice("stopped")
                 .text("node", mSettings.nodeName())
+                .number("ended", host.endedConnectionCount())
                 .number("cutOff", interruptedConnectionCount)
                 .write();
     }
@@ -338,11 +365,6 @@
                 ConversationLimits.DEFAULT);
     }
 
-    private void refuseNewCalls() {
-        mCallHandler.refuseNewCalls();
-        mCallerServer.closeIdle();
-    }
-
     // The row is replaced without a condition: if two processes use the same node name, the one
     // that started last is the current one.
     private void announce() {
@@ -396,6 +418,7 @@
                     case 413 -> ResultCode.BODY_TOO_LARGE;
                     case 431, 414 -> ResultCode.HEADER_TOO_LARGE;
                     case 408 -> ResultCode.REQUEST_TOO_SLOW;
+                    case 503 -> ResultCode.SHUTTING_DOWN;
                     default -> ResultCode.MALFORMED_REQUEST;
                 };
         mLog.info("rejected").text("result", code.name()).number("status", status.code()).write();
@@ -427,4 +450,35 @@
                 .set(HttpHeaderNames.CONTENT_LENGTH, text.size());
         writer.respond(response);
     }
+
+    /** What a graceful stop does with this gateway. */
+    private final class StoppingHost implements GracefulStop.Host {
+        private int mEndedConnectionCount;
+
+        int endedConnectionCount() {
+            return mEndedConnectionCount;
+        }
+
+        @Override
+        public boolean isBusy() {
+            return mCallerServer.busyConnectionCount() + mConversations.heldCount() > 0;
+        }
+
+        @Override
+        public void refuseNewCalls() {
+            mStopAdmission.close();
+            mCallerServer.closeIdle();
+        }
+
+        @Override
+        public void endCalls() {
+            mEndedConnectionCount = mCallerServer.busyConnectionCount();
+            mCallerServer.shutDown();
+        }
+
+        @Override
+        public boolean isConnected() {
+            return mCallerServer.connectionCount() > 0;
+        }
+    }
 }
--- a/http/src/main/java/org/oleandertrack/http/HttpServer.java
+++ b/http/src/main/java/org/oleandertrack/http/HttpServer.java
@@ -96,11 +96,26 @@
         mDraining = true;
     }
 
-    /** Closes the connections that have neither an exchange nor a partly received request. */
+    /**
+     * Closes the connections that have no exchange, no partly received request and no partly
+     * written response.
+     */
     public void closeIdle() {
         mConnections.forEach(connection -> connection.runOnLoop(connection::closeIfIdle));
     }
 
+    /**
+     * Stops listening, asks the handler to end the exchanges in progress, rejects partly received
+     * requests, and closes each connection once its last response is written.
+     */
+    public void shutDown() {
+        mDraining = true;
+        if (mListener != null) {
+            mListener.close().syncUninterruptibly();
+        }
+        mConnections.forEach(connection -> connection.runOnLoop(connection::shutDown));
+    }
+
     /** Stops listening and closes all connections, including those with an exchange in progress. */
     public void stop() {
         if (mTimeoutCheck != null) {
@@ -119,7 +134,10 @@
         return mConnections.size();
     }
 
-    /** Returns the number of connections that have an exchange or a partly received request. */
+    /**
+     * Returns the number of connections that have an exchange, a partly received request or a
+     * partly written response.
+     */
     public int busyConnectionCount() {
         return (int) mConnections.stream().filter(connection -> !connection.isIdle()).count();
     }
