--- a/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
+++ b/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
@@ -376,9 +376,10 @@
 
         private ResponseDecoder(Runnable onBytes) {
             super(
-                    new HttpDecoderConfig()
-                            .setMaxHeaderSize(MAX_HEADER_BYTES)
-                            .setMaxChunkSize(MAX_CHUNK_BYTES));
+                    LimitedHeaders.configure(
+                            new HttpDecoderConfig()
+                                    .setMaxHeaderSize(MAX_HEADER_BYTES)
+                                    .setMaxChunkSize(MAX_CHUNK_BYTES)));
             mOnBytes = onBytes;
         }
 
