Limit the number of fields of a head and of trailers

Callers saw requests beside a faulty target time out: with 60 answers at once that consist of short header lines without end, the gateway stayed alive and answered almost nobody.

Cause: heads were limited to 64 KB of text, but a line of two bytes becomes an entry, a name and a value of some hundred bytes. One head took about 3 MB, and it is held while its end, its trailers or its body are waited for.

Netty limits the bytes only, so the headers that its decoder fills are ones that refuse more than 256 fields. A response with more is malformed, a request is rejected with 431.

HeaderFieldsTest failed before: "the response was accepted" (head, interim head, trailers) and "HTTP/1.1 200" instead of 431.

--- a/http/src/main/java/org/oleandertrack/http/HttpServer.java
+++ b/http/src/main/java/org/oleandertrack/http/HttpServer.java
@@ -164,10 +164,11 @@
         protected void initChannel(SocketChannel channel) {
             InboundConnection connection = new InboundConnection(HttpServer.this);
             HttpDecoderConfig config =
-                    new HttpDecoderConfig()
-                            .setMaxInitialLineLength(mLimits.get().maxHeaderBytes())
-                            .setMaxHeaderSize(mLimits.get().maxHeaderBytes())
-                            .setMaxChunkSize(MAX_CHUNK_BYTES);
+                    LimitedHeaders.configure(
+                            new HttpDecoderConfig()
+                                    .setMaxInitialLineLength(mLimits.get().maxHeaderBytes())
+                                    .setMaxHeaderSize(mLimits.get().maxHeaderBytes())
+                                    .setMaxChunkSize(MAX_CHUNK_BYTES));
             channel.pipeline()
                     .addLast(new ArrivalRecorder(connection))
                     .addLast(new HttpServerCodec(config))
--- a/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
+++ b/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
@@ -342,9 +342,10 @@
 
         private ResponseDecoder() {
             super(
-                    new HttpDecoderConfig()
-                            .setMaxHeaderSize(MAX_HEADER_BYTES)
-                            .setMaxChunkSize(MAX_CHUNK_BYTES));
+                    LimitedHeaders.configure(
+                            new HttpDecoderConfig()
+                                    .setMaxHeaderSize(MAX_HEADER_BYTES)
+                                    .setMaxChunkSize(MAX_CHUNK_BYTES)));
         }
 
         @Override
