Bound the output of a turn that is kept

Callers saw requests beside a faulty engine fail: on a route that keeps history, the gateway held all events of a turn until it ended, so an engine that sends events without end filled the heap.

Cause: CallHistory appended the data of each event without a bound.

A turn with more than 256 KB of output is forwarded, but not kept: its output is dropped at once, a log line says so, and its stream is broken off at its end with TURN_NOT_KEPT, so that it does not look complete.

aTurnThatGoesOnIsNotKept failed before: "the response ended as complete".

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallHistory.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallHistory.java
@@ -17,6 +17,9 @@
  */
 final class CallHistory {
 
+    // A turn with more output is forwarded, but not kept.
+    private static final int MAX_OUTPUT_BYTES = 256 * 1024;
+
     private final ConversationService mConversations;
     private final CallMetadata mMetadata;
     private final long mRetentionMillis;
@@ -24,6 +27,7 @@
     private final EventLoop mLoop;
     private final CallLog mLog;
     private final ByteBuf mOutput = Unpooled.buffer(0);
+    private boolean mOutputTooLong;
     private Conversation mPrevious = Conversation.EMPTY;
 
     /**
@@ -76,6 +80,15 @@
 
     /** Records an event that was forwarded to the caller. */
     void recordEvent(EventSplitter.Event event) {
+        if (mOutputTooLong) {
+            return;
+        }
+        if (mOutput.readableBytes() + event.bytes().readableBytes() > MAX_OUTPUT_BYTES) {
+            mOutputTooLong = true;
+            mOutput.clear().capacity(0);
+            mLog.turnTooLong(MAX_OUTPUT_BYTES);
+            return;
+        }
         if (event.appendData(mOutput)) {
             mOutput.writeByte('\n');
         }
@@ -83,6 +96,11 @@
 
     /** Keeps the turn, whose last event was forwarded. */
     void keep(Consumer<KeepOutcome> onResult) {
+        if (mOutputTooLong) {
+            mLog.turnKept(KeepOutcome.NOT_KEPT, 0);
+            onResult.accept(KeepOutcome.NOT_KEPT);
+            return;
+        }
         KeptTurn turn =
                 new KeptTurn(
                         mMetadata.requestId(),
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
@@ -231,6 +231,13 @@
         line.write();
     }
 
+    void turnTooLong(int maxOutputBytes) {
+        mLog.info("turn too long")
+                .text("turn", mMetadata.requestId())
+                .number("maxOutputBytes", maxOutputBytes)
+                .write();
+    }
+
     void turnKept(KeepOutcome outcome, long durationNanos) {
         String result = outcome.name().toLowerCase(Locale.ROOT);
         mMetrics.recordKept(result, durationNanos);
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayConversationTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayConversationTest.java
@@ -100,6 +100,29 @@
         }
     }
 
+    /** Guards against a turn without end whose whole output is held in memory. */
+    @Test
+    void aTurnThatGoesOnIsNotKept() throws IOException {
+        String kilobyte = "x".repeat(1_024);
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    exchange.startStream();
+                                    for (int i = 1; i <= 1_024; i++) {
+                                        exchange.chunk("id: " + i + "\ndata: " + kilobyte + "\n\n");
+                                    }
+                                    exchange.endStream();
+                                });
+                TestGateway gateway = TestGateway.with("engine", target)) {
+            String answer = turn(gateway, "t1", "", "one");
+            assertTrue(answer.contains("id: 1024\n"), "events are missing");
+            assertTrue(answer.endsWith("<closed>"), "the response ended as complete");
+            assertTrue(gateway.logs().contains("TURN_NOT_KEPT"));
+            turn(gateway, "t2", "t1", "two");
+            assertEquals(1, target.requests().size());
+        }
+    }
+
     @Test
     void aTurnThatItsCallerTookUpContinuesWithItsWholeOutput() throws IOException {
         try (ScriptedTarget target =
