Read a target only while its caller reads, from the first byte

Callers saw 504 for requests that their target had answered, and a gateway that ran out of memory beside callers that read slowly.

Cause: reading is suspended and resumed when the caller's connection changes between writable and not, and a new exchange began in whatever state its two connections had. - A caller that is behind already causes no change, so the response to its next request, or of a second target, was read without limit. - A large response whose last write fills the caller's connection suspends the target's connection after its exchange has ended; it went back to the pool unread, and the next request on it, of any caller, got no answer.

An attempt now sets the state when it starts its exchange.

Before, aRequestAfterThoseOfASlowCallerIsAnswered failed with "HTTP/1.1 504 Gateway Timeout", and aResponseToACallerThatHasNotReadTheLastOnesIsNotRead with "32768 KB were read".

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -87,6 +87,9 @@
     // Operations
 
     void send(HttpRequest head, ByteBuf body) {
+        // The caller may not have read what was written before, and the connection may have served
+        // another caller.
+        setReading(mCall.writer().isWritable());
         mConnection.send(head, body, this);
     }
 
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayHostileTargetTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayHostileTargetTest.java
@@ -251,6 +251,69 @@
         }
     }
 
+    /** Guards against an endless response that is read because its caller was slow before it. */
+    @Test
+    void aResponseToACallerThatHasNotReadTheLastOnesIsNotRead() throws IOException {
+        AtomicLong written = new AtomicLong();
+        String head = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 999999999\r\n\r\n";
+        ScriptedTarget.Script endless = endless(head, KILOBYTE, written);
+        int earlier = 60;
+        String large = KILOBYTE.repeat(250);
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    if (number < earlier) {
+                                        exchange.answer(200, "Connection: close\r\n", large);
+                                        return;
+                                    }
+                                    endless.handle(exchange, number);
+                                });
+                TestGateway gateway = TestGateway.with("tool", target);
+                TestClient client = gateway.client()) {
+            for (int i = 0; i <= earlier; i++) {
+                client.send("POST", "/unsafe/x", "r" + i, "", "body");
+            }
+            Awaitility.await()
+                    .until(
+                            () ->
+                                    gateway.logs().contains("\"TARGET_TIMEOUT\"")
+                                            || written.get() == MANY_KILOBYTES);
+            assertTrue(written.get() < MANY_KILOBYTES, written + " KB were read");
+        }
+    }
+
+    /**
+     * Guards against a connection that is not read for a caller because the one before was slow.
+     */
+    @Test
+    void aRequestAfterThoseOfASlowCallerIsAnswered() throws IOException {
+        String large = KILOBYTE.repeat(250);
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) ->
+                                        exchange.answer(
+                                                200,
+                                                "Keep-Alive: timeout=60\r\n",
+                                                exchange.id().startsWith("slow")
+                                                        ? large
+                                                        : "small"));
+                TestGateway gateway = TestGateway.with("tool", target);
+                TestClient slow = gateway.client();
+                TestClient client = gateway.client()) {
+            boolean full = false;
+            for (int i = 0; i < 60 && !full; i++) {
+                int answers = 2 * i + 1;
+                slow.send("POST", "/unsafe/x", "slow" + i, "", "body");
+                Awaitility.await()
+                        .until(() -> gateway.logs().split("\"answered\"", -1).length > answers);
+                full = gateway.logs().contains("\"TARGET_TIMEOUT\"");
+                client.send("POST", "/unsafe/x", "r" + i, "", "body");
+                String answer = client.readAnswer();
+                assertTrue(answer.endsWith("small"), answer);
+            }
+        }
+    }
+
     /** Guards against a stream that is kept alive for ever by bytes that complete no event. */
     @Test
     void aStreamThatTricklesBytesEndsByItsDeadline() throws IOException {
