Don't take a target for silent while its caller does not read

Callers that read slowly had their stream taken from a sound target and asked for again at another one, up to the limit of attempts.

Cause: a target is not read while its caller's connection is full, and StallDetector counted that time as the target's silence.

The detector now waits while the caller's connection is full. The deadline still ends the call.

aTargetWhoseCallerDoesNotReadIsNotTakenForSilent failed before: "expected: <1> but was: <2>" requests at targets.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/StallDetector.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StallDetector.java
@@ -41,6 +41,11 @@
         if (!mCall.isCurrent(mAttempt)) {
             return;
         }
+        // The target is not read while the caller does not read.
+        if (!mCall.writer().isWritable()) {
+            checkAfter(StallPolicy.maxSilenceMillis(mPredictedMillis));
+            return;
+        }
         long nowNanos = System.nanoTime();
         long silentMillis = mCall.silentMillis(nowNanos);
         boolean stalled =
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayHostileTargetTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayHostileTargetTest.java
@@ -314,6 +314,23 @@
         }
     }
 
+    /** Guards against a slow caller whose target is taken for silent and replaced. */
+    @Test
+    void aTargetWhoseCallerDoesNotReadIsNotTakenForSilent() throws IOException {
+        AtomicLong written = new AtomicLong();
+        String events = FIRST_EVENT + "id: 2\ndata: " + KILOBYTE + "\n\n";
+        ScriptedTarget.Script script = endless(STREAM_HEAD, events, written);
+        try (ScriptedTarget first = new ScriptedTarget(script);
+                ScriptedTarget second = new ScriptedTarget(script);
+                TestGateway gateway = TestGateway.with("engine", first, second);
+                TestClient client = gateway.client()) {
+            client.send("POST", "/turn/x", "r0", "", "body");
+            Awaitility.await().until(() -> gateway.logs().contains("\"answered\""));
+            assertEquals(1, first.requests().size() + second.requests().size());
+            assertFalse(gateway.logs().contains("\"target stalled\""));
+        }
+    }
+
     /** Guards against a stream that is kept alive for ever by bytes that complete no event. */
     @Test
     void aStreamThatTricklesBytesEndsByItsDeadline() throws IOException {
