Send each call of a sidecar on a connection of its own

Cause: TargetClient shared one HttpClient, whose pool keeps connections. The pool closes a connection on which bytes arrive while it is idle. A copy that arrives while the next call is under way is that call's response to it.

Why it works: a response can arrive only on its request's connection, which is closed with the call. HttpClient has no switch for its pool, and a target may ignore "Connection: close", so each call has a client, which is shut down at its end.

SidecarCallHandlerTest passes its client as a supplier; its checks are unchanged. FakeInboundCall also records the response.

--- a/server/src/main/java/org/oleandertrack/server/sidecar/SidecarModule.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarModule.java
@@ -9,10 +9,12 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.oleandertrack.core.fencing.FenceTable;
 import org.oleandertrack.core.ledger.LedgerConfig;
 import org.oleandertrack.core.ledger.MemoryLedger;
@@ -105,18 +107,22 @@
 
     @Provides
     @Singleton
-    HttpClient httpClient() {
-        return HttpClient.newBuilder()
-                .version(HttpClient.Version.HTTP_1_1)
-                .followRedirects(HttpClient.Redirect.NEVER)
-                .connectTimeout(Duration.ofMillis(mSettings.target().connectTimeoutMillis()))
-                .build();
+    Supplier<HttpClient> httpClients() {
+        Executor executor = Executors.newVirtualThreadPerTaskExecutor();
+        return () ->
+                HttpClient.newBuilder()
+                        .version(HttpClient.Version.HTTP_1_1)
+                        .followRedirects(HttpClient.Redirect.NEVER)
+                        .connectTimeout(
+                                Duration.ofMillis(mSettings.target().connectTimeoutMillis()))
+                        .executor(executor)
+                        .build();
     }
 
     @Provides
     @Singleton
-    TargetClient targetClient(HttpClient client) {
-        return new TargetClient(client, URI.create(mSettings.target().url()), new ObjectMapper());
+    TargetClient targetClient(Supplier<HttpClient> clients) {
+        return new TargetClient(clients, URI.create(mSettings.target().url()), new ObjectMapper());
     }
 
     @Provides
@@ -158,14 +164,15 @@
             ScheduledExecutorService timer,
             LongSupplier nanoClock,
             MetricsRegistry metrics,
-            HttpClient client) {
+            Supplier<HttpClient> clients) {
         TargetSettings target = mSettings.target();
         if (target.kind() != TargetKind.MODEL || !target.releasesCache()) {
             return Optional.empty();
         }
         return Optional.of(
                 new EngineMemoryService(
-                        new EngineCacheClient(client, URI.create(target.url()), new ObjectMapper()),
+                        new EngineCacheClient(
+                                clients.get(), URI.create(target.url()), new ObjectMapper()),
                         new MemoryLedger(LedgerConfig.withIdleSeconds(target.cacheIdleSeconds())),
                         fences,
                         timer,
--- a/server/src/main/java/org/oleandertrack/server/sidecar/TargetClient.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/TargetClient.java
@@ -7,19 +7,28 @@
 import java.time.Duration;
 import java.util.OptionalDouble;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.oleandertrack.protocol.InboundCall;
 import org.oleandertrack.protocol.message.Call;
 import org.oleandertrack.protocol.message.Header;
 
-/** Sends calls to the target over HTTP. Thread safe. */
+/**
+ * Sends calls to the target over HTTP, each on a connection of its own: nothing in HTTP tells a
+ * late second response to a call from the response to the next one. Thread safe.
+ */
 final class TargetClient {
 
-    private final HttpClient mClient;
+    private final Supplier<HttpClient> mClients;
     private final URI mTargetUri;
     private final ObjectMapper mMapper;
 
-    TargetClient(HttpClient client, URI target, ObjectMapper mapper) {
-        mClient = client;
+    /**
+     * Creates a client.
+     *
+     * @param clients creates an HTTP client with no connections; it is shut down after its call
+     */
+    TargetClient(Supplier<HttpClient> clients, URI target, ObjectMapper mapper) {
+        mClients = clients;
         mTargetUri = target;
         mMapper = mapper;
     }
@@ -32,7 +41,8 @@
      */
     TargetExchange send(InboundCall call, Consumer<OptionalDouble> onRateStated) {
         TargetExchange exchange = new TargetExchange(call, new UsageScanner(mMapper), onRateStated);
-        exchange.send(mClient, toHttpRequest(call));
+        HttpRequest request = toHttpRequest(call);
+        exchange.send(mClients.get(), request);
         return exchange;
     }
 
--- a/server/src/main/java/org/oleandertrack/server/sidecar/TargetExchange.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/TargetExchange.java
@@ -60,9 +60,18 @@
 
     // Life-cycle
 
+    /**
+     * Sends the request.
+     *
+     * @param client a client for this exchange alone, which is shut down at its end
+     */
     void send(HttpClient client, HttpRequest request) {
         mResponseFuture = client.sendAsync(request, this::onResponseHead);
-        mResponseFuture.whenComplete((response, failure) -> complete(failure));
+        mResponseFuture.whenComplete(
+                (response, failure) -> {
+                    client.shutdownNow();
+                    complete(failure);
+                });
         mCall.cancelled()
                 .thenRun(() -> abort(ResultCode.CANCELLED, "the caller cancelled the call"));
     }
--- a/server/src/test/java/org/oleandertrack/server/sidecar/FakeInboundCall.java
+++ b/server/src/test/java/org/oleandertrack/server/sidecar/FakeInboundCall.java
@@ -1,6 +1,7 @@
 package org.oleandertrack.server.sidecar;
 
 import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import org.oleandertrack.protocol.InboundCall;
 import org.oleandertrack.protocol.message.Call;
@@ -8,13 +9,15 @@
 import org.oleandertrack.protocol.message.ResponseEnd;
 import org.oleandertrack.protocol.message.ResponseHead;
 
-/** A call from an entry host that records its end. Not thread-safe. */
+/** A call from an entry host that records its response. Not thread-safe. */
 final class FakeInboundCall implements InboundCall {
 
     private final Call mHead;
     private final CompletableFuture<Void> mCancelled = new CompletableFuture<>();
     private ResponseEnd mEnd;
     private int mEndCount;
+    private ResponseHead mResponseHead;
+    private ByteString mResponseBody = ByteString.EMPTY;
 
     FakeInboundCall(Call head) {
         mHead = head;
@@ -35,6 +38,14 @@
         return mEnd;
     }
 
+    ResponseHead responseHead() {
+        return mResponseHead;
+    }
+
+    String responseText() {
+        return mResponseBody.toString(StandardCharsets.ISO_8859_1);
+    }
+
     @Override
     public Call head() {
         return mHead;
@@ -51,10 +62,13 @@
     }
 
     @Override
-    public void respondHead(ResponseHead head) {}
+    public void respondHead(ResponseHead head) {
+        mResponseHead = head;
+    }
 
     @Override
     public CompletableFuture<Void> respondBody(ByteString data) {
+        mResponseBody = mResponseBody.concat(data);
         return CompletableFuture.completedFuture(null);
     }
 
--- a/server/src/test/java/org/oleandertrack/server/sidecar/SidecarCallHandlerTest.java
+++ b/server/src/test/java/org/oleandertrack/server/sidecar/SidecarCallHandlerTest.java
@@ -45,7 +45,8 @@
                     () -> mNowNanos);
     private final SidecarCallHandler mHandler =
             new SidecarCallHandler(
-                    new TargetClient(mTarget, URI.create("http://127.0.0.1:1"), new ObjectMapper()),
+                    new TargetClient(
+                            () -> mTarget, URI.create("http://127.0.0.1:1"), new ObjectMapper()),
                     mScheduler,
                     new FenceTable(),
                     mAttempts,
