Send the parts of a response to its caller as they arrive

What callers saw: at entry hosts of the product's own interface the events of a stream arrived only when 8 KiB had been collected or the stream ended. A stream below 8 KiB had a Content-Length, so one that broke off looked whole.

Cause: Jersey collects the first 8 KiB of an entity to compute its length, and a flush does not send them.

Why it works: without the buffer Jersey commits the response with its first byte. Error bodies have chunks now instead of a length.

--- a/server/src/main/java/org/oleandertrack/server/http/HttpService.java
+++ b/server/src/main/java/org/oleandertrack/server/http/HttpService.java
@@ -20,6 +20,7 @@
 import org.eclipse.jetty.server.NetworkConnector;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.handler.GracefulHandler;
+import org.glassfish.jersey.server.ServerProperties;
 
 /** A Dropwizard HTTP server with an optional port for calls and a port for administration. */
 public final class HttpService {
@@ -103,14 +104,18 @@
 
     private Environment createEnvironment(Configuration configuration) {
         ObjectMapper mapper = Jackson.newObjectMapper();
-        return new Environment(
-                mConfig.name(),
-                mapper,
-                Validators.newValidatorFactory(),
-                new MetricRegistry(),
-                getClass().getClassLoader(),
-                new HealthCheckRegistry(),
-                configuration);
+        Environment environment =
+                new Environment(
+                        mConfig.name(),
+                        mapper,
+                        Validators.newValidatorFactory(),
+                        new MetricRegistry(),
+                        getClass().getClassLoader(),
+                        new HealthCheckRegistry(),
+                        configuration);
+        // The buffer would hold back the first events of a stream.
+        environment.jersey().property(ServerProperties.OUTBOUND_CONTENT_LENGTH_BUFFER, 0);
+        return environment;
     }
 
     private DefaultServerFactory createServerFactory() {
