Break off the connection of a response that failed after its start

A stream got an error event and then the last chunk, any other body without length just the last chunk, and with "Connection: close" a stream had neither chunks nor a length.

Cause: ResponsePipe ended a failed event stream normally. For other bodies it throws an IOException, but Jersey logs it and closes the response, which writes the last chunk.

Why it works: the interceptor aborts Jetty's channel when the body of a response that has begun cannot be written, before Jersey closes it. Responses without length always have chunks, so that the missing last one shows. The error event stays, with the result code and the execution.

The test of ResponsePipe asked for a normal end behind the error event. It now asks for the same event and for the IOException as well.

--- a/server/src/main/java/org/oleandertrack/server/entry/CallResponder.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/CallResponder.java
@@ -4,6 +4,8 @@
 import jakarta.ws.rs.core.StreamingOutput;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
@@ -14,6 +16,8 @@
 /** Runs calls and streams their responses to HTTP callers as they arrive. Thread safe. */
 final class CallResponder {
 
+    private static final String CHUNKED = "chunked";
+
     private final CallService mCalls;
     private final CallLimiter mLimiter;
     private final Executor mExecutor;
@@ -39,9 +43,26 @@
         for (Header header : head.getHeadersList()) {
             builder.header(header.getName(), header.getValue());
         }
+        if (mayHaveBody(head.getStatus()) && !hasLength(head)) {
+            // Without chunks, the end of the connection would complete a response that broke off.
+            builder.header(HttpHeader.TRANSFER_ENCODING.asString(), CHUNKED);
+        }
         return builder.entity((StreamingOutput) pipe::writeTo).build();
     }
 
+    private static boolean mayHaveBody(int status) {
+        return status != HttpStatus.NO_CONTENT_204 && status != HttpStatus.NOT_MODIFIED_304;
+    }
+
+    private static boolean hasLength(ResponseHead head) {
+        return head.getHeadersList().stream()
+                .anyMatch(
+                        header ->
+                                HttpHeader.CONTENT_LENGTH
+                                        .asString()
+                                        .equalsIgnoreCase(header.getName()));
+    }
+
     private void start(ResponsePipe pipe, CallerRequest request, CallLimiter.Permit permit) {
         try {
             mExecutor.execute(() -> runInto(pipe, request, permit));
--- a/server/src/main/java/org/oleandertrack/server/entry/ResponsePipe.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/ResponsePipe.java
@@ -88,12 +88,12 @@
     }
 
     /**
-     * Writes the parts of the body as they arrive and flushes after each. A failure is written as
-     * the last event if the response is an event stream.
+     * Writes the parts of the body as they arrive and flushes after each. If the call fails, an
+     * event stream gets the failure as its last event.
      *
-     * @throws IOException if the caller cannot be written to, or if the call failed and the
-     *     response is not an event stream. The server then closes the connection, so that the
-     *     caller does not mistake the part that was sent for the whole response
+     * @throws IOException if the caller cannot be written to, or if the call failed. The server
+     *     then breaks the response off, so that the caller does not mistake the part that was sent
+     *     for the whole response
      */
     void writeTo(OutputStream output) throws IOException {
         try {
@@ -109,11 +109,11 @@
         if (failure == null) {
             return;
         }
-        if (!isEventStream(mHead.join())) {
-            throw new IOException("the response ended early: " + failure.getMessage(), failure);
+        if (isEventStream(mHead.join())) {
+            output.write(ErrorBody.asEvent(failure));
+            output.flush();
         }
-        output.write(ErrorBody.asEvent(failure));
-        output.flush();
+        throw new IOException("the response ended early: " + failure.getMessage(), failure);
     }
 
     /** Tells the producer that the caller no longer waits for the response. */
--- a/server/src/main/java/org/oleandertrack/server/http/HttpService.java
+++ b/server/src/main/java/org/oleandertrack/server/http/HttpService.java
@@ -13,6 +13,8 @@
 import io.dropwizard.logging.common.ExternalLoggingFactory;
 import io.dropwizard.util.DataSize;
 import io.dropwizard.util.Duration;
+import jakarta.servlet.DispatcherType;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
@@ -113,8 +115,14 @@
                         getClass().getClassLoader(),
                         new HealthCheckRegistry(),
                         configuration);
-        // The buffer would hold back the first events of a stream.
+        // The buffer would hold back the first events of a stream, and a length computed from it
+        // would complete a response that broke off.
         environment.jersey().property(ServerProperties.OUTBOUND_CONTENT_LENGTH_BUFFER, 0);
+        environment
+                .servlets()
+                .addFilter("servlet-channel", new ServletChannelFilter())
+                .addMappingForUrlPatterns(EnumSet.of(DispatcherType.REQUEST), false, "/*");
+        environment.jersey().register(new BrokenResponseInterceptor());
         return environment;
     }
 
--- a/server/src/test/java/org/oleandertrack/server/entry/ResponsePipeTest.java
+++ b/server/src/test/java/org/oleandertrack/server/entry/ResponsePipeTest.java
@@ -96,13 +96,16 @@
         assertSame(refusal, assertThrows(ResultException.class, mPipe::awaitHead));
     }
 
-    /** Guards against a stream that ends early without telling whether the call was run. */
+    /**
+     * Guards against a stream that ends early without telling whether the call was run, or that
+     * ends like a complete one.
+     */
     @Test
-    void failureOfAnEventStreamIsItsLastEvent() throws IOException {
+    void failureOfAnEventStreamIsItsLastEvent() {
         mPipe.writeHead(EVENT_STREAM_HEAD);
         mPipe.writeBody(ByteString.copyFromUtf8("data: 1\n\n"));
         mPipe.fail(new ResultException(ResultCode.STALLED, Execution.RUN, "stalled", 0));
-        mPipe.writeTo(mOutput);
+        assertThrows(IOException.class, () -> mPipe.writeTo(mOutput));
         String text = mOutput.toString(StandardCharsets.UTF_8);
         assertTrue(text.startsWith("data: 1\n\nevent: error\ndata: {\"error\":"), text);
         assertTrue(text.contains("\"execution\":\"run\""), text);
