Write no error behind a part of an event

Cause: ResponsePipe appended the error event to whatever had been written.

Evidence, on the code before: BrokenOffStreamTest.aStreamThatBreaksOffWithinAnEventHasNoErrorInThatEvent:82 data: {"teevent: error data: {"error":{"code":4005,...

Why it works: the error event is written only behind an empty line, at the start of an event. Otherwise the connection is broken off without it; a parser of event streams discards the partial event.

anErrorFollowsAnEventWhoseLinesEndWithCrLf passed on the code before.

--- a/server/src/main/java/org/oleandertrack/server/entry/ResponsePipe.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/ResponsePipe.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -23,6 +24,15 @@
 
     private static final int MAX_BUFFERED_BYTES = 256 << 10;
 
+    /** Line ends that complete an event, whether lines end with CR, LF or both. */
+    private static final List<ByteString> EVENT_ENDS =
+            List.of(
+                    ByteString.copyFromUtf8("\n\n"),
+                    ByteString.copyFromUtf8("\r\r"),
+                    ByteString.copyFromUtf8("\n\r\n"));
+
+    private static final int MAX_EVENT_END_BYTES = 3;
+
     private final CompletableFuture<ResponseHead> mHead = new CompletableFuture<>();
     private final CompletableFuture<Void> mCancelled = new CompletableFuture<>();
     private final ReentrantLock mLock = new ReentrantLock();
@@ -89,17 +99,19 @@
 
     /**
      * Writes the parts of the body as they arrive and flushes after each. If the call fails, an
-     * event stream gets the failure as its last event.
+     * event stream that ends with a complete event gets the failure as its last event.
      *
      * @throws IOException if the caller cannot be written to, or if the call failed. The server
      *     then breaks the response off, so that the caller does not mistake the part that was sent
      *     for the whole response
      */
     void writeTo(OutputStream output) throws IOException {
+        ByteString tail = ByteString.EMPTY;
         try {
             for (ByteString part = takePart(); part != null; part = takePart()) {
                 part.writeTo(output);
                 output.flush();
+                tail = lastBytes(tail.concat(part));
             }
         } catch (IOException e) {
             cancel();
@@ -109,7 +121,8 @@
         if (failure == null) {
             return;
         }
-        if (isEventStream(mHead.join())) {
+        // Behind a part of an event, the caller would read the failure as the rest of it.
+        if (isEventStream(mHead.join()) && isEventEnd(tail)) {
             output.write(ErrorBody.asEvent(failure));
             output.flush();
         }
@@ -151,6 +164,15 @@
                                         .startsWith("text/event-stream"));
     }
 
+    private static ByteString lastBytes(ByteString bytes) {
+        return bytes.substring(Math.max(0, bytes.size() - MAX_EVENT_END_BYTES));
+    }
+
+    /** Tells whether a stream that ends with the given bytes, or is empty, has no partial event. */
+    private static boolean isEventEnd(ByteString tail) {
+        return tail.isEmpty() || EVENT_ENDS.stream().anyMatch(tail::endsWith);
+    }
+
     private void finish(ResultException failure) {
         mLock.lock();
         try {
--- a/server/src/test/java/org/oleandertrack/server/entry/BrokenOffStreamTest.java
+++ b/server/src/test/java/org/oleandertrack/server/entry/BrokenOffStreamTest.java
@@ -74,6 +74,15 @@
         assertFalse(raw.toLowerCase(Locale.ROOT).contains("transfer-encoding"), raw);
     }
 
+    /** Guards against the text of an error inside an event of the target. */
+    @Test
+    void aStreamThatBreaksOffWithinAnEventHasNoErrorInThatEvent() throws Exception {
+        String response = respond(EVENT_STREAM, EVENT + "data: {\"te", Optional.of(lost()));
+        assertTrue(response.contains(EVENT), response);
+        assertFalse(response.contains("error"), response);
+        assertFalse(response.endsWith(StreamServer.LAST_CHUNK), response);
+    }
+
     /** Guards against a response that its caller takes for complete because its connection ends. */
     @Test
     void aBrokenOffStreamIsRecognisedOnAConnectionThatServesOneRequest() throws Exception {
@@ -84,6 +93,15 @@
         assertFalse(raw.endsWith(StreamServer.LAST_CHUNK), raw);
     }
 
+    /** Guards against an error that is withheld because the event before it ends in CR LF. */
+    @Test
+    void anErrorFollowsAnEventWhoseLinesEndWithCrLf() throws Exception {
+        String response = respond(EVENT_STREAM, "data: 1\r\n\r\n", Optional.of(lost()));
+        assertTrue(response.contains("data: 1\r\n\r\n"), response);
+        assertTrue(response.contains("event: error\ndata: "), response);
+        assertFalse(response.endsWith(StreamServer.LAST_CHUNK), response);
+    }
+
     // Helpers
 
     /** Serves a response that has the text, in parts of one byte, and then ends or fails. */
