--- a/server/src/main/java/org/oleandertrack/server/http/HttpService.java
+++ b/server/src/main/java/org/oleandertrack/server/http/HttpService.java
@@ -13,6 +13,8 @@
 import io.dropwizard.logging.common.ExternalLoggingFactory;
 import io.dropwizard.util.DataSize;
 import io.dropwizard.util.Duration;
+import jakarta.servlet.DispatcherType;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
@@ -20,6 +22,7 @@
 import org.eclipse.jetty.server.NetworkConnector;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.handler.GracefulHandler;
+import org.glassfish.jersey.server.ServerProperties;
 
 /** A Dropwizard HTTP server with an optional port for calls and a port for administration. */
 public final class HttpService {
@@ -103,14 +106,24 @@
 
     private Environment createEnvironment(Configuration configuration) {
         ObjectMapper mapper = Jackson.newObjectMapper();
-        return new Environment(
-                mConfig.name(),
-                mapper,
-                Validators.newValidatorFactory(),
-                new MetricRegistry(),
-                getClass().getClassLoader(),
-                new HealthCheckRegistry(),
-                configuration);
+        Environment environment =
+                new Environment(
+                        mConfig.name(),
+                        mapper,
+                        Validators.newValidatorFactory(),
+                        new MetricRegistry(),
+                        getClass().getClassLoader(),
+                        new HealthCheckRegistry(),
+                        configuration);
+        // The buffer would hold back the first events of a stream, and a length computed from it
+        // would complete a response that broke off.
+        environment.jersey().property(ServerProperties.OUTBOUND_CONTENT_LENGTH_BUFFER, 0);
+        environment
+                .servlets()
+                .addFilter("servlet-channel", new ServletChannelFilter())
+                .addMappingForUrlPatterns(EnumSet.of(DispatcherType.REQUEST), false, "/*");
+        environment.jersey().register(new BrokenResponseInterceptor());
+        return environment;
     }
 
     private DefaultServerFactory createServerFactory() {
