Fail an attempt whose response names no request

A caller got a success where its target had answered with a failure.

Cause: a response without id was skipped, and the next one on the connection with the request's id was taken. A target that answered without an id and then wrote a second response with it had its answer replaced.

A response without id may be the answer to the request in progress or a late one; nothing tells which. So the attempt fails as malformed and the connection is closed; the request is sent again if it may be. It also no longer waits until its deadline for a target that omits ids. A response that names another request is still skipped.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -123,6 +123,11 @@
         int status = head.status().code();
         if (!belongsToRequest) {
             mCall.log().responseSkipped(mHandle, status, metadata.requestId());
+            if (metadata.requestId().isEmpty()) {
+                // It may be the response to this request, so none behind it may take its place.
+                mConnection.close();
+                onFailure(OutboundFailure.MALFORMED);
+            }
             return false;
         }
         mCall.log().targetAnswered(mHandle, status, mCall.progress());
