Soak: stuttering and endless servers, ends of responses, stops in calm

Its client also took a response without end for one that was broken off.

The servers now write their bytes themselves (RawServer). New modes: a second, late response on the same connection; a first run that breaks off and later ones that fail; bytes without end. Lookups, which may run more than once, and a stream route with three attempts are new.

New checks: a success must be that of the server that signed it, and must not be complete if the last server that ran it failed; a response must end by its deadline and half a second; a stop in calm must cut no request that was read; no gateway process may end by itself.

--- a/soak/src/main/java/org/oleandertrack/soak/Callers.java
+++ b/soak/src/main/java/org/oleandertrack/soak/Callers.java
@@ -13,8 +13,8 @@
 
 /**
  * Concurrent callers that send requests until they are stopped: turns of programs, whose responses
- * are streams and are taken up again if they break off, and orders, which must not run more than
- * once. Thread-safe.
+ * are streams and are taken up again if they break off, orders, which must not run more than once,
+ * and lookups, which may. Thread-safe.
  */
 final class Callers {
 
@@ -33,6 +33,7 @@
     private final GuaranteeChecker mGuarantees;
     private final PublishedClient mClient = new PublishedClient();
     private final AtomicLong mNextId = new AtomicLong();
+    private final Paths mPaths = new Paths();
     private final List<Thread> mThreads = new ArrayList<>();
     private volatile boolean mStopping;
 
@@ -67,7 +68,8 @@
 
     // Helpers
 
-    // Spreads the turns of each program over the gateways, with an order after each turn. Each turn
+    // Spreads the turns of each program over the gateways, with an order and a lookup after each
+    // turn. Each turn
     // continues the last one that was answered whole; some name a turn that never existed. A
     // program
     // sends more turns than its budget covers, so that refusals for lack of budget occur too.
@@ -83,6 +85,7 @@
                 }
                 previous = sendTurn(anyGateway, program, previous).or(previousTurn(previous));
                 sendOrder(anyGateway.get());
+                sendLookup(anyGateway.get());
                 LockSupport.parkNanos(PAUSE_AFTER_TURN_NANOS);
             }
         }
@@ -101,17 +104,12 @@
         PublishedClient.Turn turn =
                 new PublishedClient.Turn(program, BUDGET_TOKENS, TURN_TOKENS, previousTurnId);
         String streamId = nextRequestId();
+        String path = mPaths.next("/turn/", "/relay/");
         String requestId = streamId;
         String events = "";
         for (int i = 0; i <= MAX_TAKE_UPS; i++) {
             PublishedClient.Response response =
-                    send(
-                            gateways.get(),
-                            PublishedServer.STREAM_PATH + "x",
-                            requestId,
-                            Optional.of(turn),
-                            streamId,
-                            events);
+                    send(gateways.get(), path, requestId, Optional.of(turn), streamId, events);
             boolean served = response.status().equals(Optional.of(200));
             if (served && response.complete()) {
                 return Optional.of(requestId);
@@ -128,7 +126,14 @@
 
     private void sendOrder(Gateway gateway) {
         String requestId = nextRequestId();
-        var _ = send(gateway, "/order/x", requestId, Optional.empty(), requestId, "");
+        String path = mPaths.next("/order/");
+        var _ = send(gateway, path, requestId, Optional.empty(), requestId, "");
+    }
+
+    private void sendLookup(Gateway gateway) {
+        String requestId = nextRequestId();
+        String path = mPaths.next("/lookup/");
+        var _ = send(gateway, path, requestId, Optional.empty(), requestId, "");
     }
 
     private PublishedClient.Response send(
@@ -143,10 +148,13 @@
                         ? Optional.empty()
                         : Optional.of(
                                 new PublishedClient.TakeUp(streamId, countEvents(earlierEvents)));
-        mGuarantees.recordRequest(requestId, turn, streamId);
+        var call = new GuaranteeChecker.Call(requestId, path, turn, streamId, earlierEvents);
+        mGuarantees.recordRequest(call);
+        long sentNanos = System.nanoTime();
         PublishedClient.Response response =
                 mClient.send(gateway.address(), path, requestId, turn, takeUp);
-        mGuarantees.recordResponse(requestId, turn, streamId, earlierEvents, response);
+        mGuarantees.recordResponse(call, response);
+        mGuarantees.checkTime(call, gateway, sentNanos, response);
         return response;
     }
 
--- a/soak/src/main/java/org/oleandertrack/soak/FaultInjector.java
+++ b/soak/src/main/java/org/oleandertrack/soak/FaultInjector.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
@@ -22,6 +23,7 @@
     private static final int MAX_FAULT_INTERVAL_MILLIS = 900;
     private static final int MIN_FAULT_MILLIS = 300;
     private static final int MAX_FAULT_MILLIS = 2_500;
+    private static final int MAX_STOPS_IN_CALM = 6;
     private static final long MIN_ROUTE_TIMEOUT_MILLIS = 3_000;
     private static final List<String> STORE_FAULTS =
             List.of(
@@ -37,6 +39,7 @@
     private final List<PublishedServer> mServers;
     private final List<FaultProxy> mServerProxies;
     private final PublishedStore mStore;
+    private final GuaranteeChecker mGuarantees;
     private final SplittableRandom mRandom;
     // More than the stops that can be under way: each waits for the end of a process, which may be
     // frozen until another task resumes it.
@@ -52,11 +55,13 @@
             List<PublishedServer> servers,
             List<FaultProxy> serverProxies,
             PublishedStore store,
+            GuaranteeChecker guarantees,
             SplittableRandom random) {
         mGateways = gateways;
         mServers = servers;
         mServerProxies = serverProxies;
         mStore = store;
+        mGuarantees = guarantees;
         mRandom = random;
     }
 
@@ -80,6 +85,33 @@
         endAllFaults();
     }
 
+    /**
+     * Stops some gateways, at moments that overlap, and starts each one again once its process has
+     * ended. No other fault is active meanwhile.
+     */
+    void stopInCalm() throws InterruptedException {
+        List<Thread> stops = new ArrayList<>();
+        int count = Math.min(MAX_STOPS_IN_CALM, Math.max(1, mGateways.size() / 2));
+        int first = mRandom.nextInt(mGateways.size());
+        for (int i = 0; i < count; i++) {
+            Gateway gateway = mGateways.get((first + i) % mGateways.size());
+            Thread.sleep(mRandom.nextInt(MAX_FAULT_INTERVAL_MILLIS));
+            record("stop in calm " + gateway.name());
+            ManagedProcess stopped = gateway.terminate();
+            stops.add(
+                    Thread.startVirtualThread(
+                            () -> {
+                                int exitCode = stopped.awaitExit();
+                                record(gateway.name() + " ended with code " + exitCode);
+                                gateway.restart();
+                            }));
+        }
+        for (Thread stop : stops) {
+            stop.join();
+        }
+        mGateways.forEach(this::checkProcess);
+    }
+
     @Override
     public void close() {
         mTimer.shutdownNow();
@@ -96,7 +128,7 @@
         Gateway gateway = mGateways.get(mRandom.nextInt(mGateways.size()));
         int server = mRandom.nextInt(mServers.size());
         int durationMillis = mRandom.nextInt(MIN_FAULT_MILLIS, MAX_FAULT_MILLIS);
-        switch (mRandom.nextInt(9)) {
+        switch (mRandom.nextInt(12)) {
             case 0 -> kill(gateway, durationMillis);
             case 1 -> freeze(gateway, durationMillis);
             case 2 -> stop(gateway);
@@ -107,8 +139,9 @@
                             "store connections of " + gateway.name(),
                             durationMillis);
             case 5 -> injectStoreFault(durationMillis);
-            case 6 -> injectServerFault(mServers.get(server), durationMillis);
-            case 7 ->
+            case 6, 7 -> injectServerFault(List.of(mServers.get(server)), durationMillis);
+            case 8, 9 -> injectServerFault(mServers, durationMillis);
+            case 10 ->
                     injectConnectionFault(
                             mServerProxies.get(server),
                             "connections to " + mServers.get(server).id(),
@@ -119,37 +152,36 @@
 
     private void kill(Gateway gateway, int downMillis) {
         record("kill " + gateway.name());
-        synchronized (gateway) {
-            gateway.process().kill();
-        }
-        schedule(downMillis, "start " + gateway.name(), () -> restart(gateway));
+        checkProcess(gateway);
+        gateway.kill();
+        schedule(downMillis, "start " + gateway.name(), gateway::restart);
     }
 
     private void freeze(Gateway gateway, int millis) {
         record("freeze " + gateway.name());
-        gateway.process().freeze();
-        schedule(millis, "resume " + gateway.name(), () -> gateway.process().resume());
+        gateway.freeze();
+        schedule(millis, "resume " + gateway.name(), gateway::resume);
     }
 
     private void stop(Gateway gateway) {
         record("stop " + gateway.name());
+        checkProcess(gateway);
         // The gateway may have another process when the task runs.
-        ManagedProcess stopped = gateway.process();
-        stopped.terminate();
+        ManagedProcess stopped = gateway.terminate();
         schedule(
                 0,
                 "start after stop " + gateway.name(),
                 () -> {
                     var _ = stopped.awaitExit();
-                    restart(gateway);
+                    gateway.restart();
                 });
     }
 
-    private static void restart(Gateway gateway) {
-        synchronized (gateway) {
-            if (!gateway.process().isAlive()) {
-                gateway.start();
-            }
+    private void checkProcess(Gateway gateway) {
+        if (gateway.hasEndedByItself()) {
+            String line = gateway.name() + " ended by itself: " + gateway.process().awaitExit();
+            record(line);
+            mGuarantees.reportViolation("ENDED: " + line);
         }
     }
 
@@ -178,15 +210,17 @@
         schedule(millis, "store works again", () -> setStoreFaults("{}"));
     }
 
-    private void injectServerFault(PublishedServer server, int millis) {
+    private void injectServerFault(List<PublishedServer> servers, int millis) {
         PublishedServer.Mode[] modes = PublishedServer.Mode.values();
         PublishedServer.Mode mode = modes[mRandom.nextInt(1, modes.length)];
-        record("server " + server.id() + " " + mode);
-        server.setMode(mode);
-        schedule(
-                millis,
-                server.id() + " works again",
-                () -> server.setMode(PublishedServer.Mode.SOUND));
+        String name = servers.size() == 1 ? "server " + servers.getFirst().id() : "all servers";
+        record(name + " " + mode);
+        setMode(servers, mode);
+        schedule(millis, name + " works again", () -> setMode(servers, PublishedServer.Mode.SOUND));
+    }
+
+    private static void setMode(List<PublishedServer> servers, PublishedServer.Mode mode) {
+        servers.forEach(server -> server.setMode(mode));
     }
 
     private void changeConfiguration() {
@@ -205,12 +239,13 @@
 
     private void endAllFaults() {
         setStoreFaults("{}");
-        mServers.forEach(server -> server.setMode(PublishedServer.Mode.SOUND));
+        setMode(mServers, PublishedServer.Mode.SOUND);
         mServerProxies.forEach(proxy -> proxy.setMode(FaultProxy.Mode.PASS));
         for (Gateway gateway : mGateways) {
             gateway.storeProxy().setMode(FaultProxy.Mode.PASS);
-            gateway.process().resume();
-            restart(gateway);
+            gateway.resume();
+            checkProcess(gateway);
+            gateway.restart();
         }
         record("all faults have ended");
     }
--- a/soak/src/main/java/org/oleandertrack/soak/Gateway.java
+++ b/soak/src/main/java/org/oleandertrack/soak/Gateway.java
@@ -24,6 +24,9 @@
     private final Path mFolder;
     private final FaultProxy mStoreProxy;
     private ManagedProcess mProcess;
+    private boolean mEndRequested;
+    private boolean mFrozen;
+    private long mResumedNanos = System.nanoTime();
 
     Gateway(String name, String address, List<String> peers, Path jar, Path folder, int storePort)
             throws IOException {
@@ -41,6 +44,8 @@
     // Life-cycle
 
     synchronized void start() {
+        mEndRequested = false;
+        mFrozen = false;
         mProcess =
                 ManagedProcess.start(
                         mName,
@@ -56,6 +61,40 @@
                         mFolder.resolve(mName + ".log"));
     }
 
+    /** Starts a new process unless there is one. */
+    synchronized void restart() {
+        if (!mProcess.isAlive()) {
+            start();
+        }
+    }
+
+    /** Kills the process. */
+    synchronized void kill() {
+        mEndRequested = true;
+        mProcess.kill();
+    }
+
+    /** Requests the process to end (SIGTERM), and returns it. */
+    synchronized ManagedProcess terminate() {
+        mEndRequested = true;
+        resume();
+        mProcess.terminate();
+        return mProcess;
+    }
+
+    synchronized void freeze() {
+        mFrozen = true;
+        mProcess.freeze();
+    }
+
+    synchronized void resume() {
+        if (mFrozen) {
+            mResumedNanos = System.nanoTime();
+        }
+        mFrozen = false;
+        mProcess.resume();
+    }
+
     @Override
     public synchronized void close() {
         mProcess.close();
@@ -84,6 +123,16 @@
         return mProcess;
     }
 
+    /** Returns whether the process has ended although nobody requested it. */
+    synchronized boolean hasEndedByItself() {
+        return !mProcess.isAlive() && !mEndRequested;
+    }
+
+    /** Returns whether the process was frozen at the given time or later. */
+    synchronized boolean wasFrozenSince(long nanos) {
+        return mFrozen || mResumedNanos > nanos;
+    }
+
     /** Returns whether the readiness check of the process responds with status 200. */
     boolean isReady() {
         try {
--- a/soak/src/main/java/org/oleandertrack/soak/SoakRun.java
+++ b/soak/src/main/java/org/oleandertrack/soak/SoakRun.java
@@ -28,11 +28,14 @@
 
     private static final int ENGINES = 4;
     private static final int ORDER_SERVERS = 3;
+    private static final int LOOKUP_SERVERS = 3;
     // Versions of the servers' software; they serve side by side, in turn.
     private static final List<String> VERSIONS = List.of("v1", "v2");
     // Each gateway must serve again within this time after the last fault has ended; operators
     // require 12 to 15 s.
     private static final long RECOVERY_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(12);
+    // Time after the last fault from which a stop must not cut requests.
+    private static final long CALM_NANOS = TimeUnit.SECONDS.toNanos(4);
     private static final int CHECKS_AFTER_RECOVERY = 5;
     private static final long POLL_INTERVAL_MILLIS = 50;
     // Limits the octets that are derived from the process id and the seed, so that concurrent
@@ -68,14 +71,14 @@
             store.configure(1, 4_000);
             List<PublishedServer> servers = new ArrayList<>();
             List<FaultProxy> serverProxies = new ArrayList<>();
-            for (int i = 0; i < ENGINES + ORDER_SERVERS; i++) {
+            for (int i = 0; i < ENGINES + ORDER_SERVERS + LOOKUP_SERVERS; i++) {
                 PublishedServer server =
                         new PublishedServer(
                                 "i-" + i, VERSIONS.get(i % VERSIONS.size()), executionLog);
                 FaultProxy proxy = new FaultProxy(server.port());
                 closeables.add(server);
                 closeables.add(proxy);
-                store.register(server, i < ENGINES ? "engine" : "orders", proxy.port(), false);
+                store.register(server, serviceOf(i), proxy.port(), false);
                 servers.add(server);
                 serverProxies.add(proxy);
             }
@@ -86,19 +89,28 @@
             }
             callers.start(mSize.callers(), random.split());
             try (FaultInjector faults =
-                    new FaultInjector(gateways, servers, serverProxies, store, random.split())) {
+                    new FaultInjector(
+                            gateways, servers, serverProxies, store, guarantees, random.split())) {
                 faults.run(mSize.faultMillis());
+                long calmNanos = System.nanoTime() + CALM_NANOS;
+                for (Gateway gateway : gateways) {
+                    awaitService(gateway, callers, guarantees);
+                }
+                TimeUnit.NANOSECONDS.sleep(calmNanos - System.nanoTime());
+                guarantees.beginCalm();
+                faults.stopInCalm();
+                for (Gateway gateway : gateways) {
+                    awaitService(gateway, callers, guarantees);
+                }
                 Files.writeString(mFolder.resolve("faults.txt"), faults.log());
             }
-            for (Gateway gateway : gateways) {
-                awaitService(gateway, callers, guarantees);
-            }
             callers.stop();
             guarantees.checkExecutions();
         } finally {
             close(closeables);
         }
         Files.writeString(mFolder.resolve("outcomes.txt"), guarantees.outcomeCounts().toString());
+        Files.write(mFolder.resolve("violations.txt"), guarantees.violations());
         return guarantees.violations();
     }
 
@@ -128,6 +140,13 @@
         return gateways;
     }
 
+    private static String serviceOf(int server) {
+        if (server < ENGINES) {
+            return "engine";
+        }
+        return server < ENGINES + ORDER_SERVERS ? "orders" : "lookups";
+    }
+
     private static void awaitService(Gateway gateway, Callers callers, GuaranteeChecker guarantees)
             throws InterruptedException {
         long endNanos = System.nanoTime() + RECOVERY_LIMIT_NANOS;
--- a/standins/src/main/java/org/oleandertrack/standins/published/ExecutionLog.java
+++ b/standins/src/main/java/org/oleandertrack/standins/published/ExecutionLog.java
@@ -12,8 +12,16 @@
      * One execution of a request by a server.
      *
      * @param body the body that the server received
+     * @param status status of the server's response; 0 if it sends no response
+     * @param endless whether the server sends {@link ResponseWriter#FILLER} without end
      */
-    public record Execution(String requestId, String serverId, String body, long startNanos) {}
+    public record Execution(
+            String requestId,
+            String serverId,
+            String body,
+            int status,
+            boolean endless,
+            long startNanos) {}
 
     private final Map<String, List<Execution>> mExecutions = new ConcurrentHashMap<>();
 
--- a/standins/src/main/java/org/oleandertrack/standins/published/PublishedClient.java
+++ b/standins/src/main/java/org/oleandertrack/standins/published/PublishedClient.java
@@ -20,7 +20,8 @@
      *
      * @param status HTTP status; empty if no response arrived
      * @param signature signature that the server sent, or empty
-     * @param body the part of the body that arrived
+     * @param echoedId id of the request that the response names, or empty
+     * @param body the part of the body that arrived, of at most {@link #MAX_BODY_CHARS}
      * @param complete whether the whole response arrived
      * @param connected whether the connection was established
      * @param durationNanos time from sending the request to the end of the response or the failure
@@ -28,6 +29,7 @@
     public record Response(
             Optional<Integer> status,
             String signature,
+            String echoedId,
             String body,
             boolean complete,
             boolean connected,
@@ -51,9 +53,15 @@
      */
     public record TakeUp(String streamId, int lastEventId) {}
 
+    /** Deadline of each request. */
+    public static final long DEADLINE_MILLIS = 4_000;
+
+    /** Maximum number of characters of a body that the client keeps. */
+    public static final int MAX_BODY_CHARS = 1 << 20;
+
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-    private static final long DEADLINE_MILLIS = 4_000;
-    private static final Duration DEADLINE = Duration.ofMillis(DEADLINE_MILLIS);
+    // The client waits longer than its deadline, so that responses that end late are noticed.
+    private static final Duration WAIT_LIMIT = Duration.ofSeconds(6);
 
     // Disables retries by the HTTP client, which would repeat requests that must not run twice.
     static {
@@ -84,7 +92,7 @@
                                                 + ":"
                                                 + PublishedSettings.CALLER_PORT
                                                 + path))
-                        .timeout(DEADLINE)
+                        .timeout(WAIT_LIMIT)
                         .header("Host", PublishedStore.httpHost())
                         .header("X-Request-Id", requestId)
                         .header("X-Deadline-Milliseconds", Long.toString(DEADLINE_MILLIS))
@@ -112,15 +120,18 @@
                     !(e instanceof HttpConnectTimeoutException
                             || e instanceof java.net.ConnectException);
             return new Response(
-                    Optional.empty(), "", "", false, connected, System.nanoTime() - startNanos);
+                    Optional.empty(), "", "", "", false, connected, System.nanoTime() - startNanos);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IllegalStateException(e);
         }
+        Thread limit = Thread.startVirtualThread(() -> closeAtLimit(response, startNanos));
         boolean complete = readBody(response, received);
+        limit.interrupt();
         return new Response(
                 Optional.of(response.statusCode()),
                 response.headers().firstValue("X-Response-Signature").orElse(""),
+                response.headers().firstValue("X-Request-Id").orElse(""),
                 received.toString(),
                 complete,
                 true,
@@ -132,13 +143,26 @@
         return "body of " + requestId;
     }
 
+    private static void closeAtLimit(HttpResponse<java.io.InputStream> response, long startNanos) {
+        try {
+            Thread.sleep(WAIT_LIMIT.minusNanos(System.nanoTime() - startNanos));
+            response.body().close();
+        } catch (InterruptedException e) {
+            // The response has ended in time.
+        } catch (IOException e) {
+            System.err.println("failed to close a response; continuing: " + e);
+        }
+    }
+
     private static boolean readBody(
             HttpResponse<java.io.InputStream> response, StringBuilder body) {
         try (BufferedReader reader =
                 new BufferedReader(
                         new InputStreamReader(response.body(), StandardCharsets.UTF_8))) {
             for (int next = reader.read(); next >= 0; next = reader.read()) {
-                body.append((char) next);
+                if (body.length() < MAX_BODY_CHARS) {
+                    body.append((char) next);
+                }
             }
             return true;
         } catch (IOException e) {
--- a/standins/src/main/java/org/oleandertrack/standins/published/PublishedServer.java
+++ b/standins/src/main/java/org/oleandertrack/standins/published/PublishedServer.java
@@ -1,14 +1,15 @@
 package org.oleandertrack.standins.published;
 
 import java.io.IOException;
-import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.oleandertrack.standins.http.ConnectionAbortException;
 import org.oleandertrack.standins.http.Gate;
 import org.oleandertrack.standins.http.Pause;
-import org.oleandertrack.standins.http.Request;
-import org.oleandertrack.standins.http.StandinServer;
+import org.oleandertrack.standins.http.RawConnection;
+import org.oleandertrack.standins.http.RawRequest;
+import org.oleandertrack.standins.http.RawServer;
+import org.oleandertrack.standins.published.ResponseWriter.Framing;
 
 /**
  * A back-end server that follows the published protocol. It responds to requests for a stream with
@@ -25,27 +26,71 @@
         HANGING,
         /** Executes requests and closes their connections early, for streams after one event. */
         BREAKING_OFF,
-        /** Executes requests and responds with status 500. */
-        FAILING
+        /** Executes requests and responds with a failure. */
+        FAILING,
+        /**
+         * Breaks off the first execution of a request and responds to later ones with a failure.
+         */
+        FAILING_LATER_EXECUTIONS,
+        /** Sends a second response after each one, late, on the same connection. */
+        STUTTERING,
+        /** Sends bytes without end. */
+        ENDLESS
     }
 
     /** Number of events of a complete stream. */
     public static final int EVENTS_PER_STREAM = 5;
 
-    /** Path prefix of the requests whose response is a stream. */
-    public static final String STREAM_PATH = "/turn/";
+    /** End of the paths of requests whose response is long. */
+    public static final String LONG_SUFFIX = "/long";
+
+    /** End of the paths of requests that take {@link #SLOW_MILLIS}. */
+    public static final String SLOW_SUFFIX = "/slow";
+
+    static final String NOT_EXECUTED = "X-Not-Executed: 1\r\n";
 
     private static final long EVENT_INTERVAL_MILLIS = 15;
+    private static final long SLOW_MILLIS = 2_000;
+    private static final int LONG_BODY_LINES = 16_000;
+    private static final int LONG_FAILURE_LINES = 10_000;
     private static final int SLOTS = 16;
+    private static final int MAX_STUTTER_MILLIS = 120;
 
     private final String mId;
     private final String mVersion;
     private final ExecutionLog mExecutionLog;
-    private final StandinServer mServer;
+    private final RawServer mServer;
     private final AtomicInteger mRunningRequests = new AtomicInteger();
+    // Selects among the variants of a mode and among the framings of a response, in turn.
+    private final AtomicInteger mExecutions = new AtomicInteger();
+    private final AtomicReference<String> mLastRequestId = new AtomicReference<>("none");
     private final Gate mHangGate = new Gate();
     private volatile Mode mMode = Mode.SOUND;
 
+    /** A request that is being executed. */
+    private record Execution(RawRequest request, String requestId, int number, boolean repeated) {
+
+        boolean isStream() {
+            return request.path().startsWith("/turn/") || request.path().startsWith("/relay/");
+        }
+
+        Framing framing() {
+            return switch (number % 8) {
+                case 0 -> Framing.CLOSE;
+                case 1, 2, 3 -> Framing.CHUNKS;
+                default -> Framing.LENGTH;
+            };
+        }
+
+        Framing streamFraming() {
+            return framing() == Framing.CLOSE ? Framing.CLOSE : Framing.CHUNKS;
+        }
+
+        boolean isSlow() {
+            return request.path().endsWith(SLOW_SUFFIX);
+        }
+    }
+
     /**
      * Starts a server on a free port of the loopback address.
      *
@@ -56,14 +101,14 @@
         mId = id;
         mVersion = version;
         mExecutionLog = executionLog;
-        mServer = new StandinServer("127.0.0.1", 0, this::handle);
+        mServer = new RawServer("127.0.0.1", 0, this::handle);
         mServer.start();
     }
 
     // Life-cycle
 
     @Override
-    public void close() {
+    public void close() throws IOException {
         mHangGate.setClosed(false);
         mServer.stop();
     }
@@ -86,9 +131,10 @@
         return SLOTS;
     }
 
-    /** Returns the body of the complete response to a request that is not for a stream. */
-    public static String expectedAnswer(String requestId) {
-        return "answer to " + requestId;
+    /** Returns the body of the complete response of a server to a request for no stream. */
+    public static String expectedAnswer(String requestId, String serverId, String path) {
+        String line = "answer to " + requestId + " by " + serverId + "\n";
+        return path.endsWith(LONG_SUFFIX) ? line.repeat(LONG_BODY_LINES) : line;
     }
 
     /**
@@ -104,6 +150,17 @@
         return events.toString();
     }
 
+    /** Returns the signature in a server's response to a request. */
+    public static String signatureOf(String requestId, String serverId) {
+        return "signed." + requestId + "." + serverId;
+    }
+
+    /** Removes the bytes that a server sends without end from the end of a text. */
+    public static String withoutFiller(String text) {
+        int end = text.indexOf(ResponseWriter.FILLER);
+        return end < 0 ? text : text.substring(0, end);
+    }
+
     // Operations
 
     /**
@@ -116,63 +173,232 @@
 
     // Helpers
 
-    private void handle(Request request) throws IOException {
+    private void handle(RawRequest request, RawConnection connection) throws IOException {
         String requestId = request.header("X-Request-Id").orElse("");
-        var headers = request.exchange().getResponseHeaders();
-        headers.set("X-Request-Id", requestId);
-        headers.set("X-Server-Load", mRunningRequests.get() + ",0," + SLOTS + ",100");
-        String expectedInstance = request.header("X-Expected-Instance").orElse(mId);
-        if (!expectedInstance.equals(mId)) {
-            headers.set("X-Not-Executed", "1");
-            request.sendError(421, "this is " + mId);
+        ResponseWriter writer =
+                new ResponseWriter(
+                        connection, mId, mRunningRequests.get() + ",0," + SLOTS + ",100");
+        if (!request.header("X-Expected-Instance").orElse(mId).equals(mId)) {
+            connection.respond(
+                    c ->
+                            writer.sendWhole(
+                                    421,
+                                    requestId,
+                                    NOT_EXECUTED,
+                                    "this is " + mId,
+                                    Framing.LENGTH));
             return;
         }
         if (mHangGate.awaitOpen()) {
             throw new ConnectionAbortException("hung");
         }
+        boolean repeated = !mExecutionLog.executionsOf(requestId).isEmpty();
+        Execution execution =
+                new Execution(request, requestId, mExecutions.getAndIncrement(), repeated);
         mRunningRequests.incrementAndGet();
         try {
-            executeRequest(request, requestId);
+            execute(execution, connection, writer);
         } finally {
             mRunningRequests.decrementAndGet();
         }
     }
 
-    private void executeRequest(Request request, String requestId) throws IOException {
-        String body = new String(request.body(), StandardCharsets.UTF_8);
-        mExecutionLog.add(new ExecutionLog.Execution(requestId, mId, body, System.nanoTime()));
-        request.exchange().getResponseHeaders().set("X-Response-Signature", signatureOf(requestId));
-        if (mMode == Mode.FAILING) {
-            request.sendError(500, "a simulated fault fails the request");
-        } else if (request.path().startsWith(STREAM_PATH)) {
-            sendStream(request, requestId);
-        } else if (mMode == Mode.BREAKING_OFF) {
-            throw new ConnectionAbortException("a simulated fault closes the connection");
-        } else {
-            Pause.sleepMillis(EVENT_INTERVAL_MILLIS);
-            request.send(
-                    200, "text/plain", expectedAnswer(requestId).getBytes(StandardCharsets.UTF_8));
-        }
-    }
-
-    private void sendStream(Request request, String requestId) throws IOException {
-        String streamId = request.header("Resumes").orElse(requestId);
-        int lastEvent = Integer.parseInt(request.header("Last-Event-Id").orElse("0"));
-        OutputStream out = request.startStream(200, "text/event-stream");
-        for (int i = lastEvent + 1; i <= EVENTS_PER_STREAM; i++) {
-            Pause.sleepMillis(EVENT_INTERVAL_MILLIS);
-            out.write(formatEvent(streamId, i, mVersion).getBytes(StandardCharsets.UTF_8));
-            out.flush();
-            if (mMode == Mode.BREAKING_OFF) {
-                throw new ConnectionAbortException("a simulated fault closes the connection");
+    private void execute(Execution execution, RawConnection connection, ResponseWriter writer)
+            throws IOException {
+        Mode mode = mMode;
+        if (mode == Mode.FAILING_LATER_EXECUTIONS) {
+            mode = execution.repeated() ? Mode.FAILING : Mode.BREAKING_OFF;
+        }
+        switch (mode) {
+            case FAILING -> {
+                record(execution, execution.number() % 2 == 0 ? 500 : 504, false);
+                connection.respond(c -> sendFailure(execution, writer));
             }
+            case BREAKING_OFF -> {
+                record(execution, execution.isStream() || startsBody(execution) ? 200 : 0, false);
+                connection.respond(c -> breakOff(execution, writer));
+            }
+            case ENDLESS -> sendWithoutEnd(execution, connection, writer);
+            default -> {
+                record(execution, 200, false);
+                if (!execution.isStream()) {
+                    Pause.sleepMillis(execution.isSlow() ? SLOW_MILLIS : EVENT_INTERVAL_MILLIS);
+                }
+                connection.respond(c -> sendAnswer(execution, writer));
+                if (mode == Mode.STUTTERING) {
+                    String earlierId = mLastRequestId.getAndSet(execution.requestId());
+                    Thread.startVirtualThread(
+                            () -> stutter(execution, earlierId, connection, writer));
+                }
+            }
+        }
+    }
+
+    private void record(Execution execution, int status, boolean endless) {
+        mExecutionLog.add(
+                new ExecutionLog.Execution(
+                        execution.requestId(),
+                        mId,
+                        execution.request().body(),
+                        status,
+                        endless,
+                        System.nanoTime()));
+    }
+
+    private void sendAnswer(Execution execution, ResponseWriter writer) throws IOException {
+        if (execution.isStream()) {
+            sendEvents(execution, writer, EVENTS_PER_STREAM);
+            writer.endBody(execution.streamFraming());
+            return;
         }
-        out.close();
+        writer.sendWhole(200, execution.requestId(), "", answer(execution), execution.framing());
+    }
+
+    /** Sends the head of a stream and a number of events. */
+    private void sendEvents(Execution execution, ResponseWriter writer, int count)
+            throws IOException {
+        Framing framing = execution.streamFraming();
+        writer.startBody(
+                200, execution.requestId(), "Content-Type: text/event-stream\r\n", framing);
+        int first = lastEvent(execution) + 1;
+        for (int i = first; i <= EVENTS_PER_STREAM && i < first + count; i++) {
+            Pause.sleepMillis(
+                    execution.isSlow() ? SLOW_MILLIS / EVENTS_PER_STREAM : EVENT_INTERVAL_MILLIS);
+            writer.writeBody(formatEvent(streamId(execution), i, mVersion), framing);
+        }
+    }
+
+    private void sendFailure(Execution execution, ResponseWriter writer) throws IOException {
+        String line = "failure of " + execution.requestId() + " by " + mId + "\n";
+        writer.sendWhole(
+                execution.number() % 2 == 0 ? 500 : 504,
+                execution.requestId(),
+                "",
+                execution.number() / 8 % 2 == 0 ? line : line.repeat(LONG_FAILURE_LINES),
+                execution.framing());
+    }
+
+    private static boolean startsBody(Execution execution) {
+        return execution.number() % 3 != 0;
+    }
+
+    private void breakOff(Execution execution, ResponseWriter writer) throws IOException {
+        if (execution.isStream()) {
+            sendEvents(execution, writer, 1);
+            int number = lastEvent(execution) + 2;
+            if (execution.number() % 2 == 0 && number <= EVENTS_PER_STREAM) {
+                String next = formatEvent(streamId(execution), number, mVersion);
+                writer.writeBody(next.substring(0, next.length() / 2), execution.streamFraming());
+            }
+        } else if (startsBody(execution)) {
+            writer.sendPart(execution.requestId(), answer(execution), execution.framing());
+        }
+        writer.connection().reset();
+        throw new ConnectionAbortException("a simulated fault closes the connection");
+    }
+
+    private void sendWithoutEnd(
+            Execution execution, RawConnection connection, ResponseWriter writer)
+            throws IOException {
+        ResponseWriter.Condition condition = () -> mMode == Mode.ENDLESS;
+        int variant = execution.number() % 7;
+        record(execution, variant == 6 ? 500 : variant < 3 ? 0 : 200, true);
+        String requestId = execution.requestId();
+        connection.respond(
+                c -> {
+                    switch (variant) {
+                        case 0 -> writer.sendEndless(condition, "", "");
+                        case 1 -> {
+                            c.write("HTTP/1.1 200 X\r\nX-Request-Id: " + requestId + "\r\n");
+                            writer.sendEndless(condition, "X-Pad: ", "\r\n");
+                        }
+                        case 2 -> {
+                            c.write("HTTP/1.1 ");
+                            writer.sendEndless(
+                                    condition, "100 Continue\r\nX-Pad: ", "\r\n\r\nHTTP/1.1 ");
+                        }
+                        case 3, 4 -> sendEndlessBody(execution, writer, condition);
+                        case 5 -> {
+                            sendAnswer(execution, writer);
+                            writer.sendEndless(condition, "", "");
+                        }
+                        default -> {
+                            writer.startBody(500, requestId, "", Framing.CLOSE);
+                            writer.sendEndless(condition, "", "");
+                        }
+                    }
+                });
+    }
+
+    private void sendEndlessBody(
+            Execution execution, ResponseWriter writer, ResponseWriter.Condition condition)
+            throws IOException {
+        Framing framing = execution.streamFraming();
+        if (execution.isStream()) {
+            sendEvents(execution, writer, 1);
+        } else {
+            writer.startBody(200, execution.requestId(), "", framing);
+            writer.writeBody(answer(execution), framing);
+        }
+        if (framing == Framing.CHUNKS) {
+            writer.sendEndlessChunks(condition);
+        } else {
+            writer.sendEndless(condition, "", "");
+        }
+    }
+
+    /** Sends a response that belongs to no request that is waiting. */
+    private void stutter(
+            Execution execution,
+            String earlierId,
+            RawConnection connection,
+            ResponseWriter writer) {
+        try {
+            Pause.sleepMillis((execution.number() * 7L) % MAX_STUTTER_MILLIS);
+            connection.respond(
+                    c -> {
+                        switch (execution.number() % 6) {
+                            case 0 -> sendAnswer(execution, writer);
+                            case 1 ->
+                                    writer.sendWhole(
+                                            200,
+                                            earlierId,
+                                            "",
+                                            expectedAnswer(earlierId, mId, ""),
+                                            Framing.LENGTH);
+                            case 2 -> sendFailure(execution, writer);
+                            case 3 ->
+                                    writer.sendWhole(
+                                            503,
+                                            execution.requestId(),
+                                            NOT_EXECUTED + "Retry-After: 0.1\r\n",
+                                            "full\n",
+                                            Framing.LENGTH);
+                            case 4 ->
+                                    writer.sendWhole(
+                                            421,
+                                            execution.requestId(),
+                                            NOT_EXECUTED,
+                                            "",
+                                            Framing.LENGTH);
+                            default -> breakOff(execution, writer);
+                        }
+                    });
+        } catch (IOException e) {
+            // The connection has ended, as the client or the variant required.
+        }
+    }
+
+    private String answer(Execution execution) {
+        return expectedAnswer(execution.requestId(), mId, execution.request().path());
+    }
+
+    private static String streamId(Execution execution) {
+        return execution.request().header("Resumes").orElse(execution.requestId());
     }
 
-    /** Returns the signature in the response to a request. */
-    public static String signatureOf(String requestId) {
-        return "signed." + requestId;
+    private static int lastEvent(Execution execution) {
+        return Integer.parseInt(execution.request().header("Last-Event-Id").orElse("0"));
     }
 
     private static String formatEvent(String streamId, int number, String version) {
--- a/standins/src/main/java/org/oleandertrack/standins/published/PublishedStore.java
+++ b/standins/src/main/java/org/oleandertrack/standins/published/PublishedStore.java
@@ -19,6 +19,7 @@
     /** Number of tokens that an event of a stream counts for. */
     public static final int TOKENS_PER_EVENT = 6;
 
+    private static final int MAX_ATTEMPTS = 3;
     // Longer than a run of the soak, so that no turn expires in it.
     private static final double RETENTION_SECONDS = 600;
     private static final String HTTP_HOST = "service.example";
@@ -53,16 +54,16 @@
     // Operations
 
     /**
-     * Writes a configuration with a route for streams and one for requests that must not repeat.
+     * Writes a configuration with routes for streams at one server and at several, for requests
+     * that must not repeat, and for requests that may.
      */
     public void configure(long version, long timeoutMillis) {
         ObjectNode config = Json.object().put("version", version);
         ArrayNode routes = config.putArray("routes");
-        addRoute(routes, "turn", "streaming", "engine", timeoutMillis)
-                .put("allow_resume", true)
-                .put("keeps_history", true)
-                .put("retention_s", RETENTION_SECONDS);
-        addRoute(routes, "order", "unsafe", "orders", timeoutMillis);
+        addStreamRoute(routes, "turn", 1, timeoutMillis);
+        addStreamRoute(routes, "relay", MAX_ATTEMPTS, timeoutMillis);
+        addRoute(routes, "order", "unsafe", "orders", 1, timeoutMillis);
+        addRoute(routes, "lookup", "safe", "lookups", MAX_ATTEMPTS, timeoutMillis);
         ArrayNode services = config.putArray("services");
         services.addObject()
                 .put("name", "engine")
@@ -72,6 +73,7 @@
                 .put("cache_tokens", 100_000)
                 .put("stride", TOKENS_PER_EVENT);
         services.addObject().put("name", "orders").put("connection_limit", 200);
+        services.addObject().put("name", "lookups").put("connection_limit", 200);
         writeRow("op", "config", config);
     }
 
@@ -117,15 +119,28 @@
 
     // Helpers
 
+    private static void addStreamRoute(
+            ArrayNode routes, String name, int attempts, long timeoutMillis) {
+        addRoute(routes, name, "streaming", "engine", attempts, timeoutMillis)
+                .put("allow_resume", true)
+                .put("keeps_history", true)
+                .put("retention_s", RETENTION_SECONDS);
+    }
+
     private static ObjectNode addRoute(
-            ArrayNode routes, String name, String kind, String service, long timeoutMillis) {
+            ArrayNode routes,
+            String name,
+            String kind,
+            String service,
+            int attempts,
+            long timeoutMillis) {
         return routes.addObject()
                 .put("name", name)
                 .put("host", HTTP_HOST)
                 .put("prefix", "/" + name + "/")
                 .put("kind", kind)
                 .put("timeout_ms", timeoutMillis)
-                .put("attempts", 1)
+                .put("attempts", attempts)
                 .put("service", service);
     }
 
