Soak: second responses while the next request runs, and why a read failed

Half of them now wait for that request. A violation names the client's failure, so that a connection that was reset before its request was read can be told from one that was closed after that.

--- a/soak/src/main/java/org/oleandertrack/soak/GuaranteeChecker.java
+++ b/soak/src/main/java/org/oleandertrack/soak/GuaranteeChecker.java
@@ -282,7 +282,7 @@
                         .collect(Collectors.joining(", "));
         String body = response.body();
         int length = body.length();
-        return "%s %s got %s%s after %d ms, signed '%s', id '%s', %d characters '%s'..'%s', run by [%s]"
+        return "%s %s got %s%s after %d ms, signed '%s', id '%s', %d characters '%s'..'%s', run by [%s] %s"
                 .formatted(
                         call.requestId(),
                         call.path(),
@@ -294,7 +294,8 @@
                         length,
                         body.substring(0, Math.min(length, SHOWN_CHARS)),
                         body.substring(Math.max(0, length - SHOWN_CHARS)),
-                        executions)
+                        executions,
+                        response.failure())
                 .replace("\n", "\\n");
     }
 
--- a/standins/src/main/java/org/oleandertrack/standins/http/RawConnection.java
+++ b/standins/src/main/java/org/oleandertrack/standins/http/RawConnection.java
@@ -4,6 +4,8 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.ReentrantLock;
 
 /** A connection of a {@link RawServer}, on which handlers write responses. Thread-safe. */
@@ -20,6 +22,8 @@
     private final Socket mSocket;
     private final OutputStream mOut;
     private final ReentrantLock mResponseLock = new ReentrantLock();
+    private final AtomicReference<Optional<Writer>> mDeferred =
+            new AtomicReference<>(Optional.empty());
 
     RawConnection(Socket socket) throws IOException {
         mSocket = socket;
@@ -36,6 +40,16 @@
         }
     }
 
+    /** Keeps a response until the next request of the connection has been read. */
+    public void defer(Writer writer) {
+        mDeferred.set(Optional.of(writer));
+    }
+
+    /** Returns the deferred response, if there is one, and forgets it. */
+    public Optional<Writer> takeDeferred() {
+        return mDeferred.getAndSet(Optional.empty());
+    }
+
     /** Sends bytes at once. */
     public void write(String text) throws IOException {
         write(text.getBytes(StandardCharsets.UTF_8));
--- a/standins/src/main/java/org/oleandertrack/standins/published/PublishedClient.java
+++ b/standins/src/main/java/org/oleandertrack/standins/published/PublishedClient.java
@@ -24,6 +24,7 @@
      * @param body the part of the body that arrived, of at most {@link #MAX_BODY_CHARS}
      * @param complete whether the whole response arrived
      * @param connected whether the connection was established
+     * @param failure why no whole response arrived, or empty
      * @param durationNanos time from sending the request to the end of the response or the failure
      */
     public record Response(
@@ -33,6 +34,7 @@
             String body,
             boolean complete,
             boolean connected,
+            String failure,
             long durationNanos) {}
 
     /**
@@ -120,21 +122,29 @@
                     !(e instanceof HttpConnectTimeoutException
                             || e instanceof java.net.ConnectException);
             return new Response(
-                    Optional.empty(), "", "", "", false, connected, System.nanoTime() - startNanos);
+                    Optional.empty(),
+                    "",
+                    "",
+                    "",
+                    false,
+                    connected,
+                    e.toString(),
+                    System.nanoTime() - startNanos);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IllegalStateException(e);
         }
         Thread limit = Thread.startVirtualThread(() -> closeAtLimit(response, startNanos));
-        boolean complete = readBody(response, received);
+        String failure = readBody(response, received);
         limit.interrupt();
         return new Response(
                 Optional.of(response.statusCode()),
                 response.headers().firstValue("X-Response-Signature").orElse(""),
                 response.headers().firstValue("X-Request-Id").orElse(""),
                 received.toString(),
-                complete,
+                failure.isEmpty(),
                 true,
+                failure,
                 System.nanoTime() - startNanos);
     }
 
@@ -154,8 +164,8 @@
         }
     }
 
-    private static boolean readBody(
-            HttpResponse<java.io.InputStream> response, StringBuilder body) {
+    /** Returns why the body has not arrived whole, or an empty text. */
+    private static String readBody(HttpResponse<java.io.InputStream> response, StringBuilder body) {
         try (BufferedReader reader =
                 new BufferedReader(
                         new InputStreamReader(response.body(), StandardCharsets.UTF_8))) {
@@ -164,9 +174,9 @@
                     body.append((char) next);
                 }
             }
-            return true;
+            return "";
         } catch (IOException e) {
-            return false;
+            return e.toString();
         }
     }
 }
--- a/standins/src/main/java/org/oleandertrack/standins/published/PublishedServer.java
+++ b/standins/src/main/java/org/oleandertrack/standins/published/PublishedServer.java
@@ -54,6 +54,7 @@
     private static final int LONG_BODY_LINES = 16_000;
     private static final int LONG_FAILURE_LINES = 10_000;
     private static final int SLOTS = 16;
+    private static final int STUTTER_VARIANTS = 6;
     private static final int MAX_STUTTER_MILLIS = 120;
 
     private final String mId;
@@ -192,6 +193,10 @@
         if (mHangGate.awaitOpen()) {
             throw new ConnectionAbortException("hung");
         }
+        connection
+                .takeDeferred()
+                .ifPresent(
+                        second -> Thread.startVirtualThread(() -> sendLate(connection, second, 0)));
         boolean repeated = !mExecutionLog.executionsOf(requestId).isEmpty();
         Execution execution =
                 new Execution(request, requestId, mExecutions.getAndIncrement(), repeated);
@@ -226,9 +231,7 @@
                 }
                 connection.respond(c -> sendAnswer(execution, writer));
                 if (mode == Mode.STUTTERING) {
-                    String earlierId = mLastRequestId.getAndSet(execution.requestId());
-                    Thread.startVirtualThread(
-                            () -> stutter(execution, earlierId, connection, writer));
+                    stutter(execution, connection, writer);
                 }
             }
         }
@@ -347,45 +350,46 @@
         }
     }
 
-    /** Sends a response that belongs to no request that is waiting. */
-    private void stutter(
-            Execution execution,
-            String earlierId,
-            RawConnection connection,
-            ResponseWriter writer) {
+    /** Sends a second response, after a delay or while the connection's next request runs. */
+    private void stutter(Execution execution, RawConnection connection, ResponseWriter writer) {
+        String earlierId = mLastRequestId.getAndSet(execution.requestId());
+        RawConnection.Writer second = c -> sendSecond(execution, earlierId, writer);
+        if (execution.number() / STUTTER_VARIANTS % 2 == 0) {
+            connection.defer(second);
+            return;
+        }
+        long delayMillis = execution.number() * 7L % MAX_STUTTER_MILLIS;
+        Thread.startVirtualThread(() -> sendLate(connection, second, delayMillis));
+    }
+
+    private static void sendLate(
+            RawConnection connection, RawConnection.Writer writer, long delayMillis) {
         try {
-            Pause.sleepMillis((execution.number() * 7L) % MAX_STUTTER_MILLIS);
-            connection.respond(
-                    c -> {
-                        switch (execution.number() % 6) {
-                            case 0 -> sendAnswer(execution, writer);
-                            case 1 ->
-                                    writer.sendWhole(
-                                            200,
-                                            earlierId,
-                                            "",
-                                            expectedAnswer(earlierId, mId, ""),
-                                            Framing.LENGTH);
-                            case 2 -> sendFailure(execution, writer);
-                            case 3 ->
-                                    writer.sendWhole(
-                                            503,
-                                            execution.requestId(),
-                                            NOT_EXECUTED + "Retry-After: 0.1\r\n",
-                                            "full\n",
-                                            Framing.LENGTH);
-                            case 4 ->
-                                    writer.sendWhole(
-                                            421,
-                                            execution.requestId(),
-                                            NOT_EXECUTED,
-                                            "",
-                                            Framing.LENGTH);
-                            default -> breakOff(execution, writer);
-                        }
-                    });
+            Pause.sleepMillis(delayMillis);
+            connection.respond(writer);
         } catch (IOException e) {
-            // The connection has ended, as the client or the variant required.
+            // The connection has ended, as the client or the response required.
+        }
+    }
+
+    private void sendSecond(Execution execution, String earlierId, ResponseWriter writer)
+            throws IOException {
+        String requestId = execution.requestId();
+        switch (execution.number() % STUTTER_VARIANTS) {
+            case 0 -> sendAnswer(execution, writer);
+            case 1 ->
+                    writer.sendWhole(
+                            200, earlierId, "", expectedAnswer(earlierId, mId, ""), Framing.LENGTH);
+            case 2 -> sendFailure(execution, writer);
+            case 3 ->
+                    writer.sendWhole(
+                            503,
+                            requestId,
+                            NOT_EXECUTED + "Retry-After: 0.1\r\n",
+                            "full\n",
+                            Framing.LENGTH);
+            case 4 -> writer.sendWhole(421, requestId, NOT_EXECUTED, "", Framing.LENGTH);
+            default -> breakOff(execution, writer);
         }
     }
 
