Read each report of an engine on a connection of its own

What happened: a late second copy of an engine's response was read as the response to the sidecar's next request. A copied list of cache events, or the confirmation of a release, is then recorded in the memory ledger for a request that was not answered.

Cause: EngineCacheClient shared the HttpClient, whose pool keeps connections.

Why it works: a response can arrive only on its request's connection. EngineMemoryServiceTest passes a supplier; its checks are unchanged.

--- a/server/src/main/java/org/oleandertrack/server/sidecar/EngineCacheClient.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/EngineCacheClient.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.oleandertrack.core.ledger.CacheEvent;
 
 /** Client of a model engine's cache API, which is JSON over HTTP. Thread safe. */
@@ -22,12 +23,18 @@
 
     private static final int STATUS_OK = 200;
 
-    private final HttpClient mClient;
+    private final Supplier<HttpClient> mClients;
     private final URI mEngineUri;
     private final ObjectMapper mMapper;
 
-    EngineCacheClient(HttpClient client, URI engine, ObjectMapper mapper) {
-        mClient = client;
+    /**
+     * Creates a client.
+     *
+     * @param clients creates an HTTP client with no connections, so that a late second response
+     *     answers no other request; it is shut down after its request
+     */
+    EngineCacheClient(Supplier<HttpClient> clients, URI engine, ObjectMapper mapper) {
+        mClients = clients;
         mEngineUri = engine;
         mMapper = mapper;
     }
@@ -65,7 +72,9 @@
     }
 
     private CompletableFuture<JsonNode> send(HttpRequest.Builder request) {
-        return mClient.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
+        HttpClient client = mClients.get();
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
+                .whenComplete((response, failure) -> client.shutdownNow())
                 .thenApply(this::parseBody);
     }
 
--- a/server/src/main/java/org/oleandertrack/server/sidecar/SidecarModule.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/SidecarModule.java
@@ -172,7 +172,7 @@
         return Optional.of(
                 new EngineMemoryService(
                         new EngineCacheClient(
-                                clients.get(), URI.create(target.url()), new ObjectMapper()),
+                                clients, URI.create(target.url()), new ObjectMapper()),
                         new MemoryLedger(LedgerConfig.withIdleSeconds(target.cacheIdleSeconds())),
                         fences,
                         timer,
--- a/server/src/test/java/org/oleandertrack/server/sidecar/EngineMemoryServiceTest.java
+++ b/server/src/test/java/org/oleandertrack/server/sidecar/EngineMemoryServiceTest.java
@@ -51,7 +51,7 @@
         mService =
                 new EngineMemoryService(
                         new EngineCacheClient(
-                                HttpClient.newHttpClient(),
+                                HttpClient::newHttpClient,
                                 URI.create(mEngine.url()),
                                 new ObjectMapper()),
                         new MemoryLedger(LedgerConfig.withIdleSeconds(600)),
--- a/server/src/test/java/org/oleandertrack/server/sidecar/HostileTargetTest.java
+++ b/server/src/test/java/org/oleandertrack/server/sidecar/HostileTargetTest.java
@@ -18,6 +18,9 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -34,6 +37,7 @@
     private final Map<String, OutputStream> mConnectionsByPath = new ConcurrentHashMap<>();
     private ServerSocket mServer;
     private TargetClient mClient;
+    private EngineCacheClient mEngine;
 
     /** Answers one request; {@code socket} is the connection on which it arrived. */
     private interface Responder {
@@ -44,11 +48,11 @@
     @BeforeEach
     void start() throws IOException {
         mServer = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
-        mClient =
-                new TargetClient(
-                        () -> HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build(),
-                        URI.create("http://127.0.0.1:" + mServer.getLocalPort()),
-                        new ObjectMapper());
+        URI target = URI.create("http://127.0.0.1:" + mServer.getLocalPort());
+        Supplier<HttpClient> clients =
+                () -> HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        mClient = new TargetClient(clients, target, new ObjectMapper());
+        mEngine = new EngineCacheClient(clients, target, new ObjectMapper());
     }
 
     @AfterEach
@@ -162,8 +166,30 @@
         assertEquals(ResultCode.TARGET_FAILED, outcome.code());
     }
 
+    /** Guards against a late copy of an engine's report that is read as its next report. */
+    @Test
+    void aLateCopyOfAReportIsNotTheNextReport() throws Exception {
+        AtomicInteger reports = new AtomicInteger();
+        AtomicReference<OutputStream> firstConnection = new AtomicReference<>();
+        serve(
+                (path, socket) -> {
+                    firstConnection.compareAndSet(null, socket.getOutputStream());
+                    int report = reports.incrementAndGet();
+                    if (report > 1) {
+                        writeIfOpen(firstConnection.get(), capacity(1));
+                    }
+                    socket.getOutputStream().write(capacity(report));
+                });
+        assertEquals(1, mEngine.fetchCapacityTokens().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+        assertEquals(2, mEngine.fetchCapacityTokens().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
     // Helpers
 
+    private static byte[] capacity(int tokens) {
+        return response("{\"cache_capacity_tokens\":" + tokens + "}");
+    }
+
     private static FakeInboundCall call(String path) {
         return new FakeInboundCall(
                 Call.newBuilder()
