Limit the size of an engine's report

What happened: a sidecar kept the whole body of /load, /cache/events and /cache/release, however long.

Cause: BodyHandlers.ofString has no limit, and the request's time-out ends with the response head.

Evidence, on the code before (a body of 47 MiB was kept and read): HostileTargetTest.aLongReportOfAnEngineIsNotKept Expected ExecutionException to be thrown, but nothing was thrown.

Why it works: the body handler fails a response above 32 MiB, and the connection is closed.

--- a/server/src/main/java/org/oleandertrack/server/sidecar/EngineCacheClient.java
+++ b/server/src/main/java/org/oleandertrack/server/sidecar/EngineCacheClient.java
@@ -21,6 +21,9 @@
     /** The engine runs on the same host, so a longer timeout would only delay the retry. */
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(5);
 
+    /** A longer response fails its request. */
+    private static final long MAX_RESPONSE_BYTES = 32L << 20;
+
     private static final int STATUS_OK = 200;
 
     private final Supplier<HttpClient> mClients;
@@ -73,7 +76,10 @@
 
     private CompletableFuture<JsonNode> send(HttpRequest.Builder request) {
         HttpClient client = mClients.get();
-        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
+        return client.sendAsync(
+                        request.build(),
+                        HttpResponse.BodyHandlers.limiting(
+                                HttpResponse.BodyHandlers.ofString(), MAX_RESPONSE_BYTES))
                 .whenComplete((response, failure) -> client.shutdownNow())
                 .thenApply(this::parseBody);
     }
--- a/server/src/test/java/org/oleandertrack/server/sidecar/HostileTargetTest.java
+++ b/server/src/test/java/org/oleandertrack/server/sidecar/HostileTargetTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -15,8 +16,11 @@
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -24,6 +28,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.oleandertrack.core.ledger.CacheEvent;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.protocol.message.Call;
@@ -33,6 +38,7 @@
 
     private static final int TIMEOUT_MILLIS = 30_000;
     private static final int BLOCK_BYTES = 16 << 10;
+    private static final int LONG_REPORT_BLOCKS = 3_000;
 
     private final Map<String, OutputStream> mConnectionsByPath = new ConcurrentHashMap<>();
     private ServerSocket mServer;
@@ -166,6 +172,25 @@
         assertEquals(ResultCode.TARGET_FAILED, outcome.code());
     }
 
+    /** Guards against a report of an engine that is kept until memory runs out. */
+    @Test
+    void aLongReportOfAnEngineIsNotKept() throws Exception {
+        byte[] block = " ".repeat(BLOCK_BYTES).getBytes(StandardCharsets.US_ASCII);
+        serve(
+                (path, socket) -> {
+                    OutputStream connection = socket.getOutputStream();
+                    connection.write("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                    for (int i = 0; i < LONG_REPORT_BLOCKS; i++) {
+                        connection.write(block);
+                    }
+                    connection.write("{\"events\":[]}".getBytes(StandardCharsets.US_ASCII));
+                    socket.close();
+                });
+        CompletableFuture<List<CacheEvent>> events = mEngine.fetchEventsAfter(0);
+        assertThrows(
+                ExecutionException.class, () -> events.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
     /** Guards against a late copy of an engine's report that is read as its next report. */
     @Test
     void aLateCopyOfAReportIsNotTheNextReport() throws Exception {
