--- a/server/src/test/java/org/oleandertrack/server/sidecar/HostileTargetTest.java
+++ b/server/src/test/java/org/oleandertrack/server/sidecar/HostileTargetTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -15,12 +16,19 @@
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.oleandertrack.core.ledger.CacheEvent;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.protocol.message.Call;
@@ -30,10 +38,12 @@
 
     private static final int TIMEOUT_MILLIS = 30_000;
     private static final int BLOCK_BYTES = 16 << 10;
+    private static final int LONG_REPORT_BLOCKS = 3_000;
 
     private final Map<String, OutputStream> mConnectionsByPath = new ConcurrentHashMap<>();
     private ServerSocket mServer;
     private TargetClient mClient;
+    private EngineCacheClient mEngine;
 
     /** Answers one request; {@code socket} is the connection on which it arrived. */
     private interface Responder {
@@ -44,11 +54,11 @@
     @BeforeEach
     void start() throws IOException {
         mServer = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
-        mClient =
-                new TargetClient(
-                        () -> HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build(),
-                        URI.create("http://127.0.0.1:" + mServer.getLocalPort()),
-                        new ObjectMapper());
+        URI target = URI.create("http://127.0.0.1:" + mServer.getLocalPort());
+        Supplier<HttpClient> clients =
+                () -> HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        mClient = new TargetClient(clients, target, new ObjectMapper());
+        mEngine = new EngineCacheClient(clients, target, new ObjectMapper());
     }
 
     @AfterEach
@@ -162,8 +172,49 @@
         assertEquals(ResultCode.TARGET_FAILED, outcome.code());
     }
 
+    /** Guards against a report of an engine that is kept until memory runs out. */
+    @Test
+    void aLongReportOfAnEngineIsNotKept() throws Exception {
+        byte[] block = " ".repeat(BLOCK_BYTES).getBytes(StandardCharsets.US_ASCII);
+        serve(
+                (path, socket) -> {
+                    OutputStream connection = socket.getOutputStream();
+                    connection.write("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                    for (int i = 0; i < LONG_REPORT_BLOCKS; i++) {
+                        connection.write(block);
+                    }
+                    connection.write("{\"events\":[]}".getBytes(StandardCharsets.US_ASCII));
+                    socket.close();
+                });
+        CompletableFuture<List<CacheEvent>> events = mEngine.fetchEventsAfter(0);
+        assertThrows(
+                ExecutionException.class, () -> events.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
+    /** Guards against a late copy of an engine's report that is read as its next report. */
+    @Test
+    void aLateCopyOfAReportIsNotTheNextReport() throws Exception {
+        AtomicInteger reports = new AtomicInteger();
+        AtomicReference<OutputStream> firstConnection = new AtomicReference<>();
+        serve(
+                (path, socket) -> {
+                    firstConnection.compareAndSet(null, socket.getOutputStream());
+                    int report = reports.incrementAndGet();
+                    if (report > 1) {
+                        writeIfOpen(firstConnection.get(), capacity(1));
+                    }
+                    socket.getOutputStream().write(capacity(report));
+                });
+        assertEquals(1, mEngine.fetchCapacityTokens().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+        assertEquals(2, mEngine.fetchCapacityTokens().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
     // Helpers
 
+    private static byte[] capacity(int tokens) {
+        return response("{\"cache_capacity_tokens\":" + tokens + "}");
+    }
+
     private static FakeInboundCall call(String path) {
         return new FakeInboundCall(
                 Call.newBuilder()
