--- a/gateway/src/test/java/org/oleandertrack/gateway/call/EventSplitterTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/call/EventSplitterTest.java
@@ -140,8 +140,16 @@
     @Test
     void aStatusLineInTheTextOfAnEventIsForwarded() {
         String event =
-                "version: 1\n: HTTP/1.1 200 OK\nevent: text\ndata: HTTP/1.1 200 OK\n"
-                        + "data: HTTP/1.1 404\nid: 2\nretry: 5\n\n";
+                """
+                version: 1
+                : HTTP/1.1 200 OK
+                event: text
+                data: HTTP/1.1 200 OK
+                data: HTTP/1.1 404
+                id: 2
+                retry: 5
+
+                """;
         EventSplitter splitter = new EventSplitter(Unpooled.buffer(0));
         assertEquals(
                 List.of("event 2|" + event, "event |data: H HTTP/1.1\n\n"),
