Bound the memory for responses that wait for their rest

Callers saw requests beside slow or faulty targets time out when many large responses were incomplete at once.

Cause: each response may hold 256 KB until it is complete or an event of it is; the sum had no bound.

When it is used up, a body is forwarded as it arrives, as one of over 256 KB is, and an event of more than 16 KB is cut off as one without end is. A log line says so. Bytes that were passed to the caller's connection are counted until it is writable.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -44,7 +44,10 @@
         REFUSAL,
         /** The body is buffered and forwarded when it is complete. */
         BUFFER,
-        /** The body exceeds the buffer limit; it is forwarded as it arrives. */
+        /**
+         * The body exceeds the buffer limit, or the memory is used up; it is forwarded as it
+         * arrives.
+         */
         FORWARD,
         /** The body is a stream; each complete event is forwarded. */
         EVENTS
@@ -56,6 +59,7 @@
     private final OutboundConnection mConnection;
     private final EventSplitter mSplitter = new EventSplitter(Unpooled.buffer(0));
     private final PartBuffer mOutput;
+    private final ResponseMemory.Share mMemory;
     private HttpResponse mHead;
     private BodyMode mBodyMode = BodyMode.BUFFER;
     private final ByteBuf mBody = Unpooled.buffer(0);
@@ -69,6 +73,7 @@
         mHandle = handle;
         mLoop = call.writer().eventLoop();
         mOutput = new PartBuffer(call.writer());
+        mMemory = call.context().responseMemory().share();
         mConnection = handle.connections().acquire(mLoop, call.route().isRepeatable());
     }
 
@@ -100,16 +105,21 @@
         removeFromLoad();
     }
 
-    /** Removes the request from the load counted for the target. Has an effect only once. */
+    /**
+     * Removes the request from the load counted for the target, and releases the memory of its
+     * response. Has an effect only once.
+     */
     void removeFromLoad() {
         if (!mRemovedFromLoad) {
             mRemovedFromLoad = true;
+            mMemory.release();
             mCall.context().targets().recordEnd(mHandle);
         }
     }
 
     void setReading(boolean reading) {
         mConnection.setReading(reading);
+        releaseForwarded();
     }
 
     @Override
@@ -164,7 +174,7 @@
             case EVENTS -> {
                 mSplitter.add(part);
                 forwardEvents();
-                if (mSplitter.isWithoutEvents()) {
+                if (mSplitter.isWithoutEvents() || !hold(mSplitter.partialEventBytes())) {
                     mConnection.close();
                     onFailure(OutboundFailure.MALFORMED);
                 }
@@ -175,6 +185,7 @@
     @Override
     public void onReadComplete() {
         mOutput.flush();
+        releaseForwarded();
     }
 
     @Override
@@ -225,6 +236,21 @@
         return events ? BodyMode.EVENTS : BodyMode.BUFFER;
     }
 
+    private boolean hold(int heldBytes) {
+        boolean hasRoom = mMemory.resize(heldBytes);
+        if (!hasRoom) {
+            mCall.log().responseMemoryUsedUp(mHandle);
+        }
+        return hasRoom;
+    }
+
+    // What was buffered first is held by the caller's connection until that has sent it.
+    private void releaseForwarded() {
+        if (mBodyMode == BodyMode.FORWARD && mCall.writer().isWritable()) {
+            mMemory.release();
+        }
+    }
+
     private void skipRefusalBody(ByteBuf part) {
         mRefusalBytes += part.readableBytes();
         if (mRefusalBytes > MAX_REFUSAL_BYTES) {
@@ -234,7 +260,8 @@
     }
 
     private void bufferOrForward(ByteBuf part) {
-        if (mBody.readableBytes() + part.readableBytes() <= MAX_BUFFERED_BYTES) {
+        int heldBytes = mBody.readableBytes() + part.readableBytes();
+        if (heldBytes <= MAX_BUFFERED_BYTES && hold(heldBytes)) {
             mBody.writeBytes(part);
             return;
         }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
@@ -23,6 +23,7 @@
  * @param answeredPaths paths whose requests targets have answered
  * @param streamOrigins knows which software version began a stream
  * @param conversations keeps and finds the turns of routes that keep history
+ * @param responseMemory bounds the parts of responses that are held
  * @param log receives one line for each decision
  * @param metrics counts calls and decisions
  */
@@ -37,5 +38,6 @@
         AnsweredPaths answeredPaths,
         StreamOriginService streamOrigins,
         ConversationService conversations,
+        ResponseMemory responseMemory,
         EventLog log,
         CallMetrics metrics) {}
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
@@ -231,6 +231,13 @@
         line.write();
     }
 
+    void responseMemoryUsedUp(TargetHandle handle) {
+        mLog.info("response memory used up")
+                .text("request", mMetadata.requestId())
+                .text("target", handle.id())
+                .write();
+    }
+
     void turnTooLong(int maxOutputBytes) {
         mLog.info("turn too long")
                 .text("turn", mMetadata.requestId())
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/EventSplitter.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/EventSplitter.java
@@ -134,6 +134,11 @@
         return mIgnoredBytes + mBuffer.readableBytes() > MAX_BYTES_WITHOUT_EVENT;
     }
 
+    /** Returns the size of the incomplete event that is buffered. */
+    int partialEventBytes() {
+        return mBuffer.readableBytes();
+    }
+
     /** Returns whether bytes of an incomplete event are buffered. */
     boolean hasPartialEvent() {
         return mBuffer.isReadable();
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -44,6 +44,7 @@
 import org.oleandertrack.gateway.call.CallMetrics;
 import org.oleandertrack.gateway.call.GatewayResponses;
 import org.oleandertrack.gateway.call.HeaderCodec;
+import org.oleandertrack.gateway.call.ResponseMemory;
 import org.oleandertrack.gateway.peer.PeerAllowanceIssuer;
 import org.oleandertrack.gateway.peer.PeerConversations;
 import org.oleandertrack.gateway.peer.PeerCrashReports;
@@ -172,6 +173,7 @@
                                 new AnsweredPaths(ANSWERED_PATHS),
                                 mStreamOrigins,
                                 mConversations,
+                                new ResponseMemory(settings.responseMemoryBytes()),
                                 log,
                                 new CallMetrics(metrics)));
         mTargetFeed = new TargetFeed(tables, mTargetDirectory, System::nanoTime, log);
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
@@ -18,6 +18,7 @@
  *     entries in it
  * @param maxLogLinesPerSecond number of log lines per second beyond which lines about routine work
  *     are dropped
+ * @param responseMemoryBytes bytes of responses that are held until they are complete
  */
 public record GatewaySettings(
         String nodeName,
@@ -29,7 +30,8 @@
         InetSocketAddress metricsAddress,
         long graceMillis,
         long entryRenewalMillis,
-        int maxLogLinesPerSecond) {
+        int maxLogLinesPerSecond,
+        long responseMemoryBytes) {
 
     /** Returns these settings with the given values for those that may change at run time. */
     GatewaySettings withReloadable(GatewaySettings other) {
@@ -43,6 +45,7 @@
                 metricsAddress,
                 other.graceMillis,
                 entryRenewalMillis,
-                maxLogLinesPerSecond);
+                maxLogLinesPerSecond,
+                responseMemoryBytes);
     }
 }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayReloadTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayReloadTest.java
@@ -50,6 +50,7 @@
                 current.metricsAddress(),
                 graceMillis,
                 current.entryRenewalMillis(),
-                current.maxLogLinesPerSecond());
+                current.maxLogLinesPerSecond(),
+                current.responseMemoryBytes());
     }
 }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
@@ -21,6 +21,7 @@
 final class TestGateway implements AutoCloseable {
 
     private static final int MAX_LOG_LINES = 100_000;
+    private static final int RESPONSE_MEMORY_BYTES = 1024 * 1024;
 
     private final ScheduledExecutorService mExecutor = Executors.newSingleThreadScheduledExecutor();
     private final EventLoopGroup mLoops =
@@ -54,7 +55,8 @@
                         any,
                         graceMillis,
                         2_000,
-                        MAX_LOG_LINES);
+                        MAX_LOG_LINES,
+                        RESPONSE_MEMORY_BYTES);
         mHost =
                 new GatewayHost(
                         mSettings,
