--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -46,6 +46,7 @@
 import org.oleandertrack.gateway.call.CallMetrics;
 import org.oleandertrack.gateway.call.GatewayResponses;
 import org.oleandertrack.gateway.call.HeaderCodec;
+import org.oleandertrack.gateway.call.ResponseMemory;
 import org.oleandertrack.gateway.call.StopAdmission;
 import org.oleandertrack.gateway.peer.PeerAllowanceIssuer;
 import org.oleandertrack.gateway.peer.PeerConversations;
@@ -179,6 +180,7 @@
                                 mStreamOrigins,
                                 mConversations,
                                 mStopAdmission,
+                                new ResponseMemory(settings.responseMemoryBytes()),
                                 log,
                                 new CallMetrics(metrics)));
         mTargetFeed = new TargetFeed(tables, mTargetDirectory, System::nanoTime, log);
