--- a/core/src/main/java/org/oleandertrack/core/attempt/ContinuationPolicy.java
+++ b/core/src/main/java/org/oleandertrack/core/attempt/ContinuationPolicy.java
@@ -13,8 +13,9 @@
     public static NextStep next(CallProgress progress, AttemptEnd end) {
         NextStep step =
                 switch (end) {
-                    case AttemptEnd.Refused refused -> afterNoRun();
-                    case AttemptEnd.NotReached notReached -> afterNoRun();
+                    case AttemptEnd.Refused refused -> afterNoRun(progress, refused.targetEnded());
+                    case AttemptEnd.NotReached notReached ->
+                            afterNoRun(progress, notReached.targetEnded());
                     case AttemptEnd.BrokenOff brokenOff -> afterBreak(progress);
                     case AttemptEnd.Stalled stalled -> afterStall(progress, stalled.hung());
                     case AttemptEnd.Answered answered -> afterAnswer(progress);
@@ -25,16 +26,20 @@
         return sends && !progress.sendAllowed() ? new NextStep.GiveUp() : step;
     }
 
-    private static NextStep afterNoRun() {
-        return new NextStep.SendToOtherTarget();
+    // A target that has ended no longer counts among those that may run the request.
+    private static NextStep afterNoRun(CallProgress progress, boolean targetEnded) {
+        boolean mayMove = progress.otherTargetAllowed() || targetEnded;
+        return mayMove && progress.forwarded() != ForwardedPart.PART_OF_BODY
+                ? new NextStep.SendToOtherTarget()
+                : new NextStep.GiveUp();
     }
 
     private static NextStep afterBreak(CallProgress progress) {
-        return progress.repeatable() ? sendAgain(progress) : new NextStep.GiveUp();
+        return mayBeSentAgain(progress) ? sendAgain(progress) : new NextStep.GiveUp();
     }
 
     private static NextStep afterStall(CallProgress progress, boolean hung) {
-        if (progress.repeatable() && (!hung || progress.otherTargetAllowed())) {
+        if (mayBeSentAgain(progress) && (!hung || progress.otherTargetAllowed())) {
             return sendAgain(progress);
         }
         return progress.forwarded() == ForwardedPart.NOTHING
@@ -46,11 +51,15 @@
         if (progress.forwarded() == ForwardedPart.NOTHING) {
             return new NextStep.ForwardResponse();
         }
-        return progress.repeatable() && progress.otherTargetAllowed()
+        return mayBeSentAgain(progress) && progress.otherTargetAllowed()
                 ? new NextStep.SendToOtherTarget()
                 : new NextStep.GiveUp();
     }
 
+    private static boolean mayBeSentAgain(CallProgress progress) {
+        return progress.repeatable() && progress.forwarded() != ForwardedPart.PART_OF_BODY;
+    }
+
     private static NextStep sendAgain(CallProgress progress) {
         return progress.otherTargetAllowed()
                 ? new NextStep.SendToOtherTarget()
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/StartedResponseTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/StartedResponseTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against bytes of a second response behind a response that its caller already has. */
 @ExtendWith(KnownFailureExtension.class)
@@ -119,6 +120,137 @@
         }
     }
 
+    /** Answers with a long body that ends early, and completely when it is asked again. */
+    private static ScriptedTarget.Script breakingOffBodies(int sentBytes) {
+        return (exchange, number) -> {
+            exchange.write(
+                    "HTTP/1.1 200 X\r\nId: "
+                            + exchange.id()
+                            + "\r\nContent-Length: "
+                            + LONG_BODY.length()
+                            + "\r\n\r\n"
+                            + LONG_BODY.substring(0, number == 0 ? sentBytes : LONG_BODY.length()));
+            if (number == 0) {
+                exchange.socket().close();
+            }
+        };
+    }
+
+    @Test
+    void aBodyOfWhichAPartWasForwardedIsNotBegunAgain() throws IOException {
+        try (ScriptedTarget target = new ScriptedTarget(breakingOffBodies(LONG_BODY.length() - 1));
+                TestGateway gateway = TestGateway.with("tool", target);
+                TestClient client = gateway.client()) {
+            client.send("GET", "/safe/x", "r1", "", "");
+            String answer = client.readAnswer();
+            assertTrue(answer.endsWith("<closed>"), "the end looks complete");
+            assertTrue(answer.length() < 2 * LONG_BODY.length(), answer.length() + " bytes");
+            assertEquals(1, target.requests().size());
+        }
+    }
+
+    @Test
+    void aBodyOfWhichNothingWasForwardedIsRequestedAgain() throws IOException {
+        try (ScriptedTarget target = new ScriptedTarget(breakingOffBodies(1_000));
+                TestGateway gateway = TestGateway.with("tool", target);
+                TestClient client = gateway.client()) {
+            client.send("GET", "/safe/x", "r1", "", "");
+            String answer = client.readAnswer();
+            assertTrue(answer.endsWith("0\r\n\r\n"), "the response is not complete");
+            assertEquals(2, target.requests().size());
+        }
+    }
+
+    /** Guards against a sound body that is cut because it takes longer than a silent target may. */
+    @ParameterizedTest
+    @ValueSource(ints = {1_000, 300_000})
+    void aBodyThatArrivesSlowlyIsNotCut(int firstBytes) throws IOException {
+        int parts = 20;
+        String part = "0123456789";
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) -> {
+                                    exchange.write(
+                                            "HTTP/1.1 200 X\r\nId: "
+                                                    + exchange.id()
+                                                    + "\r\nContent-Length: "
+                                                    + (firstBytes + parts * part.length())
+                                                    + "\r\n\r\n"
+                                                    + LONG_BODY.substring(0, firstBytes));
+                                    for (int i = 0; i < parts; i++) {
+                                        exchange.pauseMillis(60);
+                                        exchange.write(part);
+                                    }
+                                });
+                TestGateway gateway = TestGateway.with("tool", target);
+                TestClient client = gateway.client()) {
+            client.send("GET", "/safe/x", "r1", "", "");
+            String answer = client.readAnswer();
+            assertFalse(answer.endsWith("<closed>"), "the response was cut");
+            assertEquals(parts, answer.split(part, -1).length - 1);
+            assertEquals(1, target.requests().size());
+        }
+    }
+
+    /** Breaks off the first request after some events, answers the second, completes later ones. */
+    private static ScriptedTarget.Script inOrder(
+            AtomicInteger requests, String events, String secondAnswer) {
+        return (exchange, number) -> {
+            switch (requests.getAndIncrement()) {
+                case 0 -> {
+                    if (!events.isEmpty()) {
+                        exchange.startStream(events);
+                    }
+                    exchange.reset();
+                }
+                case 1 -> exchange.write(secondAnswer.replace("ID", exchange.id()));
+                default -> {
+                    exchange.startStream(SECOND_EVENT);
+                    exchange.endStream();
+                }
+            }
+        };
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", FIRST_EVENT})
+    void aTargetThatIsFullOnASecondSendDoesNotLetAFurtherTargetRunTheRequest(String events)
+            throws IOException {
+        ScriptedTarget.Script script =
+                inOrder(
+                        new AtomicInteger(),
+                        events,
+                        "HTTP/1.1 503 X\r\nId: ID\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        try (ScriptedTarget first = new ScriptedTarget(script);
+                ScriptedTarget second = new ScriptedTarget(script);
+                TestGateway gateway = TestGateway.with("engine", first, second)) {
+            String answer = stream(gateway, "/turn/x");
+            assertFalse(answer.contains("e2"), answer);
+            assertTrue(
+                    events.isEmpty()
+                            ? answer.contains("\"execution\":\"unknown\"")
+                            : answer.endsWith("<closed>"),
+                    answer);
+            assertTrue(first.requests().isEmpty() || second.requests().isEmpty());
+        }
+    }
+
+    @Test
+    void aTargetThatHasEndedLetsAnotherTargetRunTheRequest() throws IOException {
+        ScriptedTarget.Script script =
+                inOrder(
+                        new AtomicInteger(),
+                        FIRST_EVENT,
+                        "HTTP/1.1 421 X\r\nId: ID\r\nContent-Length: 0\r\n\r\n");
+        try (ScriptedTarget first = new ScriptedTarget(script);
+                ScriptedTarget second = new ScriptedTarget(script);
+                TestGateway gateway = TestGateway.with("engine", first, second)) {
+            String answer = stream(gateway, "/turn/x");
+            assertTrue(answer.contains("e2"), answer);
+            assertTrue(answer.endsWith("0\r\n\r\n"), answer);
+        }
+    }
+
     @Test
     void theLogNamesTheTargetsThatAnsweredACall() throws IOException {
         try (ScriptedTarget target =
