--- a/standins/src/main/java/org/oleandertrack/standins/published/PublishedClient.java
+++ b/standins/src/main/java/org/oleandertrack/standins/published/PublishedClient.java
@@ -128,7 +128,7 @@
                     "",
                     false,
                     connected,
-                    e.toString(),
+                    describe(e),
                     System.nanoTime() - startNanos);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -176,7 +176,11 @@
             }
             return "";
         } catch (IOException e) {
-            return e.toString();
+            return describe(e);
         }
     }
+
+    private static String describe(IOException e) {
+        return e.getCause() == null ? e.toString() : e + " by " + e.getCause();
+    }
 }
