Let an exchange that has ended no longer act on its connection

A caller got no answer until its deadline when another call, whose target had refused it and which waited for a permit, ended early (its caller left, its time was up, or its host stopped) or had a slow caller. Found by reading; no run of whole processes has shown it.

Cause: a refused attempt stayed the call's current one after its connection had gone back to the pool, and cancelling it closed the connection whose next exchange belonged to another call, without telling that one. The connection now acts only for the exchange that it carries, and a call drops an attempt when it follows up its end, so that a call that waits after a refusal also counts as not sent.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -92,15 +92,15 @@
     // Operations
 
     void send(HttpRequest head, ByteBuf body) {
+        mConnection.send(head, body, this);
         // The caller may not have read what was written before, and the connection may have served
         // another caller.
         setReading(mCall.writer().isWritable());
-        mConnection.send(head, body, this);
     }
 
     /** Cancels the attempt by closing the connection to the target. */
     void cancel() {
-        mConnection.close();
+        mConnection.cancel(this);
         mCall.context().targets().recordAbandoned(mHandle);
         removeFromLoad();
     }
@@ -118,7 +118,7 @@
     }
 
     void setReading(boolean reading) {
-        mConnection.setReading(reading);
+        mConnection.setReading(this, reading);
         releaseForwarded();
     }
 
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -487,6 +487,7 @@
     }
 
     private void follow(NextStep step, TargetHandle handle, String reason) {
+        mCurrentAttempt = Optional.empty();
         switch (step) {
             case NextStep.SendToOtherTarget other -> {
                 mSends.exclude(handle);
--- a/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
+++ b/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
@@ -97,6 +97,15 @@
         return connection;
     }
 
+    /**
+     * Closes the connection, unless another exchange uses it by now. The exchange is not notified.
+     */
+    public void cancel(OutboundExchange exchange) {
+        if (exchange.equals(mExchange)) {
+            close();
+        }
+    }
+
     /** Closes the connection. An exchange in progress is not notified. */
     public void close() {
         mExchange = null;
@@ -157,8 +166,17 @@
         mQueuedBody = body;
     }
 
-    /** Suspends or resumes reading, to apply the back-pressure of a slow caller to the server. */
-    public void setReading(boolean reading) {
+    /**
+     * Suspends or resumes reading, to apply the back-pressure of a slow caller to the server. Has
+     * no effect if another exchange uses the connection by now.
+     */
+    public void setReading(OutboundExchange exchange, boolean reading) {
+        if (exchange.equals(mExchange)) {
+            setReading(reading);
+        }
+    }
+
+    private void setReading(boolean reading) {
         mChannel.config().setAutoRead(reading);
     }
 
--- a/http/src/test/java/org/oleandertrack/http/SuspendedReadingTest.java
+++ b/http/src/test/java/org/oleandertrack/http/SuspendedReadingTest.java
@@ -45,7 +45,7 @@
 
         @Override
         public void onContent(ByteBuf part) {
-            mConnection.setReading(false);
+            mConnection.setReading(this, false);
         }
 
         @Override
