--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -193,12 +193,7 @@
         mPeerFollower = follow(PeerDirectory.TABLE, mPeers, random);
         mQuarantineFollower = follow(QuarantineService.TABLE, mQuarantine, random);
         mPeerServer = makePeerServer(loops, store);
-        mCallerServer =
-                new HttpServer(
-                        loops,
-                        this::callerLimits,
-                        mCallHandler,
-                        status -> makeRejection(gatewayResponses, status));
+        mCallerServer = makeCallerServer(loops, gatewayResponses);
         mReadinessServer =
                 new HttpServer(
                         loops, () -> INTERNAL_LIMITS, this::respondReadiness, HttpResponses::empty);
@@ -320,6 +315,14 @@
         return new TableFollower(mStore, table, mScheduler, System::nanoTime, random, listener);
     }
 
+    private HttpServer makeCallerServer(EventLoopGroup loops, GatewayResponses gatewayResponses) {
+        return new HttpServer(
+                loops,
+                this::callerLimits,
+                mCallHandler,
+                status -> makeRejection(gatewayResponses, status));
+    }
+
     private HttpServer makePeerServer(EventLoopGroup loops, RowStore directStore) {
         return new HttpServer(
                 loops,
