--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -46,6 +46,7 @@
 import org.oleandertrack.gateway.call.CallMetrics;
 import org.oleandertrack.gateway.call.GatewayResponses;
 import org.oleandertrack.gateway.call.HeaderCodec;
+import org.oleandertrack.gateway.call.ResponseMemory;
 import org.oleandertrack.gateway.call.StopAdmission;
 import org.oleandertrack.gateway.peer.PeerAllowanceIssuer;
 import org.oleandertrack.gateway.peer.PeerConversations;
@@ -179,6 +180,7 @@
                                 mStreamOrigins,
                                 mConversations,
                                 mStopAdmission,
+                                new ResponseMemory(settings.responseMemoryBytes()),
                                 log,
                                 new CallMetrics(metrics)));
         mTargetFeed = new TargetFeed(tables, mTargetDirectory, System::nanoTime, log);
@@ -191,12 +193,7 @@
         mPeerFollower = follow(PeerDirectory.TABLE, mPeers, random);
         mQuarantineFollower = follow(QuarantineService.TABLE, mQuarantine, random);
         mPeerServer = makePeerServer(loops, store);
-        mCallerServer =
-                new HttpServer(
-                        loops,
-                        this::callerLimits,
-                        mCallHandler,
-                        status -> makeRejection(gatewayResponses, status));
+        mCallerServer = makeCallerServer(loops, gatewayResponses);
         mReadinessServer =
                 new HttpServer(
                         loops, () -> INTERNAL_LIMITS, this::respondReadiness, HttpResponses::empty);
@@ -318,6 +315,14 @@
         return new TableFollower(mStore, table, mScheduler, System::nanoTime, random, listener);
     }
 
+    private HttpServer makeCallerServer(EventLoopGroup loops, GatewayResponses gatewayResponses) {
+        return new HttpServer(
+                loops,
+                this::callerLimits,
+                mCallHandler,
+                status -> makeRejection(gatewayResponses, status));
+    }
+
     private HttpServer makePeerServer(EventLoopGroup loops, RowStore directStore) {
         return new HttpServer(
                 loops,
