Let the text of an event name the HTTP protocol

A caller's sound stream would have been broken off, or answered 502, if an event's text named HTTP/1 and a field without value or an unknown field followed in the same event.

A status line now needs its minor version and three digits.

EventSplitterTest.aTextThatNamesTheProtocolIsForwarded failed before in all four cases.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/EventSplitter.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/EventSplitter.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -66,6 +67,7 @@
     private static final byte[] EVENT_FIELD = "event:".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] RETRY_FIELD = "retry:".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] STATUS_LINE = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+    private static final int STATUS_DIGITS = 3;
 
     // An event holds a few tokens; a target that sends more bytes without completing one does not
     // send a stream of events.
@@ -184,20 +186,44 @@
 
     private boolean isEventField(int start, int end) {
         return mBuffer.getByte(start) == ':'
-                || startsWith(mBuffer, start, end, DATA_FIELD)
-                || startsWith(mBuffer, start, end, ID_FIELD)
-                || startsWith(mBuffer, start, end, EVENT_FIELD)
-                || startsWith(mBuffer, start, end, RETRY_FIELD);
+                || isField(start, end, DATA_FIELD)
+                || isField(start, end, ID_FIELD)
+                || isField(start, end, EVENT_FIELD)
+                || isField(start, end, RETRY_FIELD);
+    }
+
+    // A field without value may lack the colon, which is the last byte of the prefix.
+    private boolean isField(int start, int end, byte[] prefix) {
+        boolean hasNoColon = end - start == prefix.length - 1;
+        byte[] expected = hasNoColon ? Arrays.copyOf(prefix, prefix.length - 1) : prefix;
+        return startsWith(mBuffer, start, end, expected);
     }
 
     private boolean containsStatusLine(int start, int end) {
         int index = mBuffer.indexOf(start, end, STATUS_LINE[0]);
-        while (index >= 0 && !startsWith(mBuffer, index, end, STATUS_LINE)) {
+        while (index >= 0 && !isStatusLine(index, end)) {
             index = mBuffer.indexOf(index + 1, end, STATUS_LINE[0]);
         }
         return index >= 0;
     }
 
+    // The protocol, its minor version, a space and three digits.
+    private boolean isStatusLine(int start, int end) {
+        int statusStart = start + STATUS_LINE.length + 2;
+        int statusEnd = statusStart + STATUS_DIGITS;
+        if (statusEnd > end
+                || !startsWith(mBuffer, start, end, STATUS_LINE)
+                || mBuffer.getByte(statusStart - 1) != ' ') {
+            return false;
+        }
+        for (int i = statusStart; i < statusEnd; i++) {
+            if (mBuffer.getByte(i) < '0' || mBuffer.getByte(i) > '9') {
+                return false;
+            }
+        }
+        return statusEnd == end || mBuffer.getByte(statusEnd) == ' ';
+    }
+
     private static boolean startsWith(ByteBuf bytes, int start, int end, byte[] prefix) {
         if (end - start < prefix.length) {
             return false;
--- a/gateway/src/test/java/org/oleandertrack/gateway/call/EventSplitterTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/call/EventSplitterTest.java
@@ -156,4 +156,19 @@
                 split(splitter, event + "data: H HTTP/1.1\n\n", 7));
         assertFalse(splitter.isWithoutEvents());
     }
+
+    /** Guards against a sound stream that is broken off because its text names the protocol. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "data: speaks HTTP/1.1\nretry\n\n",
+                "data: HTTP/1.1 200 OK\ndata\n\n",
+                "data: speaks HTTP/1.1\nweight-versions: 4\n\n",
+                "data: HTTP/1.1 2000 times\nweight-versions: 4\n\n"
+            })
+    void aTextThatNamesTheProtocolIsForwarded(String event) {
+        EventSplitter splitter = new EventSplitter(Unpooled.buffer(0));
+        assertEquals(List.of("event |" + event), split(splitter, event, 7));
+        assertFalse(splitter.isWithoutEvents());
+    }
 }
