--- /dev/null
+++ b/core/src/main/java/org/oleandertrack/core/organisation/ConfigFreshness.java
@@ -0,0 +1,101 @@
+package org.oleandertrack.core.organisation;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * The age of this host's knowledge of the newest configuration. A confirmation is an answer of the
+ * store, direct or passed on by a peer, which states the newest configuration. It is as old as the
+ * call that brought it: a change after the start of the call may be missing from the answer. The
+ * age is the larger one of two clocks, because the monotonic clock stands still while the process
+ * is frozen, and the wall clock may be set back. Thread-safe.
+ */
+public final class ConfigFreshness {
+
+    private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+    private final LongSupplier mNanoClock;
+    private final LongSupplier mWallClockMillis;
+    private volatile Optional<Confirmation> mLatest = Optional.empty();
+    private volatile OptionalLong mLastAnswerNanos = OptionalLong.empty();
+
+    /**
+     * Creates an instance without a confirmation.
+     *
+     * @param nanoClock monotonic clock, in nanoseconds
+     * @param wallClockMillis wall clock, in milliseconds
+     */
+    public ConfigFreshness(LongSupplier nanoClock, LongSupplier wallClockMillis) {
+        mNanoClock = nanoClock;
+        mWallClockMillis = wallClockMillis;
+    }
+
+    /** A moment on both clocks. */
+    public record Moment(long nanos, long wallMillis) {
+
+        /** Returns the moment that was the given time earlier. */
+        public Moment minusMillis(long millis) {
+            return new Moment(nanos - TimeUnit.MILLISECONDS.toNanos(millis), wallMillis - millis);
+        }
+    }
+
+    private record Confirmation(Moment asOf) {}
+
+    /** Returns the present moment. */
+    public Moment now() {
+        return new Moment(mNanoClock.getAsLong(), mWallClockMillis.getAsLong());
+    }
+
+    /**
+     * Records an answer of the store to this host. Everything that it states must be in force
+     * before.
+     *
+     * @param begun when the call to the store was begun
+     */
+    public synchronized void confirm(Moment begun) {
+        mLastAnswerNanos = OptionalLong.of(mNanoClock.getAsLong());
+        adopt(begun);
+    }
+
+    /**
+     * Records a confirmation of a peer that names the configuration in force here.
+     *
+     * @param begun when the call to the peer was begun
+     * @param ageMillis age of the confirmation according to the peer, in milliseconds
+     */
+    public synchronized void confirmThroughPeer(Moment begun, long ageMillis) {
+        adopt(begun.minusMillis(Math.max(0, ageMillis)));
+    }
+
+    /** Returns the age of the youngest confirmation, in milliseconds; empty if there is none. */
+    public OptionalLong ageMillis() {
+        return mLatest.map(confirmation -> OptionalLong.of(ageMillisOf(confirmation.asOf())))
+                .orElse(OptionalLong.empty());
+    }
+
+    /**
+     * Returns the time since the store last answered this host, in milliseconds; empty if it never
+     * has. The wall clock does not count, since a host that was frozen is about to get an answer.
+     */
+    public OptionalLong millisSinceAnswer() {
+        OptionalLong lastAnswerNanos = mLastAnswerNanos;
+        return lastAnswerNanos.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(
+                        (mNanoClock.getAsLong() - lastAnswerNanos.getAsLong()) / NANOS_PER_MILLI);
+    }
+
+    private void adopt(Moment asOf) {
+        if (mLatest.isEmpty() || ageMillisOf(asOf) < ageMillisOf(mLatest.get().asOf())) {
+            mLatest = Optional.of(new Confirmation(asOf));
+        }
+    }
+
+    private long ageMillisOf(Moment asOf) {
+        Moment now = now();
+        long steadyMillis = Math.ceilDiv(now.nanos() - asOf.nanos(), NANOS_PER_MILLI);
+        return Math.max(0, Math.max(steadyMillis, now.wallMillis() - asOf.wallMillis()));
+    }
+}
--- a/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
+++ b/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
@@ -76,6 +76,12 @@
             RetryAdvice.LATER,
             Execution.NOT_RUN,
             "The request did not arrive within the time that the configuration allows."),
+    ACCESS_KEY_REQUIRED(
+            1013,
+            401,
+            RetryAdvice.NEVER,
+            Execution.NOT_RUN,
+            "The request carries no valid access key, and its route needs one."),
     // Programs.
     UNKNOWN_PROGRAM(
             2001,
@@ -211,6 +217,18 @@
             RetryAdvice.CALLER_DECIDES,
             Execution.UNKNOWN,
             "The process stopped before the call had ended."),
+    ORGANISATION_RATE_EXCEEDED(
+            3008,
+            429,
+            RetryAdvice.LATER,
+            Execution.NOT_RUN,
+            "The requests of the organisation exceed its configured rate."),
+    PROGRAM_NOT_ADMITTED(
+            3009,
+            429,
+            RetryAdvice.LATER,
+            Execution.NOT_RUN,
+            "The organisation's admitted programs need its configured rate, so no new one begins."),
     // Targets.
     NO_TARGET_AVAILABLE(
             4001,
@@ -333,6 +351,12 @@
             RetryAdvice.LATER,
             Execution.NOT_RUN,
             "The process cannot confirm that its configuration is current."),
+    ACCESS_KEYS_NOT_CURRENT(
+            5009,
+            503,
+            RetryAdvice.LATER,
+            Execution.NOT_RUN,
+            "The process cannot confirm that the access key has not been revoked."),
     // Calls that may not be repeated.
     IDEMPOTENCY_KEY_MISMATCH(
             6001,
