--- a/coordination/src/main/java/org/oleandertrack/coordination/feed/TableFollower.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/feed/TableFollower.java
@@ -30,6 +30,7 @@
     private final String mTable;
     private final Scheduler mScheduler;
     private final LongSupplier mNanoClock;
+    private final LongSupplier mWallClockMillis;
     private final RandomGenerator mRandom;
     private final TableListener mListener;
     private volatile boolean mStopped;
@@ -46,12 +47,14 @@
             String table,
             Scheduler scheduler,
             LongSupplier nanoClock,
+            LongSupplier wallClockMillis,
             RandomGenerator random,
             TableListener listener) {
         mStore = store;
         mTable = table;
         mScheduler = scheduler;
         mNanoClock = nanoClock;
+        mWallClockMillis = wallClockMillis;
         mRandom = random;
         mListener = listener;
     }
@@ -72,35 +75,50 @@
         if (mStopped) {
             return;
         }
-        CompletableFuture<Void> step = mTableRead ? awaitChanges() : readAll();
-        var _ = step.whenComplete((done, failure) -> onStepEnded(failure));
+        long begunNanos = mNanoClock.getAsLong();
+        long begunWallMillis = mWallClockMillis.getAsLong();
+        CompletableFuture<Boolean> step = mTableRead ? awaitChanges() : readAll();
+        var _ =
+                step.thenAccept(
+                                complete -> {
+                                    if (complete) {
+                                        mListener.onConfirmed(begunNanos, begunWallMillis);
+                                    }
+                                })
+                        .whenComplete((done, failure) -> onStepEnded(failure));
     }
 
-    private CompletableFuture<Void> readAll() {
+    // The results of both steps state whether all rows are known as of the start of the step.
+    private CompletableFuture<Boolean> readAll() {
         return RowReads.all(mStore, mTable, ONLY_PART)
-                .thenAccept(
+                .thenApply(
                         page -> {
                             onStoreAnswered();
                             mVersion = page.storeVersion();
                             mTableRead = true;
                             mListener.onTableRead(page.rows());
+                            return true;
                         });
     }
 
-    private CompletableFuture<Void> awaitChanges() {
+    private CompletableFuture<Boolean> awaitChanges() {
         return mStore.awaitChanges(mTable, mVersion, MAX_WAIT_MILLIS)
-                .thenAccept(
+                .thenApply(
                         answer -> {
                             onStoreAnswered();
-                            switch (answer) {
+                            return switch (answer) {
                                 case RowChanges.Changed changed -> {
                                     mVersion = Math.max(mVersion, changed.storeVersion());
                                     if (!changed.changes().isEmpty()) {
                                         mListener.onRowsChanged(changed.changes());
                                     }
+                                    yield true;
+                                }
+                                case RowChanges.HistoryLost lost -> {
+                                    mTableRead = false;
+                                    yield false;
                                 }
-                                case RowChanges.HistoryLost lost -> mTableRead = false;
-                            }
+                            };
                         });
     }
 
--- a/coordination/src/main/java/org/oleandertrack/coordination/feed/TableListener.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/feed/TableListener.java
@@ -13,6 +13,17 @@
     /** Rows changed; the list contains the changes in their order. */
     void onRowsChanged(List<RowChange> changes);
 
+    /**
+     * The store answered a call, and what it stated has been passed to the other methods. Changes
+     * after the start of the call may be missing from the answer.
+     *
+     * @param begunNanos start of the call on the monotonic clock, in nanoseconds
+     * @param begunWallMillis start of the call on the wall clock, in milliseconds
+     */
+    default void onConfirmed(long begunNanos, long begunWallMillis) {
+        // Most tables are not used differently when their rows are old.
+    }
+
     /** The store stopped answering. */
     void onStoreLost(String reason);
 
--- a/coordination/src/test/java/org/oleandertrack/coordination/feed/TableFollowerTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/feed/TableFollowerTest.java
@@ -87,7 +87,8 @@
             };
 
     private void start() {
-        new TableFollower(mStore, "t", mScheduler, () -> 0, new Random(1), mListener).start();
+        new TableFollower(mStore, "t", mScheduler, () -> 0, () -> 0, new Random(1), mListener)
+                .start();
     }
 
     private static <T> CompletableFuture<T> failed() {
--- a/core/src/main/java/org/oleandertrack/core/organisation/ConfigFreshness.java
+++ b/core/src/main/java/org/oleandertrack/core/organisation/ConfigFreshness.java
@@ -18,7 +18,8 @@
 
     private final LongSupplier mNanoClock;
     private final LongSupplier mWallClockMillis;
-    private volatile Optional<Confirmation> mLatest = Optional.empty();
+    // The moment as of which the youngest confirmation holds.
+    private volatile Optional<Moment> mLatest = Optional.empty();
     private volatile OptionalLong mLastAnswerNanos = OptionalLong.empty();
 
     /**
@@ -41,8 +42,6 @@
         }
     }
 
-    private record Confirmation(Moment asOf) {}
-
     /** Returns the present moment. */
     public Moment now() {
         return new Moment(mNanoClock.getAsLong(), mWallClockMillis.getAsLong());
@@ -64,15 +63,15 @@
      *
      * @param begun when the call to the peer was begun
      * @param ageMillis age of the confirmation according to the peer, in milliseconds
+     * @return whether it is younger than the youngest one before
      */
-    public synchronized void confirmThroughPeer(Moment begun, long ageMillis) {
-        adopt(begun.minusMillis(Math.max(0, ageMillis)));
+    public synchronized boolean confirmThroughPeer(Moment begun, long ageMillis) {
+        return adopt(begun.minusMillis(Math.max(0, ageMillis)));
     }
 
     /** Returns the age of the youngest confirmation, in milliseconds; empty if there is none. */
     public OptionalLong ageMillis() {
-        return mLatest.map(confirmation -> OptionalLong.of(ageMillisOf(confirmation.asOf())))
-                .orElse(OptionalLong.empty());
+        return mLatest.map(asOf -> OptionalLong.of(ageMillisOf(asOf))).orElse(OptionalLong.empty());
     }
 
     /**
@@ -87,10 +86,12 @@
                         (mNanoClock.getAsLong() - lastAnswerNanos.getAsLong()) / NANOS_PER_MILLI);
     }
 
-    private void adopt(Moment asOf) {
-        if (mLatest.isEmpty() || ageMillisOf(asOf) < ageMillisOf(mLatest.get().asOf())) {
-            mLatest = Optional.of(new Confirmation(asOf));
+    private boolean adopt(Moment asOf) {
+        if (mLatest.isPresent() && ageMillisOf(mLatest.get()) <= ageMillisOf(asOf)) {
+            return false;
         }
+        mLatest = Optional.of(asOf);
+        return true;
     }
 
     private long ageMillisOf(Moment asOf) {
--- a/core/src/main/java/org/oleandertrack/core/organisation/OrganisationDirectory.java
+++ b/core/src/main/java/org/oleandertrack/core/organisation/OrganisationDirectory.java
@@ -9,10 +9,12 @@
 public final class OrganisationDirectory {
 
     /** Directory of a configuration without organisations. */
-    public static final OrganisationDirectory EMPTY = new OrganisationDirectory(false, List.of());
+    public static final OrganisationDirectory EMPTY =
+            new OrganisationDirectory(false, List.of(), List.of());
 
     private final boolean mKeysRequired;
     private final List<Organisation> mOrganisations;
+    private final List<String> mRejectedEntries;
     private final Map<KeyDigest, Organisation> mByKey = new HashMap<>();
 
     /**
@@ -20,9 +22,12 @@
      *
      * @param keysRequired whether requests need a key; also true if the configuration names
      *     organisations of which none is usable
+     * @param rejectedEntries why entries of the configuration are not usable, for operators
      */
-    public OrganisationDirectory(boolean keysRequired, List<Organisation> organisations) {
+    public OrganisationDirectory(
+            boolean keysRequired, List<Organisation> organisations, List<String> rejectedEntries) {
         mKeysRequired = keysRequired;
+        mRejectedEntries = List.copyOf(rejectedEntries);
         mOrganisations = List.copyOf(organisations);
         for (Organisation organisation : mOrganisations) {
             organisation.keyDigests().forEach(key -> mByKey.putIfAbsent(key, organisation));
@@ -39,6 +44,11 @@
         return mOrganisations;
     }
 
+    /** Returns why entries of the configuration are not usable. */
+    public List<String> rejectedEntries() {
+        return mRejectedEntries;
+    }
+
     /** Returns the organisation to which a key belongs. */
     public Optional<Organisation> authenticate(KeyDigest key) {
         return Optional.ofNullable(mByKey.get(key));
--- a/core/src/main/java/org/oleandertrack/core/traffic/Route.java
+++ b/core/src/main/java/org/oleandertrack/core/traffic/Route.java
@@ -1,6 +1,7 @@
 package org.oleandertrack.core.traffic;
 
 import java.util.List;
+import java.util.OptionalInt;
 
 /**
  * Destination and treatment of requests with a given host and path prefix. Immutable.
@@ -21,6 +22,7 @@
  *     conversation before it
  * @param retentionMillis time for which a program's token spending is remembered after its last
  *     turn, and for which a turn is kept on a route that keeps history, in milliseconds
+ * @param anonymous whether requests need no access key although the configuration has organisations
  * @param shares services that serve the route; not empty
  */
 public record Route(
@@ -36,6 +38,7 @@
         long maxEventGapMillis,
         boolean keepsHistory,
         long retentionMillis,
+        boolean anonymous,
         List<RouteShare> shares) {
 
     /** Returns whether a request of this route may be executed more than once. */
@@ -43,6 +46,28 @@
         return kind == RequestKind.SAFE || (kind == RequestKind.STREAMING && resumable);
     }
 
+    /** Returns the route as it applies to an organisation, whose priority takes precedence. */
+    public Route withPriority(OptionalInt organisationPriority) {
+        if (organisationPriority.isEmpty() || organisationPriority.getAsInt() == priority) {
+            return this;
+        }
+        return new Route(
+                name,
+                host,
+                prefix,
+                kind,
+                timeoutMillis,
+                latencyObjectiveMillis,
+                organisationPriority.getAsInt(),
+                maxAttempts,
+                resumable,
+                maxEventGapMillis,
+                keepsHistory,
+                retentionMillis,
+                anonymous,
+                shares);
+    }
+
     /**
      * Chooses one of the services. A key is mapped to the same service as long as the shares do not
      * change.
--- a/core/src/main/java/org/oleandertrack/core/traffic/TrafficConfig.java
+++ b/core/src/main/java/org/oleandertrack/core/traffic/TrafficConfig.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.oleandertrack.core.organisation.OrganisationDirectory;
 
 /**
  * One version of the traffic configuration. Immutable.
@@ -10,6 +11,11 @@
  * @param routes all routes
  * @param services all services by name
  * @param limits limits on callers' requests
+ * @param organisations the organisations to which callers belong
  */
 public record TrafficConfig(
-        long version, List<Route> routes, Map<String, ServiceSpec> services, CallerLimits limits) {}
+        long version,
+        List<Route> routes,
+        Map<String, ServiceSpec> services,
+        CallerLimits limits,
+        OrganisationDirectory organisations) {}
--- a/core/src/test/java/org/oleandertrack/core/traffic/RouteTableTest.java
+++ b/core/src/test/java/org/oleandertrack/core/traffic/RouteTableTest.java
@@ -26,6 +26,7 @@
                 0,
                 false,
                 0,
+                false,
                 List.of(shares));
     }
 
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -43,6 +43,7 @@
     private final TrafficConfig mConfig;
     private final Route mRoute;
     private final CallMetadata mMetadata;
+    private final AdmittedCaller mCaller;
     private final InboundRequest mRequest;
     private final ResponseWriter mWriter;
     private final String mService;
@@ -68,12 +69,14 @@
             TrafficConfig config,
             Route route,
             CallMetadata metadata,
+            AdmittedCaller caller,
             InboundRequest request,
             ResponseWriter writer) {
         mContext = context;
         mConfig = config;
         mRoute = route;
         mMetadata = metadata;
+        mCaller = caller;
         mRequest = request;
         mWriter = writer;
         mSends = new SendHistory(route.maxAttempts());
@@ -83,7 +86,7 @@
                 Optional.ofNullable(config.services().get(mService)).flatMap(ServiceSpec::engine);
         mTurn =
                 engine.flatMap(spec -> metadata.turn())
-                        .map(turn -> turn.toTurnRequest(metadata.program()));
+                        .map(turn -> turn.toTurnRequest(metadata.program(), metadata.scope()));
         mBudget =
                 new CallBudget(
                         context.spending(),
@@ -103,9 +106,7 @@
                                         mLog))
                         : Optional.empty();
         mBody = request.body();
-        mCrashGuard =
-                new CrashGuard(
-                        context, request, metadata.previousTurnId(), writer.eventLoop(), mLog);
+        mCrashGuard = new CrashGuard(context, request, metadata, writer.eventLoop(), mLog);
         mContinuation =
                 new StreamContinuation(
                         context, route, metadata, mService, writer.eventLoop(), mLog);
@@ -118,6 +119,7 @@
                         route.isRepeatable(),
                         () -> mEnded,
                         () -> context.stopAdmission().maySend(route, remainingMillis()),
+                        caller.refusal(),
                         mLog);
     }
 
@@ -128,7 +130,10 @@
         mWriter.setListener(this);
         mTimeoutTimer =
                 mWriter.eventLoop()
-                        .schedule(this::onTimeout, remainingMillis(), TimeUnit.MILLISECONDS);
+                        .schedule(
+                                () -> endEarly(EarlyEnd.atDeadline()),
+                                remainingMillis(),
+                                TimeUnit.MILLISECONDS);
         if (mCrashGuard.isQuarantined()) {
             fail(CallFailures.quarantined());
             return;
@@ -286,8 +291,10 @@
             case TargetSelection.Result.Selected selected -> send(selected, sameTarget);
             case TargetSelection.Result.NoTarget noTarget -> failWithoutTarget();
             case TargetSelection.Result.RateLimited limited ->
-                    failWithoutPermit(limited.waitMillis());
-            case TargetSelection.Result.Stopping stopping -> fail(CallFailures.shuttingDown());
+                    failBeforeSend(
+                            CallFailures.rateLimited(
+                                    mService, limited.waitMillis(), remainingMillis()));
+            case TargetSelection.Result.Refused refused -> failBeforeSend(refused.refusal());
         }
     }
 
@@ -322,7 +329,8 @@
                                 handle.id(),
                                 Math.max(1, remainingMillis()),
                                 OptionalInt.empty(),
-                                mContinuation.resumeAfter(mProgress.lastEventId()))),
+                                mContinuation.resumeAfter(mProgress.lastEventId()),
+                                mCaller.identity())),
                 mBody.retainedDuplicate());
     }
 
@@ -342,12 +350,12 @@
                                                 mSends.excludedTargetIds().size())));
     }
 
-    private void failWithoutPermit(long waitMillis) {
+    private void failBeforeSend(ResultException refusal) {
         if (mSends.mayHaveRun() || mProgress.isStarted()) {
-            failAfterStart("no other target can be tried");
+            failAfterStart(refusal.getMessage());
             return;
         }
-        fail(CallFailures.rateLimited(mService, waitMillis, remainingMillis()));
+        fail(refusal);
     }
 
     private void failAfterStart(String reason) {
@@ -355,7 +363,7 @@
             abort(reason);
             return;
         }
-        fail(ResultCode.TARGET_FAILED, Execution.UNKNOWN, reason, 0);
+        fail(new ResultException(ResultCode.TARGET_FAILED, Execution.UNKNOWN, reason, 0));
     }
 
     // Stalls
@@ -517,10 +525,6 @@
 
     // End
 
-    private void onTimeout() {
-        endEarly(EarlyEnd.atDeadline());
-    }
-
     private void endEarly(EarlyEnd earlyEnd) {
         if (mEnded) {
             return;
@@ -534,15 +538,12 @@
         fail(sent ? earlyEnd.sentFailure() : earlyEnd.unsentFailure());
     }
 
-    private void fail(ResultCode code, Execution execution, String message, long retryAfterMillis) {
-        fail(new ResultException(code, execution, message, retryAfterMillis));
-    }
-
     private void fail(ResultException failure) {
         if (mEnded) {
             return;
         }
         end(failure.code().name(), failure.getMessage());
+        mCaller.onFailure(failure);
         mWriter.respond(
                 mContext.gatewayResponses().makeErrorResponse(failure, mMetadata.requestId()));
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallBudget.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallBudget.java
@@ -47,7 +47,7 @@
         new TokenReservation(
                         mSpending,
                         mLoop,
-                        mMetadata.program().get().programId(),
+                        mMetadata.storedProgramId().get(),
                         budgetTokens,
                         turn.get().maxTokens(),
                         result -> onReservation(result, budgetTokens, onResult))
@@ -85,6 +85,6 @@
     }
 
     private void settle(SpendingResult.Reserved reserved, long tokens) {
-        mSpending.settle(mMetadata.program().orElseThrow().programId(), reserved, tokens);
+        mSpending.settle(mMetadata.storedProgramId().orElseThrow(), reserved, tokens);
     }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallFailures.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallFailures.java
@@ -1,5 +1,6 @@
 package org.oleandertrack.gateway.call;
 
+import java.util.OptionalLong;
 import org.oleandertrack.coordination.spending.SpendingResult;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
@@ -62,13 +63,41 @@
     }
 
     static ResultException rateLimited(String service, long waitMillis, long remainingMillis) {
-        long maxRetryAfterMillis =
-                Math.max(RETRY_AFTER_MILLIS, remainingMillis / RETRY_REMAINING_DIVISOR);
         return new ResultException(
                 ResultCode.TARGETS_RATE_LIMITED,
                 Execution.NOT_RUN,
                 "the targets of " + service + " take no more requests for " + waitMillis + " ms",
-                Math.clamp(waitMillis, RETRY_AFTER_MILLIS, maxRetryAfterMillis));
+                atMostOfRemaining(Math.max(RETRY_AFTER_MILLIS, waitMillis), remainingMillis));
+    }
+
+    static ResultException keyRequired(String reason, long configVersion) {
+        return new ResultException(
+                ResultCode.ACCESS_KEY_REQUIRED,
+                Execution.NOT_RUN,
+                reason + " in configuration " + configVersion,
+                0);
+    }
+
+    static ResultException keysNotCurrent(
+            OptionalLong ageMillis, long retryAfterMillis, long remainingMillis) {
+        return new ResultException(
+                ResultCode.ACCESS_KEYS_NOT_CURRENT,
+                Execution.NOT_RUN,
+                ageMillis.isPresent()
+                        ? "the configuration was last confirmed "
+                                + ageMillis.getAsLong()
+                                + " ms ago"
+                        : "the configuration was never confirmed",
+                atMostOfRemaining(retryAfterMillis, remainingMillis));
+    }
+
+    static ResultException organisationRefused(
+            OrganisationLimiter.Admission.Refused refusal, long remainingMillis) {
+        return new ResultException(
+                refusal.code(),
+                Execution.NOT_RUN,
+                refusal.reason(),
+                atMostOfRemaining(Math.max(1, refusal.retryAfterMillis()), remainingMillis));
     }
 
     static ResultException quarantined() {
@@ -123,4 +152,9 @@
                 "the deadline passed before the request was sent",
                 RETRY_AFTER_MILLIS);
     }
+
+    private static long atMostOfRemaining(long retryAfterMillis, long remainingMillis) {
+        long maxMillis = Math.max(RETRY_AFTER_MILLIS, remainingMillis / RETRY_REMAINING_DIVISOR);
+        return Math.min(retryAfterMillis, maxMillis);
+    }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallHandler.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallHandler.java
@@ -2,8 +2,9 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
+import org.oleandertrack.core.organisation.Organisation;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
@@ -13,6 +14,7 @@
 import org.oleandertrack.http.InboundHandler;
 import org.oleandertrack.http.InboundRequest;
 import org.oleandertrack.http.ResponseWriter;
+import org.oleandertrack.telemetry.logging.EventLog;
 
 /** Routes the requests of callers and starts their calls. Thread-safe. */
 public final class CallHandler implements InboundHandler {
@@ -21,12 +23,14 @@
     private static final long NO_CONFIG_RETRY_MILLIS = 500;
 
     private final CallContext mContext;
+    private final CallerAdmission mAdmission;
     private final AtomicReference<Optional<Routing>> mRouting =
             new AtomicReference<>(Optional.empty());
 
     /** Creates a handler that refuses calls until {@link #configure} is called. */
-    public CallHandler(CallContext context) {
+    public CallHandler(CallContext context, CallerAdmission admission) {
         mContext = context;
+        mAdmission = admission;
     }
 
     /**
@@ -65,6 +69,7 @@
             refuse(request, writer, CallFailures.shuttingDown(), metadata.requestId());
             return;
         }
+        OptionalLong ageMillis = mAdmission.ageMillis();
         Optional<Routing> routing = mRouting.get();
         if (routing.isEmpty()) {
             refuse(
@@ -95,14 +100,51 @@
                     metadata.requestId());
             return;
         }
-        long elapsedNanos = System.nanoTime() - request.firstByteNanos();
-        long remainingMillis =
-                metadata.limitMillis(route.get()) - TimeUnit.NANOSECONDS.toMillis(elapsedNanos);
-        if (!mContext.stopAdmission().maySend(route.get(), remainingMillis)) {
+        CallerAdmission.Arrival arrival =
+                new CallerAdmission.Arrival(
+                        request, writer, metadata, routing.get().config(), route.get(), ageMillis);
+        if (!mContext.stopAdmission().maySend(route.get(), arrival.remainingMillis())) {
             refuse(request, writer, CallFailures.shuttingDown(), metadata.requestId());
             return;
         }
-        new Call(mContext, routing.get().config(), route.get(), metadata, request, writer).start();
+        mAdmission.admit(arrival, result -> onAdmission(arrival, result));
+    }
+
+    private void onAdmission(CallerAdmission.Arrival arrival, CallerAdmission.Result result) {
+        switch (result) {
+            case CallerAdmission.Result.Admitted admitted ->
+                    new Call(
+                                    mContext,
+                                    arrival.config(),
+                                    admitted.route(),
+                                    admitted.metadata(),
+                                    admitted.caller(),
+                                    arrival.request(),
+                                    arrival.writer())
+                            .start();
+            case CallerAdmission.Result.Refused refused -> refuse(arrival, refused);
+        }
+    }
+
+    private void refuse(CallerAdmission.Arrival arrival, CallerAdmission.Result.Refused refused) {
+        ResultException failure = refused.failure();
+        String requestId = arrival.metadata().requestId();
+        mContext.metrics().recordDecision("refusal", failure.code().name());
+        EventLog.Line line =
+                mContext.log()
+                        .info("caller refused")
+                        .text("request", requestId)
+                        .text("route", arrival.route().name())
+                        .text(
+                                "organisation",
+                                refused.organisation().map(Organisation::name).orElse(""))
+                        .text("result", failure.code().name())
+                        .text("reason", failure.getMessage())
+                        .number("retryAfterMs", failure.retryAfterMillis().orElse(0L))
+                        .number("configVersion", arrival.config().version());
+        arrival.ageMillis().ifPresent(millis -> line.number("ageMs", millis));
+        line.write();
+        arrival.writer().respond(mContext.gatewayResponses().makeErrorResponse(failure, requestId));
     }
 
     private void refuse(
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallHistory.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallHistory.java
@@ -60,7 +60,7 @@
         long startNanos = System.nanoTime();
         var _ =
                 mConversations
-                        .find(previousTurnId, mRetentionMillis)
+                        .find(mMetadata.storedPreviousTurnId().get(), mRetentionMillis)
                         .thenAccept(
                                 lookup ->
                                         runOnLoop(
@@ -103,7 +103,7 @@
         }
         KeptTurn turn =
                 new KeptTurn(
-                        mMetadata.requestId(),
+                        mMetadata.storedRequestId(),
                         mPrevious.append(mInput, ByteBufUtil.getBytes(mOutput)),
                         mRetentionMillis);
         long startNanos = System.nanoTime();
@@ -123,7 +123,7 @@
 
     /** Forgets the turn, because the caller did not get its whole response. */
     void forget() {
-        mConversations.forget(mMetadata.requestId());
+        mConversations.forget(mMetadata.storedRequestId());
     }
 
     private void onFound(TurnLookup lookup, Consumer<TurnLookup> onResult) {
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CrashGuard.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CrashGuard.java
@@ -23,7 +23,7 @@
     private final QuarantineService mQuarantine;
     private final AnsweredPaths mAnsweredPaths;
     private final InboundRequest mRequest;
-    private final Optional<String> mPreviousTurnId;
+    private final CallMetadata mMetadata;
     private final EventLoop mLoop;
     private final CallLog mLog;
     private final String mPath;
@@ -33,16 +33,16 @@
     CrashGuard(
             CallContext context,
             InboundRequest request,
-            Optional<String> previousTurnId,
+            CallMetadata metadata,
             EventLoop loop,
             CallLog log) {
         mQuarantine = context.quarantine();
         mAnsweredPaths = context.answeredPaths();
         mRequest = request;
-        mPreviousTurnId = previousTurnId;
+        mMetadata = metadata;
         mLoop = loop;
         mLog = log;
-        mPath = RequestIdentity.pathOf(request);
+        mPath = RequestIdentity.pathOf(request, metadata.scope());
     }
 
     /** Returns whether the request must not be sent to a target. */
@@ -94,7 +94,7 @@
 
     private String contentKey() {
         if (mContentKey.isEmpty()) {
-            mContentKey = Optional.of(RequestIdentity.contentKeyOf(mRequest, mPreviousTurnId));
+            mContentKey = Optional.of(RequestIdentity.contentKeyOf(mRequest, mMetadata));
         }
         return mContentKey.get();
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/HeaderCodec.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/HeaderCodec.java
@@ -1,6 +1,8 @@
 package org.oleandertrack.gateway.call;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import org.oleandertrack.core.organisation.KeyDigest;
 import org.oleandertrack.core.result.ResultException;
 
 /**
@@ -16,6 +18,12 @@
      */
     CallMetadata decodeRequest(HttpHeaders headers);
 
+    /**
+     * Returns the digest of the access key that a caller's request carries; empty if it carries
+     * none, or several.
+     */
+    Optional<KeyDigest> readAccessKey(HttpHeaders headers);
+
     /**
      * Writes instructions into the headers of a request for a target, and removes headers of the
      * caller that only the gateway may set.
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/RequestIdentity.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/RequestIdentity.java
@@ -5,7 +5,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
-import java.util.Optional;
+import org.oleandertrack.core.organisation.IdScope;
 import org.oleandertrack.http.InboundRequest;
 
 /**
@@ -21,12 +21,13 @@
 
     private RequestIdentity() {}
 
-    /** Returns method, host and path of a request as text. */
-    static String pathOf(InboundRequest request) {
-        return request.head().method()
-                + " "
-                + request.head().headers().get(HttpHeaderNames.HOST, "")
-                + request.head().uri();
+    /** Returns method, host and path of a request as text that is unique among organisations. */
+    static String pathOf(InboundRequest request, IdScope scope) {
+        return scope.memoryId(
+                request.head().method()
+                        + " "
+                        + request.head().headers().get(HttpHeaderNames.HOST, "")
+                        + request.head().uri());
     }
 
     /** Returns the key of all requests with a path of {@link #pathOf}. */
@@ -37,15 +38,17 @@
     }
 
     /**
-     * Returns the key of all requests with the same path and body. Requests without a body are told
-     * apart by the address of their caller too, because many callers share their paths.
+     * Returns the key of all requests with the same path and body from one organisation. Requests
+     * without a body are told apart by the address of their caller too, because many callers share
+     * their paths.
      *
-     * @param previousTurnId id of the turn that the request continues, whose content belongs to it
+     * @param metadata states the turn that the request continues, whose content belongs to it, and
+     *     the scope of its caller
      */
-    static String contentKeyOf(InboundRequest request, Optional<String> previousTurnId) {
+    static String contentKeyOf(InboundRequest request, CallMetadata metadata) {
         MessageDigest digest = newDigest();
-        add(digest, pathOf(request));
-        add(digest, previousTurnId.orElse(""));
+        add(digest, pathOf(request, metadata.scope()));
+        add(digest, metadata.previousTurnId().orElse(""));
         if (request.body().isReadable()) {
             digest.update(request.body().nioBuffer());
         } else {
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/StreamContinuation.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StreamContinuation.java
@@ -125,7 +125,7 @@
         mLastTakenUpEvent = takeUp.lastEventNumber().orElse(0);
         long startNanos = System.nanoTime();
         var _ =
-                mOrigins.find(takeUp.firstRequestId(), mService)
+                mOrigins.find(mMetadata.storedFirstRequestId(), mService)
                         .thenAccept(
                                 lookup ->
                                         runOnLoop(
@@ -157,7 +157,7 @@
         if (mMayBeTakenUp) {
             mOrigins.record(
                     new RecordedOrigin(
-                            mMetadata.requestId(),
+                            mMetadata.storedRequestId(),
                             origin,
                             Math.max(0, remainingMillis) + RETENTION_MARGIN_MILLIS));
         }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/TargetSelection.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/TargetSelection.java
@@ -8,8 +8,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.oleandertrack.core.rate.PermitRequest;
 import org.oleandertrack.core.rate.PermitResult;
+import org.oleandertrack.core.result.ResultException;
 import org.oleandertrack.core.turn.PlacementChoice;
 import org.oleandertrack.core.turn.TurnRequest;
 import org.oleandertrack.gateway.targets.PermitIssuer;
@@ -46,8 +48,11 @@
          */
         record RateLimited(long waitMillis) implements Result {}
 
-        /** The process stops, and the call may last beyond that. */
-        record Stopping() implements Result {}
+        /**
+         * The request must not be sent: the process stops before the call would end, or the
+         * caller's key may have been revoked since the call was admitted.
+         */
+        record Refused(ResultException refusal) implements Result {}
     }
 
     // Each denied permit costs a round trip to another host.
@@ -63,6 +68,7 @@
     private final boolean mRepeatable;
     private final BooleanSupplier mAbandoned;
     private final BooleanSupplier mMaySend;
+    private final Supplier<Optional<ResultException>> mCallerRefusal;
     private final CallLog mLog;
 
     /**
@@ -70,6 +76,7 @@
      *
      * @param abandoned returns whether the call has ended and needs no target any more
      * @param maySend returns whether a call that has not run yet may be sent
+     * @param callerRefusal returns the reason if the caller's call must not be sent any more
      */
     TargetSelection(
             CallContext context,
@@ -79,6 +86,7 @@
             boolean repeatable,
             BooleanSupplier abandoned,
             BooleanSupplier maySend,
+            Supplier<Optional<ResultException>> callerRefusal,
             CallLog log) {
         mTargets = context.targets();
         mPermits = context.permits();
@@ -88,6 +96,7 @@
         mRepeatable = repeatable;
         mAbandoned = abandoned;
         mMaySend = maySend;
+        mCallerRefusal = callerRefusal;
         mLog = log;
     }
 
@@ -234,7 +243,13 @@
             }
             if (mMayRefuse && !mMaySend.getAsBoolean()) {
                 mTargets.withdraw(placed.handle());
-                mOnResult.accept(new Result.Stopping());
+                mOnResult.accept(new Result.Refused(CallFailures.shuttingDown()));
+                return;
+            }
+            Optional<ResultException> refusal = mCallerRefusal.get();
+            if (refusal.isPresent()) {
+                mTargets.withdraw(placed.handle());
+                mOnResult.accept(new Result.Refused(refusal.get()));
                 return;
             }
             mTurn.filter(turn -> mRequired.isEmpty())
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/TurnMetadata.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/TurnMetadata.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.oleandertrack.core.organisation.IdScope;
 import org.oleandertrack.core.turn.PromptPart;
 import org.oleandertrack.core.turn.TurnRequest;
 
@@ -26,13 +27,19 @@
 
     private static final int DEFAULT_EXPECTED_OUTPUT_TOKENS = 35;
 
-    /** Returns the turn as placement needs it. */
-    TurnRequest toTurnRequest(Optional<ProgramMetadata> program) {
+    /** Returns the turn as placement needs it, with ids that are unique among organisations. */
+    TurnRequest toTurnRequest(Optional<ProgramMetadata> program, IdScope scope) {
         long expected = expectedTokens.orElse(DEFAULT_EXPECTED_OUTPUT_TOKENS);
         return new TurnRequest(
                 promptTokens,
-                promptParts,
+                scope.equals(IdScope.NONE)
+                        ? promptParts
+                        : promptParts.stream().map(part -> scoped(part, scope)).toList(),
                 Math.clamp(expected, 1, Math.max(1, maxTokens)),
-                program.map(ProgramMetadata::programId).orElse(""));
+                program.map(ProgramMetadata::programId).map(scope::memoryId).orElse(""));
+    }
+
+    private static PromptPart scoped(PromptPart part, IdScope scope) {
+        return new PromptPart(scope.memoryId(part.id()), part.tokens());
     }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/ConfigFeed.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/ConfigFeed.java
@@ -2,28 +2,42 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.oleandertrack.coordination.feed.TableListener;
 import org.oleandertrack.coordination.store.RowChange;
 import org.oleandertrack.coordination.store.StoredRow;
+import org.oleandertrack.core.organisation.ConfigFreshness;
 import org.oleandertrack.core.traffic.TrafficConfig;
 import org.oleandertrack.gateway.call.CallHandler;
+import org.oleandertrack.gateway.peer.PeerConfiguration;
 import org.oleandertrack.gateway.targets.TargetRegistry;
 import org.oleandertrack.telemetry.logging.EventLog;
 
-/** Activates each configuration that the store publishes, unless a newer one is active. */
-final class ConfigFeed implements TableListener {
+/**
+ * Activates each configuration that the store publishes or a peer passes on, unless a newer one is
+ * active, and records when the store has confirmed the newest one. Thread-safe.
+ */
+final class ConfigFeed implements TableListener, PeerConfiguration {
 
     private final PlatformTables mTables;
     private final CallHandler mCallHandler;
     private final TargetRegistry mTargets;
+    private final ConfigFreshness mFreshness;
     private final EventLog mLog;
     private final StoreOutageLog mOutageLog;
+    // Without access keys, because it is kept for peers.
+    private volatile Optional<StoredRow> mRow = Optional.empty();
 
     ConfigFeed(
-            PlatformTables tables, CallHandler callHandler, TargetRegistry targets, EventLog log) {
+            PlatformTables tables,
+            CallHandler callHandler,
+            TargetRegistry targets,
+            ConfigFreshness freshness,
+            EventLog log) {
         mTables = tables;
         mCallHandler = callHandler;
         mTargets = targets;
+        mFreshness = freshness;
         mLog = log;
         mOutageLog = new StoreOutageLog(tables.configTable(), log);
     }
@@ -42,6 +56,11 @@
         }
     }
 
+    @Override
+    public void onConfirmed(long begunNanos, long begunWallMillis) {
+        mFreshness.confirm(new ConfigFreshness.Moment(begunNanos, begunWallMillis));
+    }
+
     @Override
     public void onStoreLost(String reason) {
         mOutageLog.logLost(reason);
@@ -52,7 +71,34 @@
         mOutageLog.logRegained(outageMillis);
     }
 
-    private void apply(StoredRow row) {
+    @Override
+    public OptionalLong version() {
+        return mCallHandler
+                .config()
+                .map(config -> OptionalLong.of(config.version()))
+                .orElse(OptionalLong.empty());
+    }
+
+    @Override
+    public boolean isKeyRequired() {
+        return mCallHandler
+                .config()
+                .map(config -> config.organisations().isKeyRequired())
+                .orElse(true);
+    }
+
+    @Override
+    public Optional<StoredRow> row() {
+        return mRow;
+    }
+
+    @Override
+    public void onPeerRow(StoredRow row) {
+        apply(row);
+    }
+
+    // Configurations of the store and of peers must not overtake each other.
+    private synchronized void apply(StoredRow row) {
         Optional<TrafficConfig> config;
         try {
             config = mTables.readConfig(row);
@@ -63,17 +109,25 @@
                     .write();
             return;
         }
-        config.ifPresent(this::configure);
+        config.ifPresent(value -> configure(value, row));
     }
 
-    private void configure(TrafficConfig config) {
+    private void configure(TrafficConfig config, StoredRow row) {
         boolean activated = mCallHandler.configure(config);
         if (activated) {
             mTargets.configure(config);
+            mRow = Optional.of(mTables.withoutSecrets(row));
+            for (String reason : config.organisations().rejectedEntries()) {
+                mLog.warn("organisation rejected")
+                        .number("configVersion", config.version())
+                        .text("reason", reason)
+                        .write();
+            }
         }
         mLog.notice(activated ? "configuration in force" : "configuration is not newer")
                 .number("configVersion", config.version())
                 .number("routes", config.routes().size())
+                .number("organisations", config.organisations().organisations().size())
                 .write();
     }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -13,6 +13,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +33,8 @@
 import org.oleandertrack.coordination.stream.SoftwareVersions;
 import org.oleandertrack.coordination.stream.StreamOriginService;
 import org.oleandertrack.core.discovery.TargetDirectory;
+import org.oleandertrack.core.organisation.ConfigFreshness;
+import org.oleandertrack.core.organisation.KeyAdmission;
 import org.oleandertrack.core.quarantine.AnsweredPaths;
 import org.oleandertrack.core.rate.TargetPacers;
 import org.oleandertrack.core.result.ResultCode;
@@ -44,11 +47,16 @@
 import org.oleandertrack.gateway.call.CallContext;
 import org.oleandertrack.gateway.call.CallHandler;
 import org.oleandertrack.gateway.call.CallMetrics;
+import org.oleandertrack.gateway.call.CallerAdmission;
 import org.oleandertrack.gateway.call.GatewayResponses;
 import org.oleandertrack.gateway.call.HeaderCodec;
+import org.oleandertrack.gateway.call.OrganisationLimiter;
 import org.oleandertrack.gateway.call.ResponseMemory;
 import org.oleandertrack.gateway.call.StopAdmission;
+import org.oleandertrack.gateway.peer.FilteredRowStore;
 import org.oleandertrack.gateway.peer.PeerAllowanceIssuer;
+import org.oleandertrack.gateway.peer.PeerConfiguration;
+import org.oleandertrack.gateway.peer.PeerConfirmations;
 import org.oleandertrack.gateway.peer.PeerConversations;
 import org.oleandertrack.gateway.peer.PeerCrashReports;
 import org.oleandertrack.gateway.peer.PeerDirectory;
@@ -69,6 +77,7 @@
 /** Builds the components of a gateway process, and starts and stops them. */
 public final class GatewayHost {
 
+    private static final double MILLIS_PER_SECOND = 1_000;
     private static final long MAINTENANCE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
     private static final long ANNOUNCE_RETRY_DELAY_NANOS = TimeUnit.SECONDS.toNanos(1);
     // Number of answered paths that are remembered; a path takes about 100 bytes.
@@ -96,6 +105,11 @@
     private final StreamOriginService mStreamOrigins;
     private final ConversationService mConversations;
     private final Gauge mHeldTurns;
+    private final ConfigFreshness mFreshness =
+            new ConfigFreshness(System::nanoTime, System::currentTimeMillis);
+    private final Optional<PeerConfirmations> mConfirmations;
+    private final Gauge mConfigVersion;
+    private final Gauge mConfigAge;
     private final StopAdmission mStopAdmission = new StopAdmission(System::nanoTime);
     private final CallHandler mCallHandler;
     private final TargetFeed mTargetFeed;
@@ -166,33 +180,23 @@
         mConversations = makeConversations(random);
         mHeldTurns = metrics.gauge(Metric.TURNS_HELD);
         GatewayResponses gatewayResponses = new GatewayResponses(headerCodec);
-        mCallHandler =
-                new CallHandler(
-                        new CallContext(
-                                headerCodec,
-                                gatewayResponses,
-                                mTargetDirectory,
-                                mTargets,
-                                mPermits,
-                                mSpending,
-                                mQuarantine,
-                                new AnsweredPaths(ANSWERED_PATHS),
-                                mStreamOrigins,
-                                mConversations,
-                                mStopAdmission,
-                                new ResponseMemory(settings.responseMemoryBytes()),
-                                log,
-                                new CallMetrics(metrics)));
+        mCallHandler = makeCallHandler(headerCodec, gatewayResponses);
         mTargetFeed = new TargetFeed(tables, mTargetDirectory, System::nanoTime, log);
-        mConfigFollower =
-                follow(
-                        tables.configTable(),
-                        new ConfigFeed(tables, mCallHandler, mTargets, log),
-                        random);
+        ConfigFeed configFeed = new ConfigFeed(tables, mCallHandler, mTargets, mFreshness, log);
+        mConfigFollower = follow(tables.configTable(), configFeed, random);
+        mConfirmations =
+                settings.revocationMillis().isPresent()
+                        ? Optional.of(
+                                new PeerConfirmations(mPeers, mFreshness, configFeed, random, log))
+                        : Optional.empty();
+        mConfigVersion = metrics.gauge(Metric.CONFIGURATION_VERSION);
+        mConfigAge = metrics.gauge(Metric.CONFIGURATION_AGE);
         mTargetFollower = follow(tables.targetTable(), mTargetFeed, random);
         mPeerFollower = follow(PeerDirectory.TABLE, mPeers, random);
         mQuarantineFollower = follow(QuarantineService.TABLE, mQuarantine, random);
-        mPeerServer = makePeerServer(loops, store);
+        mPeerServer =
+                makePeerServer(
+                        loops, new FilteredRowStore(store, tables::withoutSecrets), configFeed);
         mCallerServer = makeCallerServer(loops, gatewayResponses);
         mReadinessServer =
                 new HttpServer(
@@ -312,7 +316,39 @@
     // Helpers
 
     private TableFollower follow(String table, TableListener listener, Random random) {
-        return new TableFollower(mStore, table, mScheduler, System::nanoTime, random, listener);
+        return new TableFollower(
+                mStore,
+                table,
+                mScheduler,
+                System::nanoTime,
+                System::currentTimeMillis,
+                random,
+                listener);
+    }
+
+    private CallHandler makeCallHandler(
+            HeaderCodec headerCodec, GatewayResponses gatewayResponses) {
+        return new CallHandler(
+                new CallContext(
+                        headerCodec,
+                        gatewayResponses,
+                        mTargetDirectory,
+                        mTargets,
+                        mPermits,
+                        mSpending,
+                        mQuarantine,
+                        new AnsweredPaths(ANSWERED_PATHS),
+                        mStreamOrigins,
+                        mConversations,
+                        mStopAdmission,
+                        new ResponseMemory(mSettings.responseMemoryBytes()),
+                        mLog,
+                        new CallMetrics(mMetrics)),
+                new CallerAdmission(
+                        headerCodec,
+                        new KeyAdmission(mSettings.revocationMillis()),
+                        mFreshness,
+                        OrganisationLimiter.UNLIMITED));
     }
 
     private HttpServer makeCallerServer(EventLoopGroup loops, GatewayResponses gatewayResponses) {
@@ -323,7 +359,8 @@
                 status -> makeRejection(gatewayResponses, status));
     }
 
-    private HttpServer makePeerServer(EventLoopGroup loops, RowStore directStore) {
+    private HttpServer makePeerServer(
+            EventLoopGroup loops, RowStore directStore, PeerConfiguration configuration) {
         return new HttpServer(
                 loops,
                 () -> PEER_LIMITS,
@@ -334,7 +371,9 @@
                         mConversations,
                         mOwnPacers,
                         mQuarantine,
-                        mStreamOrigins),
+                        mStreamOrigins,
+                        mFreshness,
+                        configuration),
                 HttpResponses::empty);
     }
 
@@ -393,6 +432,9 @@
 
     private void runMaintenance() {
         mStore.probe();
+        mConfirmations.ifPresent(PeerConfirmations::runMaintenance);
+        mCallHandler.config().ifPresent(config -> mConfigVersion.set((double) config.version()));
+        mFreshness.ageMillis().ifPresent(millis -> mConfigAge.set(millis / MILLIS_PER_SECOND));
         mTargets.setHostCount(1 + mPeers.peerCount());
         mTargetDirectory.dropExpired(System.nanoTime());
         mSpending.runMaintenance();
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.OptionalLong;
 
 /**
  * Settings of a gateway process. Immutable.
@@ -19,6 +20,8 @@
  * @param maxLogLinesPerSecond number of log lines per second beyond which lines about routine work
  *     are dropped
  * @param responseMemoryBytes bytes of responses that are held until they are complete
+ * @param revocationMillis time after which a revoked access key must have no effect at any host, in
+ *     milliseconds; empty if it is not bounded
  */
 public record GatewaySettings(
         String nodeName,
@@ -31,7 +34,8 @@
         long graceMillis,
         long entryRenewalMillis,
         int maxLogLinesPerSecond,
-        long responseMemoryBytes) {
+        long responseMemoryBytes,
+        OptionalLong revocationMillis) {
 
     /** Returns these settings with the given values for those that may change at run time. */
     GatewaySettings withReloadable(GatewaySettings other) {
@@ -46,6 +50,7 @@
                 other.graceMillis,
                 entryRenewalMillis,
                 maxLogLinesPerSecond,
-                responseMemoryBytes);
+                responseMemoryBytes,
+                revocationMillis);
     }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/PlatformTables.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/PlatformTables.java
@@ -21,6 +21,12 @@
      */
     Optional<TrafficConfig> readConfig(StoredRow row);
 
+    /**
+     * Returns a row as it may be passed on to peers: with digests instead of access keys. {@link
+     * #readConfig} decodes both forms alike.
+     */
+    StoredRow withoutSecrets(StoredRow row);
+
     /** Decodes a row of the target table; empty if it does not describe a usable target. */
     Optional<TargetRecord> readTarget(StoredRow row);
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
@@ -164,6 +164,24 @@
                 .thenApply(found -> Optional.ofNullable(found.origin()));
     }
 
+    CompletableFuture<PeerMessages.ConfigurationAge> configurationAge(
+            PeerMessages.AskConfigurationAge message) {
+        return call(
+                PeerMessages.CONFIGURATION_AGE_PATH,
+                message,
+                PeerMessages.ConfigurationAge.class,
+                CALL_TIMEOUT_MILLIS);
+    }
+
+    CompletableFuture<PeerMessages.ConfigurationRow> readConfiguration(
+            PeerMessages.ReadConfiguration message) {
+        return call(
+                PeerMessages.READ_CONFIGURATION_PATH,
+                message,
+                PeerMessages.ConfigurationRow.class,
+                CALL_TIMEOUT_MILLIS);
+    }
+
     /** Takes a permit for a request to a target that the peer paces. */
     CompletableFuture<PermitResult> takePermit(PeerMessages.TakePermit message) {
         byte[] body = RowJson.encode(message).getBytes(StandardCharsets.UTF_8);
--- /dev/null
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerConfirmations.java
@@ -0,0 +1,152 @@
+package org.oleandertrack.gateway.peer;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.oleandertrack.core.organisation.ConfigFreshness;
+import org.oleandertrack.telemetry.logging.EventLog;
+
+/**
+ * Asks peers how old their knowledge of the configuration is while the store does not answer this
+ * host, and reads a newer configuration from them. The answers spread among hosts that the store
+ * does not answer: with three peers asked four times a second, one host that reaches the store
+ * keeps 40 others up to date. Thread-safe.
+ */
+public final class PeerConfirmations {
+
+    // The store answers a waiting call after 1.5 s at the latest.
+    private static final long MAX_SILENCE_MILLIS = 2_000;
+    // Older than any knowledge of a host that the store answers, which is at most about 3 s. This
+    // is noticed after a freeze, when the monotonic clock has not measured the silence.
+    private static final long MAX_USUAL_AGE_MILLIS = 3_500;
+    private static final int ASKED_PEERS = 3;
+
+    private final PeerDirectory mPeers;
+    private final ConfigFreshness mFreshness;
+    private final PeerConfiguration mConfiguration;
+    private final Random mRandom;
+    private final EventLog mLog;
+    private final AtomicBoolean mReading = new AtomicBoolean();
+    private final AtomicBoolean mSilent = new AtomicBoolean();
+    // The peer that last stated the youngest knowledge is asked again first.
+    private volatile Optional<PeerClient> mYoungest = Optional.empty();
+
+    /** Creates an instance that asks the peers of a directory. */
+    public PeerConfirmations(
+            PeerDirectory peers,
+            ConfigFreshness freshness,
+            PeerConfiguration configuration,
+            Random random,
+            EventLog log) {
+        mPeers = peers;
+        mFreshness = freshness;
+        mConfiguration = configuration;
+        mRandom = random;
+        mLog = log;
+    }
+
+    /** Asks peers if the store has not answered this host for too long. Call every 250 ms. */
+    public void runMaintenance() {
+        if (!mConfiguration.isKeyRequired()) {
+            return;
+        }
+        boolean silent = isStoreSilent();
+        if (mSilent.getAndSet(silent) != silent) {
+            logSilence(silent);
+        }
+        if (silent && isOlderThan(MAX_SILENCE_MILLIS)) {
+            selectPeers().forEach(this::ask);
+        }
+    }
+
+    private boolean isStoreSilent() {
+        OptionalLong sinceAnswer = mFreshness.millisSinceAnswer();
+        return sinceAnswer.isEmpty()
+                || sinceAnswer.getAsLong() >= MAX_SILENCE_MILLIS
+                || isOlderThan(MAX_USUAL_AGE_MILLIS);
+    }
+
+    private boolean isOlderThan(long millis) {
+        OptionalLong ageMillis = mFreshness.ageMillis();
+        return ageMillis.isEmpty() || ageMillis.getAsLong() >= millis;
+    }
+
+    private List<PeerClient> selectPeers() {
+        List<PeerClient> peers = new ArrayList<>(mPeers.responsivePeers());
+        Collections.shuffle(peers, mRandom);
+        mYoungest.filter(peers::remove).ifPresent(peers::addFirst);
+        return peers.subList(0, Math.min(ASKED_PEERS, peers.size()));
+    }
+
+    private void ask(PeerClient peer) {
+        ConfigFreshness.Moment begun = mFreshness.now();
+        var _ =
+                peer.configurationAge(
+                                new PeerMessages.AskConfigurationAge(
+                                        mConfiguration.version().orElse(0)))
+                        .whenComplete(
+                                (age, failure) -> {
+                                    if (failure == null) {
+                                        onAge(peer, begun, age);
+                                    }
+                                });
+    }
+
+    private void onAge(
+            PeerClient peer, ConfigFreshness.Moment begun, PeerMessages.ConfigurationAge age) {
+        if (!age.known()) {
+            return;
+        }
+        OptionalLong ownVersion = mConfiguration.version();
+        if (ownVersion.isEmpty() || ownVersion.getAsLong() < age.version()) {
+            readFrom(peer, begun, age);
+            return;
+        }
+        adopt(peer, begun, age);
+    }
+
+    private void adopt(
+            PeerClient peer, ConfigFreshness.Moment begun, PeerMessages.ConfigurationAge age) {
+        OptionalLong ownVersion = mConfiguration.version();
+        if (ownVersion.isEmpty() || ownVersion.getAsLong() != age.version()) {
+            return;
+        }
+        if (mFreshness.confirmThroughPeer(begun, age.ageMillis())) {
+            mYoungest = Optional.of(peer);
+        }
+    }
+
+    private void readFrom(
+            PeerClient peer, ConfigFreshness.Moment begun, PeerMessages.ConfigurationAge age) {
+        if (!mReading.compareAndSet(false, true)) {
+            return;
+        }
+        var _ =
+                peer.readConfiguration(new PeerMessages.ReadConfiguration(age.version()))
+                        .whenComplete(
+                                (answer, failure) -> {
+                                    mReading.set(false);
+                                    if (failure != null || answer.row() == null) {
+                                        return;
+                                    }
+                                    mConfiguration.onPeerRow(answer.row());
+                                    adopt(peer, begun, age);
+                                });
+    }
+
+    private void logSilence(boolean silent) {
+        EventLog.Line line =
+                mLog.notice(
+                        silent
+                                ? "configuration confirmed by peers only"
+                                : "configuration confirmed by the store again");
+        mFreshness.millisSinceAnswer().ifPresent(millis -> line.number("sinceAnswerMs", millis));
+        mFreshness.ageMillis().ifPresent(millis -> line.number("ageMs", millis));
+        mConfiguration.version().ifPresent(version -> line.number("configVersion", version));
+        line.write();
+    }
+}
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
@@ -16,6 +17,7 @@
 import org.oleandertrack.coordination.store.StoreException;
 import org.oleandertrack.coordination.store.StoreFailures;
 import org.oleandertrack.coordination.stream.StreamOriginService;
+import org.oleandertrack.core.organisation.ConfigFreshness;
 import org.oleandertrack.core.rate.TargetPacers;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.http.HttpResponses;
@@ -39,6 +41,8 @@
     private final TargetPacers mOwnPacers;
     private final QuarantineService mQuarantine;
     private final StreamOriginService mStreamOrigins;
+    private final ConfigFreshness mFreshness;
+    private final PeerConfiguration mConfiguration;
 
     /**
      * Creates a handler.
@@ -55,7 +59,9 @@
             ConversationService conversations,
             TargetPacers ownPacers,
             QuarantineService quarantine,
-            StreamOriginService streamOrigins) {
+            StreamOriginService streamOrigins,
+            ConfigFreshness freshness,
+            PeerConfiguration configuration) {
         mDirectStore = directStore;
         mDirectStoreFails = directStoreFails;
         mOwnAllowances = ownAllowances;
@@ -63,6 +69,8 @@
         mOwnPacers = ownPacers;
         mQuarantine = quarantine;
         mStreamOrigins = streamOrigins;
+        mFreshness = freshness;
+        mConfiguration = configuration;
     }
 
     @Override
@@ -145,10 +153,25 @@
                         new PeerMessages.FoundOrigin(
                                 mStreamOrigins.findLocally(find.requestId()).orElse(null)));
             }
+            case PeerMessages.CONFIGURATION_AGE_PATH ->
+                    CompletableFuture.completedFuture(configurationAge());
+            case PeerMessages.READ_CONFIGURATION_PATH ->
+                    CompletableFuture.completedFuture(
+                            new PeerMessages.ConfigurationRow(mConfiguration.row().orElse(null)));
             default -> callStore(path, body);
         };
     }
 
+    // The age is read first, because it holds for the version in force then and for later ones.
+    private PeerMessages.ConfigurationAge configurationAge() {
+        OptionalLong ageMillis = mFreshness.ageMillis();
+        OptionalLong version = mConfiguration.version();
+        return ageMillis.isEmpty() || version.isEmpty()
+                ? PeerMessages.ConfigurationAge.UNKNOWN
+                : new PeerMessages.ConfigurationAge(
+                        true, version.getAsLong(), ageMillis.getAsLong());
+    }
+
     private CompletableFuture<?> callStore(String path, String body) {
         if (mDirectStoreFails.getAsBoolean()) {
             return CompletableFuture.failedFuture(
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
@@ -36,8 +36,40 @@
     static final String HOLD_ORIGINS_PATH = "/peer/origins-hold";
     static final String FIND_ORIGIN_PATH = "/peer/origin-find";
 
+    static final String CONFIGURATION_AGE_PATH = "/peer/configuration-age";
+    static final String READ_CONFIGURATION_PATH = "/peer/configuration-read";
+
     private PeerMessages() {}
 
+    /**
+     * Question for the age of a peer's knowledge of the configuration.
+     *
+     * @param version version in force at the host that asks; 0 if it has none
+     */
+    record AskConfigurationAge(long version) {}
+
+    /**
+     * Response to an {@link AskConfigurationAge}.
+     *
+     * @param known whether the peer has a configuration and a confirmation of it
+     * @param version version in force at the peer
+     * @param ageMillis time since that was confirmed as the newest one, in milliseconds
+     */
+    record ConfigurationAge(boolean known, long version, long ageMillis) {
+
+        static final ConfigurationAge UNKNOWN = new ConfigurationAge(false, 0, 0);
+    }
+
+    /**
+     * Request for the configuration in force at a peer.
+     *
+     * @param version version that the peer has named
+     */
+    record ReadConfiguration(long version) {}
+
+    /** Response to a {@link ReadConfiguration}: the row without access keys; null if unknown. */
+    record ConfigurationRow(StoredRow row) {}
+
     /** Request to hold the origins of streams, because the store does not take them. */
     record HoldOrigins(List<RecordedOrigin> origins) {
 
--- a/gateway/src/test/java/org/oleandertrack/gateway/call/StopAdmissionTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/call/StopAdmissionTest.java
@@ -35,6 +35,7 @@
                 300,
                 false,
                 0,
+                false,
                 List.of(new RouteShare("s", 1)));
     }
 
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
@@ -10,6 +10,7 @@
 import java.time.Clock;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -33,15 +34,21 @@
     private final InetSocketAddress mAddress;
 
     TestGateway(long graceMillis) {
-        this(graceMillis, Optional.empty());
+        this(graceMillis, Optional.empty(), OptionalLong.empty());
+    }
+
+    /** Creates a gateway on which keys count only while the configuration is known to be new. */
+    TestGateway(OptionalLong revocationMillis) {
+        this(1_000, Optional.empty(), revocationMillis);
     }
 
     /** Creates a gateway that shares the store of another one. */
     TestGateway(MemoryRowStore store) {
-        this(1_000, Optional.of(store));
+        this(1_000, Optional.of(store), OptionalLong.empty());
     }
 
-    private TestGateway(long graceMillis, Optional<MemoryRowStore> store) {
+    private TestGateway(
+            long graceMillis, Optional<MemoryRowStore> store, OptionalLong revocationMillis) {
         mStore = store.orElseGet(() -> new MemoryRowStore(mExecutor));
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         mSettings =
@@ -56,7 +63,8 @@
                         graceMillis,
                         2_000,
                         MAX_LOG_LINES,
-                        RESPONSE_MEMORY_BYTES);
+                        RESPONSE_MEMORY_BYTES,
+                        revocationMillis);
         mHost =
                 new GatewayHost(
                         mSettings,
@@ -98,7 +106,12 @@
     }
 
     void configure(long version) {
-        mStore.put(TestTables.CONFIG, "config", Long.toString(version));
+        configure(version, "");
+    }
+
+    /** Publishes a configuration with organisations, each with a space before its name and key. */
+    void configure(long version, String organisations) {
+        mStore.put(TestTables.CONFIG, "config", version + organisations);
         Awaitility.await().until(() -> logs().contains("\"configVersion\":" + version + ","));
     }
 
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestHeaderCodec.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestHeaderCodec.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import org.oleandertrack.core.organisation.CallerIdentity;
+import org.oleandertrack.core.organisation.KeyDigest;
 import org.oleandertrack.gateway.call.CallMetadata;
 import org.oleandertrack.gateway.call.HeaderCodec;
 import org.oleandertrack.gateway.call.ProgramMetadata;
@@ -39,8 +41,20 @@
                                                 Optional.ofNullable(headers.get("First-Id")), id)));
     }
 
+    @Override
+    public Optional<KeyDigest> readAccessKey(HttpHeaders headers) {
+        return Optional.ofNullable(headers.get("Key")).map(KeyDigest::ofKey);
+    }
+
     @Override
     public void writeInstructions(HttpHeaders headers, TargetInstructions instructions) {
+        if (!(instructions.caller() instanceof CallerIdentity.Unchecked)) {
+            headers.remove("Key");
+            headers.remove("Organisation");
+        }
+        if (instructions.caller() instanceof CallerIdentity.Member member) {
+            headers.set("Organisation", member.organisation().name());
+        }
         headers.set("Target", instructions.targetId());
         headers.set("Deadline", instructions.timeoutMillis());
         instructions
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestTables.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestTables.java
@@ -1,12 +1,18 @@
 package org.oleandertrack.gateway.host;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.oleandertrack.coordination.store.StoredRow;
 import org.oleandertrack.core.discovery.TargetRecord;
+import org.oleandertrack.core.organisation.KeyDigest;
+import org.oleandertrack.core.organisation.Organisation;
+import org.oleandertrack.core.organisation.OrganisationDirectory;
 import org.oleandertrack.core.traffic.CallerLimits;
 import org.oleandertrack.core.traffic.EngineSpec;
 import org.oleandertrack.core.traffic.RequestKind;
@@ -16,8 +22,9 @@
 import org.oleandertrack.core.traffic.TrafficConfig;
 
 /**
- * Row formats of the tests. The row of a configuration holds only its version; the row of a target
- * holds "service port draining startedAtMillis", and the version of the software if it is not "v1".
+ * Row formats of the tests. The row of a configuration holds its version, and then the name of each
+ * organisation and its key in turn; the row of a target holds "service port draining
+ * startedAtMillis", and the version of the software if it is not "v1".
  */
 final class TestTables implements PlatformTables {
 
@@ -38,7 +45,8 @@
 
     @Override
     public Optional<TrafficConfig> readConfig(StoredRow row) {
-        long version = Long.parseLong(row.value());
+        String[] words = row.value().split(" ", -1);
+        long version = Long.parseLong(words[0]);
         Map<String, ServiceSpec> services = new HashMap<>();
         services.put(
                 "engine",
@@ -53,6 +61,7 @@
                                 route("kept", RequestKind.STREAMING, "engine"),
                                 route("relay", RequestKind.STREAMING, "engine"),
                                 route("safe", RequestKind.SAFE, "tool"),
+                                route("open", RequestKind.SAFE, "tool"),
                                 route("unsafe", RequestKind.UNSAFE, "tool"),
                                 route(
                                         "patient",
@@ -61,7 +70,26 @@
                                         PATIENT_TIMEOUT_MILLIS),
                                 route("v" + version, RequestKind.SAFE, "tool")),
                         services,
-                        CallerLimits.DEFAULT));
+                        CallerLimits.DEFAULT,
+                        readOrganisations(words)));
+    }
+
+    private static OrganisationDirectory readOrganisations(String[] words) {
+        List<Organisation> organisations = new ArrayList<>();
+        for (int i = 1; i + 1 < words.length; i += 2) {
+            organisations.add(
+                    new Organisation(
+                            words[i],
+                            Set.of(KeyDigest.ofKey(words[i + 1])),
+                            OptionalInt.empty(),
+                            Optional.empty()));
+        }
+        return new OrganisationDirectory(words.length > 1, organisations, List.of());
+    }
+
+    @Override
+    public StoredRow withoutSecrets(StoredRow row) {
+        return row;
     }
 
     private static Route route(String name, RequestKind kind, String service) {
@@ -82,6 +110,7 @@
                 300,
                 name.equals("talk") || name.equals("kept"),
                 60_000,
+                name.equals("open"),
                 List.of(new RouteShare(service, 1)));
     }
 
--- a/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
@@ -23,6 +23,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicLong;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -52,6 +53,7 @@
 import org.oleandertrack.coordination.stream.StreamOrigin;
 import org.oleandertrack.coordination.stream.StreamOriginListener;
 import org.oleandertrack.coordination.stream.StreamOriginService;
+import org.oleandertrack.core.organisation.ConfigFreshness;
 import org.oleandertrack.core.rate.PermitRequest;
 import org.oleandertrack.core.rate.PermitResult;
 import org.oleandertrack.core.rate.TargetPacers;
@@ -149,6 +151,10 @@
                     new Random(1),
                     mStreamOriginListener);
 
+    private final AtomicLong mNanos = new AtomicLong();
+    private final ConfigFreshness mFreshness = new ConfigFreshness(mNanos::get, () -> 0);
+    private final FakePeerConfiguration mConfiguration = new FakePeerConfiguration();
+
     private final HttpServer mServer =
             new HttpServer(
                     mLoops,
@@ -160,7 +166,9 @@
                             conversations(),
                             mPacers,
                             mQuarantine,
-                            mStreamOrigins),
+                            mStreamOrigins,
+                            mFreshness,
+                            mConfiguration),
                     HttpResponses::empty);
     private final InetSocketAddress mAddress =
             mServer.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
