Tell a store over its rate from one that is away

A call that the store refused with 429 was treated like one that it could not serve: the store counted as lost on this host, and the call was passed to up to six peers, whose calls the same rate refuses. One refused call became seven.

StoreException now has its own kind for the rate. RelayingRowStore makes such a call once, does not mark the store as lost and reports it to a listener, which counts and logs it apart from calls that failed otherwise. A peer answers 429 for it, and the caller neither tries another peer nor skips this one as one without the store.

--- a/coordination/src/main/java/org/oleandertrack/coordination/relay/RelayingRowStore.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/relay/RelayingRowStore.java
@@ -23,7 +23,8 @@
  * Calls the store directly, or through a peer while direct calls fail. The store may refuse the
  * calls of some hosts, or be unreachable from them, while it serves the other hosts. A transaction
  * is passed to a peer only if it certainly has not been applied. While direct calls fail, only
- * {@link #probe} makes direct calls. Thread-safe.
+ * {@link #probe} makes direct calls. A call that is refused for the store's rate is not passed on,
+ * because the rate is that of all hosts together. Thread-safe.
  */
 public final class RelayingRowStore implements RowStore {
 
@@ -38,6 +39,7 @@
     private final RowStore mDirect;
     private final Supplier<List<RowStore>> mPeers;
     private final Random mRandom;
+    private final StoreRefusalListener mListener;
     private final AtomicBoolean mDirectFailing = new AtomicBoolean();
     private final AtomicBoolean mProbing = new AtomicBoolean();
 
@@ -47,16 +49,25 @@
      * @param direct makes direct calls to the store
      * @param peers returns one store for each peer, which passes calls on to that peer; asked again
      *     for each call
+     * @param listener receives each direct call that failed
      */
-    public RelayingRowStore(RowStore direct, Supplier<List<RowStore>> peers, Random random) {
+    public RelayingRowStore(
+            RowStore direct,
+            Supplier<List<RowStore>> peers,
+            Random random,
+            StoreRefusalListener listener) {
         mDirect = direct;
         mPeers = peers;
         mRandom = random;
+        mListener = listener;
     }
 
     // Accessors
 
-    /** Returns whether the direct call that ended last failed. */
+    /**
+     * Returns whether the direct call that ended last failed. A call that the store refused for its
+     * rate counts as answered.
+     */
     public boolean isDirectFailing() {
         return mDirectFailing.get();
     }
@@ -106,8 +117,21 @@
     }
 
     private <T> CompletableFuture<T> callDirectly(Function<RowStore, CompletableFuture<T>> call) {
-        return call.apply(mDirect)
-                .whenComplete((value, failure) -> mDirectFailing.set(failure != null));
+        return call.apply(mDirect).whenComplete((value, failure) -> onDirectCallEnded(failure));
+    }
+
+    private void onDirectCallEnded(Throwable failure) {
+        boolean overRate = StoreFailures.isOverRate(failure);
+        mDirectFailing.set(failure != null && !overRate);
+        if (failure == null) {
+            return;
+        }
+        String reason = StoreFailures.asStoreException(failure).getMessage();
+        if (overRate) {
+            mListener.onOverRate(reason);
+        } else {
+            mListener.onUnavailable(reason);
+        }
     }
 
     private <T> CompletableFuture<T> callThroughPeers(
@@ -145,7 +169,7 @@
     }
 
     private static boolean mayTryAgain(Throwable failure, boolean repeatable) {
-        return repeatable || isRefusal(failure);
+        return !StoreFailures.isOverRate(failure) && (repeatable || isRefusal(failure));
     }
 
     private static boolean isRefusal(Throwable failure) {
--- a/coordination/src/main/java/org/oleandertrack/coordination/store/StoreException.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/store/StoreException.java
@@ -8,6 +8,8 @@
     private static final long serialVersionUID = 1L;
 
     private final Execution mExecution;
+    private final boolean mOverRate;
+    private final long mRetryAfterMillis;
 
     /**
      * Creates a failure.
@@ -16,11 +18,46 @@
      *     it may have taken effect or may still do so
      */
     public StoreException(Execution execution, String message, Throwable cause) {
+        this(execution, message, cause, false, 0);
+    }
+
+    private StoreException(
+            Execution execution,
+            String message,
+            Throwable cause,
+            boolean overRate,
+            long retryAfterMillis) {
         super(message, cause);
         mExecution = execution;
+        mOverRate = overRate;
+        mRetryAfterMillis = retryAfterMillis;
+    }
+
+    /**
+     * Creates the failure of a request that was refused because the store takes no more requests at
+     * this rate. The request has no effect.
+     *
+     * @param retryAfterMillis time after which the request would be taken, in milliseconds; 0 if it
+     *     is not known
+     */
+    public static StoreException overRate(String message, long retryAfterMillis) {
+        return new StoreException(Execution.NOT_RUN, message, null, true, retryAfterMillis);
     }
 
     public Execution execution() {
         return mExecution;
     }
+
+    /** Returns whether the store is available but takes no more requests at this rate. */
+    public boolean isOverRate() {
+        return mOverRate;
+    }
+
+    /**
+     * Returns the time after which a request over the rate would be taken, in milliseconds; 0 if it
+     * is not known.
+     */
+    public long retryAfterMillis() {
+        return mRetryAfterMillis;
+    }
 }
--- a/coordination/src/main/java/org/oleandertrack/coordination/store/StoreFailures.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/store/StoreFailures.java
@@ -35,18 +35,30 @@
         return unwrap(failure) instanceof StoreException;
     }
 
+    /**
+     * Returns whether a request failed only because the store takes no more requests at this rate,
+     * so that other hosts would be refused as well.
+     */
+    public static boolean isOverRate(Throwable failure) {
+        return unwrap(failure) instanceof StoreException store && store.isOverRate();
+    }
+
     /**
      * Returns a future of the same read that fails with {@link Execution#NOT_RUN}, whatever the
-     * failure of the read. For operations that begin with a read: if it fails, they have no effect.
+     * failure of the read; a refusal for the rate stays one. For operations that begin with a read:
+     * if it fails, they have no effect.
      */
     public static <T> CompletableFuture<T> failAsNotRun(CompletableFuture<T> read) {
         return read.exceptionallyCompose(
                 failure ->
                         CompletableFuture.failedFuture(
-                                new StoreException(
-                                        Execution.NOT_RUN,
-                                        "store read failed: " + unwrap(failure).getMessage(),
-                                        unwrap(failure))));
+                                isOverRate(failure)
+                                        ? asStoreException(failure)
+                                        : new StoreException(
+                                                Execution.NOT_RUN,
+                                                "store read failed: "
+                                                        + unwrap(failure).getMessage(),
+                                                unwrap(failure))));
     }
 
     private static Throwable unwrap(Throwable failure) {
--- a/coordination/src/test/java/org/oleandertrack/coordination/relay/RelayingRowStoreTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/relay/RelayingRowStoreTest.java
@@ -16,6 +16,7 @@
 import org.oleandertrack.coordination.store.RowId;
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.RowTransaction;
+import org.oleandertrack.coordination.store.StoreFailures;
 import org.oleandertrack.coordination.store.TransactionResult;
 
 /**
@@ -29,9 +30,10 @@
     private final FakeRowStore mDirect = new FakeRowStore();
     private final FakeRowStore mPeer = new FakeRowStore();
     private final FakeRowStore mOtherPeer = new FakeRowStore();
+    private final CountingListener mFailures = new CountingListener();
     private final RelayingRowStore mStore =
             new RelayingRowStore(
-                    mDirect, () -> List.<RowStore>of(mPeer, mOtherPeer), new Random(1));
+                    mDirect, () -> List.<RowStore>of(mPeer, mOtherPeer), new Random(1), mFailures);
 
     private int peerTransactions() {
         return mPeer.transactions() + mOtherPeer.transactions();
@@ -71,7 +73,7 @@
         List<FakeRowStore> peers = Stream.generate(FakeRowStore::new).limit(6).toList();
         peers.subList(1, 6).forEach(peer -> peer.setDown(true));
         RelayingRowStore store =
-                new RelayingRowStore(mDirect, () -> List.copyOf(peers), new Random(1));
+                new RelayingRowStore(mDirect, () -> List.copyOf(peers), new Random(1), mFailures);
         mDirect.setDown(true);
         for (int i = 0; i < 10; i++) {
             RowTransaction write = RowTransaction.replace(new RowId("t", "p", "k" + i), 0, "v");
@@ -79,6 +81,33 @@
         }
     }
 
+    /** Guards against a call over the store's rate that becomes up to seven calls. */
+    @Test
+    void aCallOverTheRateIsMadeOnceAndTheStoreIsNotLost() {
+        mDirect.setNextFates(Fate.OVER_RATE);
+        CompletionException failure =
+                assertThrows(CompletionException.class, () -> mStore.apply(WRITE).join());
+        assertTrue(StoreFailures.isOverRate(failure));
+        assertEquals(1, mDirect.transactions());
+        assertEquals(0, peerTransactions());
+        assertFalse(mStore.isDirectFailing());
+        assertEquals(1, mFailures.mOverRate);
+        assertEquals(0, mFailures.mUnavailable);
+    }
+
+    /** Guards against peers that are asked in turn while the rate of all hosts is used up. */
+    @Test
+    void aPeerThatIsOverTheRateIsNotFollowedByAnother() {
+        mDirect.setDown(true);
+        mPeer.setNextFates(Fate.OVER_RATE);
+        mOtherPeer.setNextFates(Fate.OVER_RATE);
+        CompletionException failure =
+                assertThrows(CompletionException.class, () -> mStore.apply(WRITE).join());
+        assertTrue(StoreFailures.isOverRate(failure));
+        assertEquals(1, peerTransactions());
+        assertEquals(1, mFailures.mUnavailable);
+    }
+
     @Test
     void theStoreIsCalledDirectlyAgainAfterASuccessfulProbe() {
         mDirect.setDown(true);
@@ -88,4 +117,19 @@
         mStore.probe();
         assertFalse(mStore.isDirectFailing());
     }
+
+    private static final class CountingListener implements StoreRefusalListener {
+        private int mOverRate;
+        private int mUnavailable;
+
+        @Override
+        public void onOverRate(String reason) {
+            mOverRate++;
+        }
+
+        @Override
+        public void onUnavailable(String reason) {
+            mUnavailable++;
+        }
+    }
 }
--- a/coordination/src/test/java/org/oleandertrack/coordination/spending/FakeRowStore.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/spending/FakeRowStore.java
@@ -27,6 +27,8 @@
         ANSWERED,
         /** The transaction fails as not run. */
         REFUSED,
+        /** The transaction fails as not run, because the store is over its rate. */
+        OVER_RATE,
         /** The transaction is applied, but its future fails with an unknown outcome. */
         ANSWER_LOST,
         /** The transaction is applied, and its future never completes. */
@@ -108,6 +110,9 @@
         return switch (fate) {
             case ANSWERED -> CompletableFuture.completedFuture(execute(transaction));
             case REFUSED -> failed(Execution.NOT_RUN);
+            case OVER_RATE ->
+                    CompletableFuture.failedFuture(
+                            StoreException.overRate("the store is set to be over its rate", 0));
             case ANSWER_LOST -> {
                 execute(transaction);
                 yield failed(Execution.UNKNOWN);
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -140,7 +140,9 @@
                         log);
         mOwnPacers = new TargetPacers(random);
         mPermits = new PeerPermitIssuer(mPeers, mOwnPacers, random, log);
-        mStore = new RelayingRowStore(store, mPeers::relayStores, random);
+        mStore =
+                new RelayingRowStore(
+                        store, mPeers::relayStores, random, new StoreCallLog(log, metrics));
         mTargets =
                 new TargetRegistry(
                         new TurnPlacement(EngineTimes.DEFAULT, settings.zone()),
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
@@ -34,6 +34,7 @@
     private static final long STORE_UNREACHABLE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
     private static final int OK = 200;
     private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int TOO_MANY_REQUESTS = 429;
     private static final String JSON = "application/json";
 
     // A permit delays a caller's request, so it is requested from another host soon.
@@ -228,6 +229,10 @@
     }
 
     private static <T> T decode(String path, ReceivedResponse response, Class<T> responseType) {
+        if (response.status() == TOO_MANY_REQUESTS) {
+            throw StoreException.overRate(
+                    "a peer responded to " + path + " that the store is over its rate", 0);
+        }
         if (response.status() != OK) {
             throw new StoreException(
                     response.status() == SERVICE_UNAVAILABLE
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
@@ -181,11 +181,15 @@
             writer.respond(HttpResponses.text(HttpResponseStatus.OK, JSON, RowJson.encode(value)));
             return;
         }
-        boolean notRun = StoreFailures.executionOf(failure) == Execution.NOT_RUN;
-        writer.respond(
-                HttpResponses.empty(
-                        notRun
-                                ? HttpResponseStatus.SERVICE_UNAVAILABLE
-                                : HttpResponseStatus.BAD_GATEWAY));
+        writer.respond(HttpResponses.empty(statusOf(failure)));
+    }
+
+    private static HttpResponseStatus statusOf(Throwable failure) {
+        if (StoreFailures.isOverRate(failure)) {
+            return HttpResponseStatus.TOO_MANY_REQUESTS;
+        }
+        return StoreFailures.executionOf(failure) == Execution.NOT_RUN
+                ? HttpResponseStatus.SERVICE_UNAVAILABLE
+                : HttpResponseStatus.BAD_GATEWAY;
     }
 }
--- a/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
@@ -44,6 +44,7 @@
 import org.oleandertrack.coordination.store.RowPage;
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.RowTransaction;
+import org.oleandertrack.coordination.store.StoreException;
 import org.oleandertrack.coordination.store.StoreFailures;
 import org.oleandertrack.coordination.store.StoredRow;
 import org.oleandertrack.coordination.store.TransactionResult;
@@ -72,6 +73,7 @@
     private final EventLoopGroup mLoops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private volatile boolean mStoreUnreachable;
+    private volatile boolean mStoreOverRate;
     private volatile TransactionResult mResult = new TransactionResult.Committed(7);
     private volatile RowChanges mChanges = new RowChanges.HistoryLost();
 
@@ -85,6 +87,10 @@
 
                 @Override
                 public CompletableFuture<TransactionResult> apply(RowTransaction transaction) {
+                    if (mStoreOverRate) {
+                        return CompletableFuture.failedFuture(
+                                StoreException.overRate("over the rate", 0));
+                    }
                     return transaction.equals(WRITE)
                             ? CompletableFuture.completedFuture(mResult)
                             : CompletableFuture.failedFuture(
@@ -228,6 +234,17 @@
         assertEquals(Execution.NOT_RUN, StoreFailures.executionOf(failure));
     }
 
+    /** Guards against a refusal for the rate that a peer reports as an unreachable store. */
+    @Test
+    void aPeerPassesARefusalForTheRateOn() {
+        PeerDirectory peers = directory(mAddress);
+        mStoreOverRate = true;
+        CompletableFuture<TransactionResult> call = peers.relayStores().getFirst().apply(WRITE);
+        CompletionException failure = assertThrows(CompletionException.class, call::join);
+        assertTrue(StoreFailures.isOverRate(failure));
+        assertEquals(1, peers.relayStores().size());
+    }
+
     @Test
     void onlyTokensThatWereDepositedAreIssuedAndEachOnce() {
         PeerMessages.MoveAllowance turn = new PeerMessages.MoveAllowance("p", 100);
--- a/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
@@ -75,6 +75,13 @@
             MetricKind.GAUGE,
             "turns",
             "Turns that this host holds because the store does not have them yet."),
+    // The platform's store.
+    STORE_CALL_FAILURES(
+            "oleandertrack_store_call_failures_total",
+            MetricKind.COUNTER,
+            "calls",
+            "Direct calls to the store that failed, by cause: over_rate or unavailable.",
+            "cause"),
     // Ownership and commit.
     SHARDS_HELD(
             "oleandertrack_shards_held",
