Repeat calls over the store's rate instead of treating them as an outage

A refusal for the rate led to what follows an outage: grants were taken from the outage allowance, stored turns and origins went to peers, which then wrote them as well, and followers reported the store as lost.

A refused call is now made again after a jittered pause of 20 to 320 ms. SpendingService does so for 600 ms and then refuses the turn with the new result code STORE_OVER_RATE (5009, 503, not run); it takes nothing from the allowance. Timers that ask peers after a write without an answer start anew after a refusal.

--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
@@ -12,6 +12,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.oleandertrack.coordination.schedule.Scheduler;
+import org.oleandertrack.coordination.store.RateRetry;
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.StoreFailures;
 import org.oleandertrack.core.result.Execution;
@@ -40,6 +41,8 @@
     // While writes of this host have succeeded within this time, the store is not away: it refuses
     // some calls or some hosts, and a refused write is repeated rather than held by hosts alone.
     private static final long STORE_AWAY_NANOS = TimeUnit.SECONDS.toNanos(2);
+    // A read that is refused for the store's rate is repeated for this long.
+    private static final long READ_RATE_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
     private static final int MAX_HAND_OVERS_IN_FLIGHT = 8;
     // Each part is searched for expired turns about once in this time, by any host.
     private static final long REMOVAL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(60);
@@ -216,6 +219,9 @@
         private final long mBeginNanos = mNanoClock.getAsLong();
         private final CompletableFuture<KeepOutcome> mOutcome = new CompletableFuture<>();
         private final AtomicInteger mRefusedWrites = new AtomicInteger();
+        private final AtomicInteger mRateRefusals = new AtomicInteger();
+        private volatile long mLastRateRefusalNanos;
+        private volatile boolean mPausing;
         private boolean mAskedPeers;
 
         private Keeping(KeptTurn turn) {
@@ -223,14 +229,15 @@
         }
 
         private void start() {
-            mScheduler.schedule(REPEAT_NANOS, this::writeUnlessEnded);
+            mScheduler.schedule(REPEAT_NANOS, this::repeatWrite);
             LATER_REPEAT_NANOS.forEach(
-                    delayNanos -> mScheduler.schedule(delayNanos, this::writeUnlessEnded));
-            mScheduler.schedule(STORE_PATIENCE_NANOS, this::holdUnlessEnded);
+                    delayNanos -> mScheduler.schedule(delayNanos, this::repeatWrite));
+            mScheduler.schedule(STORE_PATIENCE_NANOS, this::holdUnlessOverRate);
             write();
         }
 
         private void write() {
+            mPausing = false;
             var _ =
                     mStore.write(mTurn)
                             .whenComplete(
@@ -246,9 +253,11 @@
         }
 
         // A write of unknown outcome may be repeated. A store that refuses all writes is away, and
-        // peers then hold and write the turn.
+        // peers then hold and write the turn. One over its rate is not away, and the writes of the
+        // peers would be refused as well.
         private void onWriteFailed(Throwable failure) {
-            boolean refused = StoreFailures.executionOf(failure) == Execution.NOT_RUN;
+            boolean overRate = StoreFailures.isOverRate(failure);
+            boolean refused = !overRate && StoreFailures.executionOf(failure) == Execution.NOT_RUN;
             boolean away = mNanoClock.getAsLong() - mLastWriteNanos.get() >= STORE_AWAY_NANOS;
             if (refused && mRefusedWrites.incrementAndGet() > 1 && away) {
                 holdUnlessEnded();
@@ -261,9 +270,35 @@
                 mOutcome.complete(KeepOutcome.NOT_KEPT);
                 return;
             }
+            if (overRate) {
+                mPausing = true;
+                mLastRateRefusalNanos = mNanoClock.getAsLong();
+                mScheduler.schedule(
+                        RateRetry.pauseNanos(mRateRefusals.getAndIncrement(), mRandom),
+                        this::writeUnlessEnded);
+                return;
+            }
             mScheduler.schedule(WRITE_RETRY_NANOS, this::writeUnlessEnded);
         }
 
+        // A write that was refused for the rate is made again after its own pause.
+        private void repeatWrite() {
+            if (!mPausing) {
+                writeUnlessEnded();
+            }
+        }
+
+        private void holdUnlessOverRate() {
+            long sinceRefusalNanos = mNanoClock.getAsLong() - mLastRateRefusalNanos;
+            if (mRateRefusals.get() > 0 && sinceRefusalNanos < RateRetry.ANSWERED_AGAIN_NANOS) {
+                mScheduler.schedule(
+                        RateRetry.ANSWERED_AGAIN_NANOS - sinceRefusalNanos,
+                        this::holdUnlessOverRate);
+                return;
+            }
+            holdUnlessEnded();
+        }
+
         private void writeUnlessEnded() {
             if (!mOutcome.isDone()) {
                 write();
@@ -299,7 +334,9 @@
     private final class Finding {
         private final String mTurnId;
         private final long mRetentionMillis;
+        private final long mBeginNanos = mNanoClock.getAsLong();
         private final CompletableFuture<TurnLookup> mResult = new CompletableFuture<>();
+        private final AtomicInteger mRateRefusals = new AtomicInteger();
 
         private Finding(String turnId, long retentionMillis) {
             mTurnId = turnId;
@@ -307,7 +344,13 @@
         }
 
         private void start() {
-            mScheduler.schedule(REPEAT_NANOS, this::readUnlessEnded);
+            mScheduler.schedule(
+                    REPEAT_NANOS,
+                    () -> {
+                        if (mRateRefusals.get() == 0) {
+                            readUnlessEnded();
+                        }
+                    });
             mScheduler.schedule(READ_PATIENCE_NANOS, this::askPeersEarly);
             read();
         }
@@ -358,10 +401,25 @@
         }
 
         private void onReadFailed(Throwable failure) {
+            if (repeatsAfter(failure, this::readUnlessEnded)) {
+                return;
+            }
             String reason = readFailure(failure);
             askPeers(answer -> mResult.complete(new TurnLookup.Unavailable(reason)));
         }
 
+        /** Schedules a read again if it was only refused for the store's rate. */
+        private boolean repeatsAfter(Throwable failure, Runnable read) {
+            boolean repeats =
+                    StoreFailures.isOverRate(failure)
+                            && mNanoClock.getAsLong() - mBeginNanos < READ_RATE_PATIENCE_NANOS;
+            if (repeats) {
+                mScheduler.schedule(
+                        RateRetry.pauseNanos(mRateRefusals.getAndIncrement(), mRandom), read);
+            }
+            return repeats;
+        }
+
         private String readFailure(Throwable failure) {
             if (StoreFailures.isStoreFailure(failure)) {
                 return reason(failure);
@@ -396,6 +454,9 @@
                             .whenComplete(
                                     (conversation, failure) -> {
                                         if (failure != null) {
+                                            if (repeatsAfter(failure, this::readAgain)) {
+                                                return;
+                                            }
                                             mResult.complete(
                                                     new TurnLookup.Unavailable(
                                                             readFailure(failure)));
--- a/coordination/src/main/java/org/oleandertrack/coordination/feed/TableFollower.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/feed/TableFollower.java
@@ -5,6 +5,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.oleandertrack.coordination.schedule.Scheduler;
+import org.oleandertrack.coordination.store.RateRetry;
 import org.oleandertrack.coordination.store.RowChanges;
 import org.oleandertrack.coordination.store.RowReads;
 import org.oleandertrack.coordination.store.RowStore;
@@ -36,6 +37,7 @@
     private long mVersion;
     private boolean mTableRead;
     private int mConsecutiveFailures;
+    private int mConsecutiveRateRefusals;
     private long mOutageStartNanos;
 
     // Life-cycle
@@ -105,6 +107,7 @@
     }
 
     private void onStoreAnswered() {
+        mConsecutiveRateRefusals = 0;
         if (mConsecutiveFailures > 0) {
             mConsecutiveFailures = 0;
             mListener.onStoreRegained(
@@ -117,6 +120,11 @@
             runNextStep();
             return;
         }
+        if (StoreFailures.isOverRate(failure)) {
+            mScheduler.schedule(
+                    RateRetry.pauseNanos(mConsecutiveRateRefusals++, mRandom), this::runNextStep);
+            return;
+        }
         if (mConsecutiveFailures++ == 0) {
             mOutageStartNanos = mNanoClock.getAsLong();
             mListener.onStoreLost(StoreFailures.asStoreException(failure).getMessage());
--- a/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingAccount.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingAccount.java
@@ -13,8 +13,12 @@
  */
 final class SpendingAccount {
 
-    /** A reservation that waits for a grant. */
-    record Waiter(long tokens, CompletableFuture<SpendingResult> result) {}
+    /**
+     * A reservation that waits for a grant.
+     *
+     * @param endNanos time until which it waits while the store is over its rate
+     */
+    record Waiter(long tokens, long endNanos, CompletableFuture<SpendingResult> result) {}
 
     final String mProgram;
     final ArrayDeque<Waiter> mWaiters = new ArrayDeque<>();
@@ -31,6 +35,9 @@
     long mRowVersion;
     int mOpenReservations;
     boolean mStoreRequestInFlight;
+    // Refusals for the store's rate since the store last answered otherwise.
+    int mRateRefusals;
+    long mLastRateRefusalNanos;
     long mLastUsedNanos;
 
     SpendingAccount(String program) {
--- a/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingResult.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingResult.java
@@ -22,4 +22,12 @@
      * taken from the outage allowance either.
      */
     record Unavailable(String reason) implements SpendingResult {}
+
+    /**
+     * Nothing is reserved, because the store takes no more writes at this rate.
+     *
+     * @param retryAfterMillis time after which a write would be taken, in milliseconds; 0 if it is
+     *     not known
+     */
+    record OverRate(String reason, long retryAfterMillis) implements SpendingResult {}
 }
--- a/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingService.java
@@ -8,13 +8,17 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.oleandertrack.coordination.schedule.Scheduler;
 import org.oleandertrack.coordination.spending.GrantPolicy.GrantSize;
 import org.oleandertrack.coordination.spending.SpendingAccount.Waiter;
+import org.oleandertrack.coordination.store.RateRetry;
 import org.oleandertrack.coordination.store.RowId;
 import org.oleandertrack.coordination.store.RowJson;
 import org.oleandertrack.coordination.store.RowPage;
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.RowTransaction;
+import org.oleandertrack.coordination.store.StoreException;
 import org.oleandertrack.coordination.store.StoreFailures;
 import org.oleandertrack.coordination.store.StoredRow;
 import org.oleandertrack.coordination.store.TransactionResult;
@@ -28,6 +32,8 @@
  * used when it dies count as spent. The first grant of a program includes an outage allowance,
  * which one host holds for all; hosts take from it while the store does not answer, and once the
  * rest of the budget is granted. So what all hosts spend never exceeds what the store has granted.
+ * A write that is refused for the store's rate is made again; it is no reason to take from the
+ * allowance, which would be used up before an outage.
  *
  * <p>Accounts are spread over stripes with a lock each. Thread-safe.
  */
@@ -46,23 +52,36 @@
     // program makes between two turns.
     private static final long RETURN_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+    // Shorter than the time after which callers turn to the allowance.
+    private static final long RATE_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
     private final RowStore mStore;
     private final AllowanceIssuer mIssuer;
     private final WriteIds mWriteIds;
+    private final Scheduler mScheduler;
     private final LongSupplier mNanoClock;
+    private final RandomGenerator mRandom;
     private final List<Map<String, SpendingAccount>> mStripes = new ArrayList<>();
 
     /**
      * Creates a service without accounts.
      *
      * @param issuer holds the outage allowances
+     * @param random spreads the repetitions of writes that were refused for the store's rate
      */
     public SpendingService(
-            RowStore store, AllowanceIssuer issuer, WriteIds writeIds, LongSupplier nanoClock) {
+            RowStore store,
+            AllowanceIssuer issuer,
+            WriteIds writeIds,
+            Scheduler scheduler,
+            LongSupplier nanoClock,
+            RandomGenerator random) {
         mStore = store;
         mIssuer = issuer;
         mWriteIds = writeIds;
+        mScheduler = scheduler;
         mNanoClock = nanoClock;
+        mRandom = random;
         for (int i = 0; i < STRIPES; i++) {
             mStripes.add(new HashMap<>());
         }
@@ -89,7 +108,8 @@
                 return CompletableFuture.completedFuture(
                         new SpendingResult.Reserved(maxTokens, false));
             }
-            account.mWaiters.add(new Waiter(maxTokens, result));
+            account.mWaiters.add(
+                    new Waiter(maxTokens, account.mLastUsedNanos + RATE_PATIENCE_NANOS, result));
         }
         serveWaiters(program);
         return result;
@@ -97,15 +117,26 @@
 
     /**
      * Reserves tokens from the program's outage allowance, for a caller that cannot wait longer for
-     * {@link #reserve}.
+     * {@link #reserve}. Nothing is reserved while the program's write waits only for the store's
+     * rate.
      *
      * @param maxTokens largest number of tokens that the turn may generate
      */
     public CompletableFuture<SpendingResult> reserveFromAllowance(String program, long maxTokens) {
         CompletableFuture<SpendingResult> result = new CompletableFuture<>();
+        long nowNanos = mNanoClock.getAsLong();
+        synchronized (stripeOf(program)) {
+            SpendingAccount account = stripeOf(program).get(program);
+            if (account != null
+                    && account.mRateRefusals > 0
+                    && nowNanos - account.mLastRateRefusalNanos < RATE_PATIENCE_NANOS) {
+                return CompletableFuture.completedFuture(
+                        new SpendingResult.OverRate("the store is over its rate", 0));
+            }
+        }
         takeAllowance(
                 program,
-                new Waiter(maxTokens, result),
+                new Waiter(maxTokens, nowNanos, result),
                 new SpendingResult.Unavailable("the store has not answered in time"));
         return result;
     }
@@ -336,6 +367,7 @@
         synchronized (stripeOf(program)) {
             SpendingAccount account = account(program);
             account.mStoreRequestInFlight = false;
+            account.mRateRefusals = 0;
             switch (result) {
                 case TransactionResult.Committed committed ->
                         account.updateFromRow(committed.version(), row);
@@ -355,7 +387,7 @@
             synchronized (stripeOf(program)) {
                 account(program).mUnconfirmedGrants.remove(writeId);
             }
-            serveFromAllowance(program, failure);
+            onRequestFailed(program, failure);
             return;
         }
         var _ =
@@ -363,7 +395,7 @@
                         .whenComplete(
                                 (page, readFailure) -> {
                                     if (readFailure != null) {
-                                        serveFromAllowance(program, readFailure);
+                                        onRequestFailed(program, readFailure);
                                         return;
                                     }
                                     synchronized (stripeOf(program)) {
@@ -397,7 +429,7 @@
                         .whenComplete(
                                 (page, failure) -> {
                                     if (failure != null) {
-                                        serveFromAllowance(program, failure);
+                                        onRequestFailed(program, failure);
                                         return;
                                     }
                                     refuseIfExhausted(program, page.rows());
@@ -423,12 +455,59 @@
         serveWaiters(program);
     }
 
+    private void onRequestFailed(String program, Throwable failure) {
+        if (StoreFailures.isOverRate(failure)) {
+            waitForRate(program, StoreFailures.asStoreException(failure));
+        } else {
+            serveFromAllowance(program, failure);
+        }
+    }
+
+    /**
+     * Makes the program's request again after a pause, for those waiters that can wait so long.
+     * During the pause, the request counts as in flight. A refusal that names a time is one of this
+     * host's own limit, which would refuse a request before that time again.
+     */
+    private void waitForRate(String program, StoreException refusal) {
+        List<Waiter> refused = new ArrayList<>();
+        long pauseNanos;
+        synchronized (stripeOf(program)) {
+            SpendingAccount account = account(program);
+            long nowNanos = mNanoClock.getAsLong();
+            pauseNanos = RateRetry.pauseNanos(account.mRateRefusals, mRandom);
+            account.mRateRefusals++;
+            account.mLastRateRefusalNanos = nowNanos;
+            account.mWaiters.removeIf(
+                    waiter -> {
+                        boolean ends =
+                                refusal.retryAfterMillis() > 0
+                                        || waiter.endNanos() - nowNanos < pauseNanos;
+                        return ends && refused.add(waiter);
+                    });
+        }
+        refused.forEach(
+                waiter ->
+                        waiter.result()
+                                .complete(
+                                        new SpendingResult.OverRate(
+                                                refusal.getMessage(), refusal.retryAfterMillis())));
+        mScheduler.schedule(pauseNanos, () -> endPause(program));
+    }
+
+    private void endPause(String program) {
+        synchronized (stripeOf(program)) {
+            account(program).mStoreRequestInFlight = false;
+        }
+        serveWaiters(program);
+    }
+
     /** Serves all waiters from the outage allowance after a failed request to the store. */
     private void serveFromAllowance(String program, Throwable failure) {
         List<Waiter> waiters;
         synchronized (stripeOf(program)) {
             SpendingAccount account = account(program);
             account.mStoreRequestInFlight = false;
+            account.mRateRefusals = 0;
             waiters = new ArrayList<>(account.mWaiters);
             account.mWaiters.clear();
         }
--- a/coordination/src/main/java/org/oleandertrack/coordination/stream/OriginWriter.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/stream/OriginWriter.java
@@ -7,7 +7,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
 import org.oleandertrack.coordination.schedule.Scheduler;
+import org.oleandertrack.coordination.store.RateRetry;
 import org.oleandertrack.coordination.store.RowId;
 import org.oleandertrack.coordination.store.RowJson;
 import org.oleandertrack.coordination.store.RowStore;
@@ -51,10 +53,14 @@
     private final Scheduler mScheduler;
     private final LongSupplier mNanoClock;
     private final LongSupplier mEpochMillisClock;
+    private final RandomGenerator mRandom;
     private final StreamOriginListener mListener;
     private final Deque<Waiting> mWaiting = new ArrayDeque<>();
     private final Deque<Written> mWritten = new ArrayDeque<>();
     private boolean mWriting;
+    // Refusals for the store's rate since the store last answered otherwise.
+    private int mRateRefusals;
+    private long mLastRateRefusalNanos;
 
     OriginWriter(
             RowStore store,
@@ -62,12 +68,14 @@
             Scheduler scheduler,
             LongSupplier nanoClock,
             LongSupplier epochMillisClock,
+            RandomGenerator random,
             StreamOriginListener listener) {
         mStore = store;
         mPeers = peers;
         mScheduler = scheduler;
         mNanoClock = nanoClock;
         mEpochMillisClock = epochMillisClock;
+        mRandom = random;
         mListener = listener;
     }
 
@@ -96,8 +104,7 @@
         if (dropped) {
             mListener.onDropped(1);
         }
-        mScheduler.schedule(
-                PATIENCE_NANOS, () -> holdAtPeers(List.of(waiting), "no answer in time"));
+        mScheduler.schedule(PATIENCE_NANOS, () -> holdUnlessOverRate(waiting));
         writeNext();
     }
 
@@ -136,17 +143,47 @@
                                         onStored(batch);
                                         return;
                                     }
-                                    holdAtPeers(
-                                            batch,
-                                            StoreFailures.asStoreException(failure).getMessage());
-                                    writeAgainLater(batch, removals);
+                                    onWriteFailed(batch, removals, failure);
                                 });
     }
 
+    private void onWriteFailed(List<Waiting> batch, List<RowId> removals, Throwable failure) {
+        if (StoreFailures.isOverRate(failure)) {
+            int earlierRefusals;
+            synchronized (this) {
+                earlierRefusals = mRateRefusals++;
+                mLastRateRefusalNanos = mNanoClock.getAsLong();
+            }
+            writeAgainLater(batch, removals, RateRetry.pauseNanos(earlierRefusals, mRandom));
+            return;
+        }
+        synchronized (this) {
+            mRateRefusals = 0;
+        }
+        holdAtPeers(batch, StoreFailures.asStoreException(failure).getMessage());
+        writeAgainLater(batch, removals, RETRY_NANOS);
+    }
+
+    private void holdUnlessOverRate(Waiting waiting) {
+        boolean overRate;
+        synchronized (this) {
+            overRate =
+                    mRateRefusals > 0
+                            && mNanoClock.getAsLong() - mLastRateRefusalNanos
+                                    < RateRetry.ANSWERED_AGAIN_NANOS;
+        }
+        if (overRate) {
+            mScheduler.schedule(RateRetry.ANSWERED_AGAIN_NANOS, () -> holdUnlessOverRate(waiting));
+            return;
+        }
+        holdAtPeers(List.of(waiting), "no answer in time");
+    }
+
     private void onStored(List<Waiting> batch) {
         batch.forEach(waiting -> waiting.safe().set(true));
         synchronized (this) {
             mWriting = false;
+            mRateRefusals = 0;
             batch.forEach(
                     waiting ->
                             mWritten.addLast(
@@ -168,7 +205,7 @@
         mPeers.hold(unsafe);
     }
 
-    private void writeAgainLater(List<Waiting> batch, List<RowId> removals) {
+    private void writeAgainLater(List<Waiting> batch, List<RowId> removals, long delayNanos) {
         synchronized (this) {
             for (int i = batch.size() - 1; i >= 0; i--) {
                 mWaiting.addFirst(batch.get(i));
@@ -178,7 +215,7 @@
             }
         }
         mScheduler.schedule(
-                RETRY_NANOS,
+                delayNanos,
                 () -> {
                     synchronized (this) {
                         mWriting = false;
--- a/coordination/src/main/java/org/oleandertrack/coordination/stream/StreamOriginService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/stream/StreamOriginService.java
@@ -7,11 +7,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.oleandertrack.coordination.schedule.Scheduler;
+import org.oleandertrack.coordination.store.RateRetry;
 import org.oleandertrack.coordination.store.RowId;
 import org.oleandertrack.coordination.store.RowJson;
 import org.oleandertrack.coordination.store.RowPage;
@@ -63,7 +65,8 @@
      *
      * @param nanoClock monotonic time, in nanoseconds
      * @param epochMillisClock time of day, in milliseconds since the epoch
-     * @param random chooses the parts of the store that are searched for expired origins
+     * @param random chooses the parts of the store that are searched for expired origins, and
+     *     spreads the repetitions of calls that were refused for the store's rate
      */
     public StreamOriginService(
             RowStore store,
@@ -95,6 +98,7 @@
                                                         scheduler,
                                                         nanoClock,
                                                         epochMillisClock,
+                                                        random,
                                                         listener)));
     }
 
@@ -241,7 +245,9 @@
         private final CompletableFuture<OriginLookup> mResult = new CompletableFuture<>();
         private final AtomicBoolean mAskedPeers = new AtomicBoolean();
         private volatile Optional<OriginLookup> mStoreResult = Optional.empty();
+        private final AtomicInteger mRateRefusals = new AtomicInteger();
         private volatile boolean mPeersAnswered;
+        private volatile String mNoResultReason = "the store does not answer";
 
         private Finding(String requestId) {
             mRequestId = requestId;
@@ -252,7 +258,7 @@
             mScheduler.schedule(
                     REPEAT_NANOS,
                     () -> {
-                        if (mStoreResult.isEmpty()) {
+                        if (mStoreResult.isEmpty() && mRateRefusals.get() == 0) {
                             read();
                         }
                     });
@@ -262,8 +268,7 @@
                     () ->
                             mResult.complete(
                                     mStoreResult.orElse(
-                                            new OriginLookup.Unavailable(
-                                                    "the store does not answer"))));
+                                            new OriginLookup.Unavailable(mNoResultReason))));
             read();
         }
 
@@ -272,6 +277,10 @@
                     mStore.read(mRow.table(), mRow.part(), Optional.of(mRow.key()), 1)
                             .whenComplete(
                                     (page, failure) -> {
+                                        if (StoreFailures.isOverRate(failure)) {
+                                            readAfterPause(failure);
+                                            return;
+                                        }
                                         if (failure != null) {
                                             onStoreResult(
                                                     new OriginLookup.Unavailable(
@@ -289,6 +298,18 @@
                                     });
         }
 
+        private void readAfterPause(Throwable failure) {
+            mNoResultReason = StoreFailures.asStoreException(failure).getMessage();
+            askPeers();
+            mScheduler.schedule(
+                    RateRetry.pauseNanos(mRateRefusals.getAndIncrement(), mRandom),
+                    () -> {
+                        if (!mResult.isDone()) {
+                            read();
+                        }
+                    });
+        }
+
         private OriginLookup found(OriginRows.Value value) {
             return new OriginLookup.Found(value.toOrigin(), OriginLookup.Source.STORE);
         }
--- a/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationCluster.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationCluster.java
@@ -17,6 +17,7 @@
     private final List<Host> mHosts = new ArrayList<>();
     private final List<String> mUnreadable = new ArrayList<>();
     private boolean mPeersReachable = true;
+    private int mHoldRequests;
 
     ConversationCluster(VirtualTime time, RowStore store) {
         mTime = time;
@@ -35,6 +36,11 @@
         return mUnreadable;
     }
 
+    /** Returns how often peers were asked to hold a turn. */
+    int holdRequests() {
+        return mHoldRequests;
+    }
+
     void setPeersReachable(boolean reachable) {
         mPeersReachable = reachable;
     }
@@ -88,6 +94,7 @@
 
         @Override
         public CompletableFuture<Integer> hold(KeptTurn turn) {
+            mHoldRequests++;
             return CompletableFuture.completedFuture(
                     mPeersReachable
                             ? (int)
--- a/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationTest.java
@@ -7,6 +7,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -105,6 +106,18 @@
         assertEquals(KeepOutcome.STORED, outcome.join());
     }
 
+    /** Guards against peers that hold and write turns while the rate of all hosts is used up. */
+    @Test
+    void aTurnOverTheRateIsWrittenAgainAndNotHeldByPeers() {
+        mTime.runFor(10 * VirtualTime.SECOND);
+        mStore.setNextFates(Collections.nCopies(6, Fate.OVER_RATE).toArray(Fate[]::new));
+        var outcome = mCluster.host(0).service().keep(turn("t1", "text"));
+        mTime.runFor(2 * VirtualTime.SECOND);
+        assertEquals(KeepOutcome.STORED, outcome.join());
+        assertEquals(7, mStore.transactions());
+        assertEquals(0, mCluster.holdRequests());
+    }
+
     @Test
     void duringAnOutageATurnSurvivesItsHostAndReachesTheStoreAfterwards() {
         KeptTurn turn = turn("t1", "text");
--- a/coordination/src/test/java/org/oleandertrack/coordination/feed/TableFollowerTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/feed/TableFollowerTest.java
@@ -120,6 +120,20 @@
         assertEquals(List.of(5L, 20L), mAskedAfter);
     }
 
+    /** Guards against a store over its rate that is reported as lost. */
+    @Test
+    void aRefusalForTheRateIsNoOutage() {
+        mReads.add(CompletableFuture.failedFuture(StoreException.overRate("over", 0)));
+        mReads.add(page(5));
+        mFeeds.add(CompletableFuture.failedFuture(StoreException.overRate("over", 0)));
+        start();
+        while (!mTasks.isEmpty()) {
+            mTasks.poll().run();
+        }
+        assertEquals(List.of("replaced 1"), mEvents);
+        assertEquals(2, mDelaysMillis.size());
+    }
+
     @Test
     void anOutageIsReportedOnceAndRetriesSlowDown() {
         for (int i = 0; i < 8; i++) {
--- a/coordination/src/test/java/org/oleandertrack/coordination/spending/SpendingOrdersPropertyTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/spending/SpendingOrdersPropertyTest.java
@@ -65,7 +65,9 @@
                         mStore,
                         issuerOf(host),
                         new WriteIds(new Random(++mRestarts)),
-                        () -> mNowNanos);
+                        (delayNanos, task) -> () -> {},
+                        () -> mNowNanos,
+                        new Random(mRestarts));
     }
 
     private AllowanceIssuer issuerOf(Host host) {
--- a/coordination/src/test/java/org/oleandertrack/coordination/spending/SpendingServiceTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/spending/SpendingServiceTest.java
@@ -5,10 +5,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.oleandertrack.coordination.sim.VirtualTime;
 import org.oleandertrack.coordination.spending.FakeRowStore.Fate;
 import org.oleandertrack.coordination.store.WriteIds;
 
@@ -28,12 +31,18 @@
 
     private final FakeRowStore mStore = new FakeRowStore();
     private final OutageAllowances mAllowance = new OutageAllowances(() -> 0);
+    private final VirtualTime mTime = new VirtualTime(1);
     private long mNowNanos;
     private final AllowanceIssuer mIssuer = new LocalAllowanceIssuer(mAllowance);
 
     private SpendingService host(long seed) {
         return new SpendingService(
-                mStore, mIssuer, new WriteIds(new Random(seed)), () -> mNowNanos);
+                mStore,
+                mIssuer,
+                new WriteIds(new Random(seed)),
+                mTime,
+                () -> mNowNanos,
+                new Random(seed));
     }
 
     private static SpendingResult reserve(SpendingService host) {
@@ -220,7 +229,9 @@
                             mStore,
                             new LocalAllowanceIssuer(new OutageAllowances(() -> mNowNanos)),
                             new WriteIds(new Random(restart)),
-                            () -> mNowNanos);
+                            mTime,
+                            () -> mNowNanos,
+                            new Random(restart));
             mStore.setDown(true);
             assertInstanceOf(SpendingResult.Unavailable.class, reserve(restarted));
             mStore.setDown(false);
@@ -228,6 +239,40 @@
         }
     }
 
+    /** Guards against an allowance that is used up although the store is only over its rate. */
+    @Test
+    void aGrantOverTheRateIsWrittenAgainAndTakesNoAllowance() {
+        SpendingService host = host(1);
+        mStore.setNextFates(Fate.OVER_RATE, Fate.OVER_RATE);
+        CompletableFuture<SpendingResult> reservation =
+                host.reserve("p", BUDGET_TOKENS, TURN_TOKENS);
+        mTime.runFor(10 * VirtualTime.MILLI);
+        assertEquals(1, mStore.transactions());
+        assertInstanceOf(
+                SpendingResult.OverRate.class, host.reserveFromAllowance("p", TURN_TOKENS).join());
+        mTime.runFor(200 * VirtualTime.MILLI);
+        assertEquals(RESERVED_TURN, reservation.join());
+        assertEquals(3, mStore.transactions());
+        assertTrue(tryReserve(host));
+    }
+
+    /** Guards against reservations that wait without end while the rate stays short. */
+    @Test
+    void aReservationThatCannotWaitForTheRateIsRefused() {
+        SpendingService host = host(1);
+        Fate[] fates = new Fate[50];
+        Arrays.fill(fates, Fate.OVER_RATE);
+        mStore.setNextFates(fates);
+        CompletableFuture<SpendingResult> reservation =
+                host.reserve("p", BUDGET_TOKENS, TURN_TOKENS);
+        for (int millis = 0; millis < 700; millis += 10) {
+            mTime.runFor(10 * VirtualTime.MILLI);
+            mNowNanos += 10 * VirtualTime.MILLI;
+        }
+        assertInstanceOf(SpendingResult.OverRate.class, reservation.join());
+        assertTrue(mStore.transactions() <= 8, "transactions " + mStore.transactions());
+    }
+
     /** Guards against an allowance whose size depends on the turn that asks for it. */
     @Test
     void shorterTurnsGetNoMoreThanTheBudgetInAnOutage() {
--- a/coordination/src/test/java/org/oleandertrack/coordination/stream/StreamOriginServiceTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/stream/StreamOriginServiceTest.java
@@ -24,6 +24,7 @@
     private final VirtualTime mTime = new VirtualTime(1);
     private final FakeRowStore mStore = new FakeRowStore();
     private final List<Host> mHosts = new ArrayList<>();
+    private int mHeldOrigins;
 
     /** A host whose peers are all the others. */
     private final class Host implements StreamOriginPeers, StreamOriginListener {
@@ -46,6 +47,7 @@
 
         @Override
         public void hold(List<RecordedOrigin> origins) {
+            mHeldOrigins += origins.size();
             mHosts.stream()
                     .filter(host -> host != this)
                     .forEach(host -> origins.forEach(host.mService::holdForPeer));
@@ -160,6 +162,17 @@
         assertFound(OriginLookup.Source.STORE, find(0, "r1"));
     }
 
+    /** Guards against peers that are asked to hold origins because the store is over its rate. */
+    @Test
+    void anOriginOverTheRateIsStoredLaterAndNotHeldByPeers() {
+        mStore.setNextFates(FakeRowStore.Fate.OVER_RATE, FakeRowStore.Fate.OVER_RATE);
+        record(0, "r1");
+        mTime.runFor(200 * VirtualTime.MILLI);
+        assertEquals(0, mHeldOrigins);
+        restartAll();
+        assertFound(OriginLookup.Source.STORE, find(0, "r1"));
+    }
+
     @Test
     void anUnknownOriginIsNotGuessed() {
         record(0, "r1");
--- a/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
+++ b/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
@@ -333,6 +333,12 @@
             RetryAdvice.LATER,
             Execution.NOT_RUN,
             "The process cannot confirm that its configuration is current."),
+    STORE_OVER_RATE(
+            5009,
+            503,
+            RetryAdvice.LATER,
+            Execution.NOT_RUN,
+            "The platform's store takes no more writes at this rate, and the call needs one."),
     // Calls that may not be repeated.
     IDEMPOTENCY_KEY_MISMATCH(
             6001,
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallBudget.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallBudget.java
@@ -81,6 +81,8 @@
             case SpendingResult.Unavailable unavailable ->
                     onResult.accept(
                             Optional.of(CallFailures.storeUnavailable(unavailable.reason())));
+            case SpendingResult.OverRate overRate ->
+                    onResult.accept(Optional.of(CallFailures.storeOverRate(overRate)));
         }
     }
 
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallFailures.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallFailures.java
@@ -11,6 +11,8 @@
     // Full queues become clearly shorter in this time.
     private static final long RETRY_AFTER_MILLIS = 150;
     private static final long STORE_RETRY_AFTER_MILLIS = 500;
+    // The rate is free again within a second after a burst of requests.
+    private static final long MAX_OVER_RATE_RETRY_AFTER_MILLIS = 1_000;
     // Nothing changes for the stream, so the caller may begin a new one at once.
     private static final long NEW_STREAM_RETRY_AFTER_MILLIS = 10;
     // Short, because the load balancer sends the caller's next connection to another host.
@@ -53,6 +55,17 @@
                 ResultCode.STORE_UNAVAILABLE, Execution.NOT_RUN, reason, STORE_RETRY_AFTER_MILLIS);
     }
 
+    static ResultException storeOverRate(SpendingResult.OverRate result) {
+        return new ResultException(
+                ResultCode.STORE_OVER_RATE,
+                Execution.NOT_RUN,
+                result.reason(),
+                Math.clamp(
+                        result.retryAfterMillis(),
+                        RETRY_AFTER_MILLIS,
+                        MAX_OVER_RATE_RETRY_AFTER_MILLIS));
+    }
+
     static ResultException noTarget(String service, int targetCount, int triedCount) {
         return new ResultException(
                 ResultCode.NO_TARGET_AVAILABLE,
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -345,7 +345,9 @@
                 mStore,
                 new PeerAllowanceIssuer(mPeers, mOwnAllowances, mLog),
                 new WriteIds(random),
-                System::nanoTime);
+                mScheduler,
+                System::nanoTime,
+                random);
     }
 
     private StreamOriginService makeStreamOrigins(SoftwareVersions versions, Random random) {
