--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -154,7 +154,9 @@
                         log);
         mOwnPacers = new TargetPacers(random);
         mPermits = new PeerPermitIssuer(mPeers, mOwnPacers, random, log);
-        mStore = new RelayingRowStore(store, mPeers::relayStores, random);
+        mStore =
+                new RelayingRowStore(
+                        store, mPeers::relayStores, random, new StoreCallLog(log, metrics));
         mTargets =
                 new TargetRegistry(
                         new TurnPlacement(EngineTimes.DEFAULT, settings.zone()),
@@ -382,7 +384,9 @@
                 mStore,
                 new PeerAllowanceIssuer(mPeers, mOwnAllowances, mLog),
                 new WriteIds(random),
-                System::nanoTime);
+                mScheduler,
+                System::nanoTime,
+                random);
     }
 
     private StreamOriginService makeStreamOrigins(SoftwareVersions versions, Random random) {
