Write a turn to another part of the store if the usual one does not answer

Each write of a turn, and each hand-over by its holders, went to the turn's one part, so the turn was in hosts' memory alone when all hosts were killed.

A turn has four parts now. Rows in the usual part are where they were.

--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationRows.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationRows.java
@@ -18,6 +18,13 @@
 
     // The store runs the transactions of a part one after another, 200 a second.
     private static final int PART_COUNT = 32;
+
+    /**
+     * Number of parts in which a turn may be. The store may be unavailable for some parts only: one
+     * third of them in an outage that was observed, so that four are all affected once in 80 times.
+     */
+    static final int PART_CHOICES = 4;
+
     // Sorts before all other characters of a key, so that the rows of a turn follow each other.
     private static final char PIECE_SEPARATOR = ' ';
     private static final int DUE_SECONDS_DIGITS = 12;
@@ -28,14 +35,20 @@
         return IntStream.range(0, PART_COUNT).mapToObj(number -> "t" + number);
     }
 
-    /** Returns the id of a row of a turn; piece 0 is the first one. */
-    static RowId turnRow(String turnId, int piece) {
-        return new RowId(TURN_TABLE, part(turnId), pieceKey(RowKeys.ofId(turnId), piece));
+    /**
+     * Returns the id of a row of a turn.
+     *
+     * @param choice number of the part, from 0, the usual one, to {@link #PART_CHOICES} - 1
+     * @param piece number of the row; 0 is the first one
+     */
+    static RowId turnRow(String turnId, int choice, int piece) {
+        return new RowId(TURN_TABLE, part(turnId, choice), pieceKey(RowKeys.ofId(turnId), piece));
     }
 
-    /** Returns the id of the row that states when a turn may be removed. */
-    static RowId dueRow(String turnId, long dueSeconds) {
-        return new RowId(DUE_TABLE, part(turnId), formatSeconds(dueSeconds) + RowKeys.ofId(turnId));
+    /** Returns the id of the row that states when a turn may be removed from a part. */
+    static RowId dueRow(String turnId, int choice, long dueSeconds) {
+        return new RowId(
+                DUE_TABLE, part(turnId, choice), formatSeconds(dueSeconds) + RowKeys.ofId(turnId));
     }
 
     /** Returns whether a row of due times has the given time or an earlier one. */
@@ -49,8 +62,11 @@
         return new RowId(TURN_TABLE, dueRow.part(), pieceKey(key, piece));
     }
 
-    private static String part(String turnId) {
-        return "t" + Math.floorMod(turnId.hashCode(), PART_COUNT);
+    // The distance between a turn's parts is odd, so that they differ and vary between turns.
+    private static String part(String turnId, int choice) {
+        int hash = turnId.hashCode();
+        int distance = 1 + 2 * Math.floorMod(hash / PART_COUNT, PART_COUNT / 2);
+        return "t" + Math.floorMod(hash + choice * distance, PART_COUNT);
     }
 
     private static String pieceKey(String key, int piece) {
--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
@@ -33,7 +33,7 @@
     // Later repetitions of a write. A store that lost answers held back seven writes in a hundred
     // through the first four calls, because calls on one connection are lost together.
     private static final List<Long> LATER_REPEAT_NANOS =
-            Stream.of(240, 480, 700, 900, 1_100, 1_300)
+            Stream.of(240, 400, 560, 720, 900, 1_100, 1_300)
                     .map(TimeUnit.MILLISECONDS::toNanos)
                     .toList();
     // A caller's next turn should not wait for a store that is away if a peer has the turn.
@@ -42,7 +42,9 @@
     // While the store answers other writes, a turn is not left to the memory of hosts before this
     // time: all hosts may be lost at once.
     private static final long HELD_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-    // A hand-over without an answer is repeated after this time.
+    // Writes to a turn's usual part, before its other parts are tried in turn.
+    private static final int USUAL_PART_WRITES = 2;
+    // A hand-over without an answer is repeated after this time, perhaps to another part.
     private static final long HAND_OVER_REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     // Callers give up a stream after two seconds without an event.
     private static final long KEEP_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
@@ -175,7 +177,7 @@
             mScheduler.schedule(
                     HAND_OVER_REPEAT_NANOS, () -> mHandOversInFlight.remove(turn.turnId()));
             var _ =
-                    mStore.write(turn)
+                    mStore.write(turn, mRandom.nextInt(ConversationRows.PART_CHOICES))
                             .whenComplete(
                                     (done, failure) -> {
                                         mHandOversInFlight.remove(turn.turnId());
@@ -229,6 +231,7 @@
         private final long mBeginNanos = mNanoClock.getAsLong();
         private final CompletableFuture<KeepOutcome> mOutcome = new CompletableFuture<>();
         private final AtomicInteger mRefusedWrites = new AtomicInteger();
+        private final AtomicInteger mWrites = new AtomicInteger();
         private final AtomicInteger mRateRefusals = new AtomicInteger();
         private volatile long mLastRateRefusalNanos;
         private volatile boolean mPausing;
@@ -249,7 +252,7 @@
         private void write() {
             mPausing = false;
             var _ =
-                    mStore.write(mTurn)
+                    mStore.write(mTurn, partChoice())
                             .whenComplete(
                                     (done, failure) -> {
                                         if (failure == null) {
@@ -262,6 +265,14 @@
                                     });
         }
 
+        // The part may be the only one that is unavailable, and an answer may have been lost.
+        private int partChoice() {
+            int write = mWrites.getAndIncrement();
+            return write < USUAL_PART_WRITES
+                    ? 0
+                    : (write - USUAL_PART_WRITES + 1) % ConversationRows.PART_CHOICES;
+        }
+
         // A write of unknown outcome may be repeated. A store that refuses all writes is away, and
         // peers then hold and write the turn. One over its rate is not away, and the writes of the
         // peers would be refused as well.
@@ -372,6 +383,7 @@
                         }
                     });
             mScheduler.schedule(READ_PATIENCE_NANOS, this::askPeersEarly);
+            mScheduler.schedule(READ_PATIENCE_NANOS, () -> readOtherPartsUnlessEnded(() -> {}));
             read();
         }
 
@@ -425,7 +437,25 @@
                 return;
             }
             String reason = readFailure(failure);
-            askPeers(answer -> mResult.complete(new TurnLookup.Unavailable(reason)));
+            readOtherPartsUnlessEnded(
+                    () -> askPeers(answer -> mResult.complete(new TurnLookup.Unavailable(reason))));
+        }
+
+        // The store may be unavailable for the turn's usual part only.
+        private void readOtherPartsUnlessEnded(Runnable onNotFound) {
+            if (mResult.isDone()) {
+                return;
+            }
+            var _ =
+                    mStore.readOtherParts(mTurnId)
+                            .whenComplete(
+                                    (conversation, failure) -> {
+                                        if (failure == null && conversation.isPresent()) {
+                                            found(conversation.get(), TurnLookup.Source.STORE);
+                                        } else {
+                                            onNotFound.run();
+                                        }
+                                    });
         }
 
         /** Schedules a read again if it was only refused for the store's rate. */
--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationStore.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationStore.java
@@ -44,49 +44,69 @@
     /**
      * Writes a turn. May be repeated after a failure. If the store has another conversation under
      * the same id, from an earlier try of the turn, it is replaced.
+     *
+     * @param choice number of the part to which the turn is written
      */
-    CompletableFuture<Void> write(KeptTurn turn) {
+    CompletableFuture<Void> write(KeptTurn turn, int choice) {
         List<String> values = ConversationCodec.encode(turn.conversation());
         List<RowTransaction.Write> writes = new ArrayList<>();
         for (int piece = 1; piece < values.size(); piece++) {
             writes.add(
                     new RowTransaction.Write(
-                            ConversationRows.turnRow(turn.turnId(), piece), values.get(piece)));
+                            ConversationRows.turnRow(turn.turnId(), choice, piece),
+                            values.get(piece)));
         }
         long dueMillis =
                 mEpochMillisClock.getAsLong() + turn.retentionMillis() + REMOVAL_DELAY_MILLIS;
         writes.add(
                 new RowTransaction.Write(
                         ConversationRows.dueRow(
-                                turn.turnId(), TimeUnit.MILLISECONDS.toSeconds(dueMillis)),
+                                turn.turnId(), choice, TimeUnit.MILLISECONDS.toSeconds(dueMillis)),
                         Integer.toString(values.size())));
         RowTransaction.Write first =
                 new RowTransaction.Write(
-                        ConversationRows.turnRow(turn.turnId(), 0), values.getFirst());
+                        ConversationRows.turnRow(turn.turnId(), choice, 0), values.getFirst());
         return writeAll(writes, first);
     }
 
     /**
-     * Reads a turn; empty if the store does not have it. The future fails with {@link
+     * Reads a turn; empty if no part of the store has it. The future fails with {@link
      * IllegalArgumentException} if the rows cannot be decoded.
      */
     CompletableFuture<Optional<Conversation>> read(String turnId) {
-        return readPieces(turnId, 1)
+        return read(turnId, 0)
                 .thenCompose(
-                        values -> {
-                            int pieces =
-                                    values.isEmpty()
-                                            ? 0
-                                            : ConversationCodec.pieceCount(values.getFirst());
-                            return pieces <= 1
-                                    ? CompletableFuture.completedFuture(values)
-                                    : readPieces(turnId, pieces);
-                        })
-                .thenApply(
-                        values ->
-                                values.isEmpty()
-                                        ? Optional.empty()
-                                        : Optional.of(ConversationCodec.decode(values)));
+                        found ->
+                                found.isPresent()
+                                        ? CompletableFuture.completedFuture(found)
+                                        : readOtherParts(turnId));
+    }
+
+    /** Reads a turn from the parts to which it is written when the usual one does not answer. */
+    CompletableFuture<Optional<Conversation>> readOtherParts(String turnId) {
+        CompletableFuture<Optional<Conversation>> result = new CompletableFuture<>();
+        List<CompletableFuture<Optional<Conversation>>> reads = new ArrayList<>();
+        for (int choice = 1; choice < ConversationRows.PART_CHOICES; choice++) {
+            reads.add(
+                    read(turnId, choice)
+                            .whenComplete(
+                                    (found, failure) -> {
+                                        if (failure == null && found.isPresent()) {
+                                            result.complete(found);
+                                        }
+                                    }));
+        }
+        var _ =
+                CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new))
+                        .whenComplete(
+                                (done, failure) -> {
+                                    if (failure == null) {
+                                        result.complete(Optional.empty());
+                                    } else {
+                                        result.completeExceptionally(failure);
+                                    }
+                                });
+        return result;
     }
 
     /** Removes expired turns of a part, up to a limit; returns their number. */
@@ -106,6 +126,25 @@
 
     // Helpers
 
+    private CompletableFuture<Optional<Conversation>> read(String turnId, int choice) {
+        return readPieces(turnId, choice, 1)
+                .thenCompose(
+                        values -> {
+                            int pieces =
+                                    values.isEmpty()
+                                            ? 0
+                                            : ConversationCodec.pieceCount(values.getFirst());
+                            return pieces <= 1
+                                    ? CompletableFuture.completedFuture(values)
+                                    : readPieces(turnId, choice, pieces);
+                        })
+                .thenApply(
+                        values ->
+                                values.isEmpty()
+                                        ? Optional.empty()
+                                        : Optional.of(ConversationCodec.decode(values)));
+    }
+
     // The first row is written last: without it, the other rows are not visible to readers.
     private CompletableFuture<Void> writeAll(
             List<RowTransaction.Write> writes, RowTransaction.Write first) {
@@ -176,14 +215,15 @@
         return commit(writes, first, version, replacements + 1);
     }
 
-    private CompletableFuture<List<String>> readPieces(String turnId, int limit) {
-        RowId first = ConversationRows.turnRow(turnId, 0);
+    private CompletableFuture<List<String>> readPieces(String turnId, int choice, int limit) {
+        RowId first = ConversationRows.turnRow(turnId, choice, 0);
         return mStore.read(first.table(), first.part(), Optional.of(first.key()), limit)
                 .thenApply(
                         page -> {
                             List<String> values = new ArrayList<>();
                             for (StoredRow row : page.rows()) {
-                                RowId expected = ConversationRows.turnRow(turnId, values.size());
+                                RowId expected =
+                                        ConversationRows.turnRow(turnId, choice, values.size());
                                 if (!row.id().equals(expected)) {
                                     break;
                                 }
--- a/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.oleandertrack.coordination.sim.VirtualTime;
 import org.oleandertrack.coordination.spending.FakeRowStore;
@@ -44,7 +45,7 @@
     private TurnLookup find(ConversationCluster.Host host, String id) {
         var lookup = host.service().find(id, RETENTION_MILLIS);
         mTime.runFor(3 * VirtualTime.SECOND);
-        return lookup.join();
+        return lookup.getNow(new TurnLookup.Unavailable("no answer"));
     }
 
     private static Optional<Conversation> conversation(TurnLookup lookup) {
@@ -119,6 +120,35 @@
         assertEquals(Optional.of(turn.conversation()), conversation(find(mCluster.host(1), "t1")));
     }
 
+    /**
+     * Guards against turns that the store cannot take while only some of its parts are unavailable:
+     * once all hosts were killed, these turns were gone.
+     */
+    @Test
+    void turnsAreStoredAndFoundWhileSomePartsOfTheStoreAreSilent() {
+        Set<String> silentParts = Set.of("t1", "t2", "t3", "t4", "t9", "t17", "t19", "t21", "t25");
+        mStore.setSilentParts(silentParts);
+        Random ids = new Random(1);
+        List<KeptTurn> turns = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            turns.add(turn(Long.toHexString(ids.nextLong()), "text " + i));
+        }
+        turns.forEach(turn -> assertEquals(KeepOutcome.STORED, keep(mCluster.host(0), turn)));
+        mCluster.restartAll();
+        turns.forEach(
+                turn ->
+                        assertEquals(
+                                Optional.of(turn.conversation()),
+                                conversation(find(mCluster.host(1), turn.turnId()))));
+        mStore.setSilentParts(Set.of());
+        mCluster.restartAll();
+        turns.forEach(
+                turn ->
+                        assertEquals(
+                                Optional.of(turn.conversation()),
+                                conversation(find(mCluster.host(2), turn.turnId()))));
+    }
+
     /** Guards against a hand-over that waits for the timeout of a call without an answer. */
     @Test
     void aHandOverWithoutAnAnswerIsRepeated() {
@@ -207,7 +237,7 @@
         KeptTurn good = turn("good", "text");
         keep(mCluster.host(0), good);
         for (String value : List.of("", "2 1 4 00000000\ntext", "1 1 9 00000000\ntext", "1 x\n")) {
-            RowId row = ConversationRows.turnRow("bad", 0);
+            RowId row = ConversationRows.turnRow("bad", 0, 0);
             mStore.apply(
                             new RowTransaction(
                                     List.of(),
--- a/coordination/src/test/java/org/oleandertrack/coordination/spending/FakeRowStore.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/spending/FakeRowStore.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import org.oleandertrack.coordination.store.RowChanges;
@@ -44,6 +45,7 @@
     private final Map<String, StoredRow> mRows = new TreeMap<>();
     private final ArrayDeque<Fate> mFates = new ArrayDeque<>();
     private final List<RowTransaction> mLate = new ArrayList<>();
+    private Set<String> mSilentParts = Set.of();
     private boolean mDown;
     private long mVersion;
     private int mTransactions;
@@ -58,6 +60,11 @@
         mDown = down;
     }
 
+    /** Sets the parts for which no call is executed or answered. */
+    public void setSilentParts(Set<String> parts) {
+        mSilentParts = parts;
+    }
+
     /** Applies the late transactions whose conditions still hold. */
     public void applyLate() {
         mLate.forEach(this::execute);
@@ -88,6 +95,9 @@
         if (mDown) {
             return failed(Execution.UNKNOWN);
         }
+        if (mSilentParts.contains(part)) {
+            return new CompletableFuture<>();
+        }
         List<StoredRow> rows =
                 mRows.values().stream()
                         .filter(row -> row.id().table().equals(table))
@@ -106,6 +116,9 @@
         if (mDown) {
             return failed(Execution.NOT_RUN);
         }
+        if (transaction.writes().stream().anyMatch(w -> mSilentParts.contains(w.id().part()))) {
+            return new CompletableFuture<>();
+        }
         Fate fate = mFates.isEmpty() ? Fate.ANSWERED : mFates.poll();
         return switch (fate) {
             case ANSWERED -> CompletableFuture.completedFuture(execute(transaction));
