Test the age of the knowledge of keys, and correct a clock that is set back

A wall clock that is set back by 2 s hides a freeze of 2 s later on, so a revoked key could be accepted 7 s after its revocation. ForwardWallClock continues from where it was.

--- a/core/src/main/java/org/oleandertrack/core/organisation/ConfigFreshness.java
+++ b/core/src/main/java/org/oleandertrack/core/organisation/ConfigFreshness.java
@@ -10,7 +10,8 @@
  * store, direct or passed on by a peer, which states the newest configuration. It is as old as the
  * call that brought it: a change after the start of the call may be missing from the answer. The
  * age is the larger one of two clocks, because the monotonic clock stands still while the process
- * is frozen, and the wall clock may be set back. Thread-safe.
+ * is frozen, and the wall clock may be set back. The age must be read several times a second, see
+ * {@link ForwardWallClock}. Thread-safe.
  */
 public final class ConfigFreshness {
 
@@ -71,7 +72,12 @@
 
     /** Returns the age of the youngest confirmation, in milliseconds; empty if there is none. */
     public OptionalLong ageMillis() {
-        return mLatest.map(asOf -> OptionalLong.of(ageMillisOf(asOf))).orElse(OptionalLong.empty());
+        // Without a confirmation too, the wall clock has to be read regularly.
+        Moment now = now();
+        Optional<Moment> latest = mLatest;
+        return latest.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(millisBetween(latest.get(), now));
     }
 
     /**
@@ -87,15 +93,15 @@
     }
 
     private boolean adopt(Moment asOf) {
-        if (mLatest.isPresent() && ageMillisOf(mLatest.get()) <= ageMillisOf(asOf)) {
+        Moment now = now();
+        if (mLatest.isPresent() && millisBetween(mLatest.get(), now) <= millisBetween(asOf, now)) {
             return false;
         }
         mLatest = Optional.of(asOf);
         return true;
     }
 
-    private long ageMillisOf(Moment asOf) {
-        Moment now = now();
+    private static long millisBetween(Moment asOf, Moment now) {
         long steadyMillis = Math.ceilDiv(now.nanos() - asOf.nanos(), NANOS_PER_MILLI);
         return Math.max(0, Math.max(steadyMillis, now.wallMillis() - asOf.wallMillis()));
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
 import org.oleandertrack.coordination.conversation.ConversationLimits;
 import org.oleandertrack.coordination.conversation.ConversationService;
 import org.oleandertrack.coordination.feed.TableFollower;
@@ -34,6 +35,7 @@
 import org.oleandertrack.coordination.stream.StreamOriginService;
 import org.oleandertrack.core.discovery.TargetDirectory;
 import org.oleandertrack.core.organisation.ConfigFreshness;
+import org.oleandertrack.core.organisation.ForwardWallClock;
 import org.oleandertrack.core.organisation.KeyAdmission;
 import org.oleandertrack.core.quarantine.AnsweredPaths;
 import org.oleandertrack.core.rate.TargetPacers;
@@ -105,8 +107,9 @@
     private final StreamOriginService mStreamOrigins;
     private final ConversationService mConversations;
     private final Gauge mHeldTurns;
-    private final ConfigFreshness mFreshness =
-            new ConfigFreshness(System::nanoTime, System::currentTimeMillis);
+    private final LongSupplier mWallClock =
+            new ForwardWallClock(System::nanoTime, System::currentTimeMillis);
+    private final ConfigFreshness mFreshness = new ConfigFreshness(System::nanoTime, mWallClock);
     private final Optional<PeerConfirmations> mConfirmations;
     private final Gauge mConfigVersion;
     private final Gauge mConfigAge;
@@ -317,13 +320,7 @@
 
     private TableFollower follow(String table, TableListener listener, Random random) {
         return new TableFollower(
-                mStore,
-                table,
-                mScheduler,
-                System::nanoTime,
-                System::currentTimeMillis,
-                random,
-                listener);
+                mStore, table, mScheduler, System::nanoTime, mWallClock, random, listener);
     }
 
     private CallHandler makeCallHandler(
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
@@ -22,7 +22,7 @@
 import org.oleandertrack.http.ReceivedResponse;
 
 /** Client of one peer, which relays calls to the store. Thread-safe. */
-final class PeerClient implements RowStore {
+final class PeerClient implements RowStore, ConfirmationPeer {
 
     // The store answers the peer within several milliseconds; otherwise the peer reports a failure.
     private static final long CALL_TIMEOUT_MILLIS = 800;
@@ -164,7 +164,8 @@
                 .thenApply(found -> Optional.ofNullable(found.origin()));
     }
 
-    CompletableFuture<PeerMessages.ConfigurationAge> configurationAge(
+    @Override
+    public CompletableFuture<PeerMessages.ConfigurationAge> configurationAge(
             PeerMessages.AskConfigurationAge message) {
         return call(
                 PeerMessages.CONFIGURATION_AGE_PATH,
@@ -173,7 +174,8 @@
                 CALL_TIMEOUT_MILLIS);
     }
 
-    CompletableFuture<PeerMessages.ConfigurationRow> readConfiguration(
+    @Override
+    public CompletableFuture<PeerMessages.ConfigurationRow> readConfiguration(
             PeerMessages.ReadConfiguration message) {
         return call(
                 PeerMessages.READ_CONFIGURATION_PATH,
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerConfirmations.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerConfirmations.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 import org.oleandertrack.core.organisation.ConfigFreshness;
 import org.oleandertrack.telemetry.logging.EventLog;
 
@@ -25,7 +26,7 @@
     private static final long MAX_USUAL_AGE_MILLIS = 3_500;
     private static final int ASKED_PEERS = 3;
 
-    private final PeerDirectory mPeers;
+    private final Supplier<List<? extends ConfirmationPeer>> mPeers;
     private final ConfigFreshness mFreshness;
     private final PeerConfiguration mConfiguration;
     private final Random mRandom;
@@ -33,7 +34,7 @@
     private final AtomicBoolean mReading = new AtomicBoolean();
     private final AtomicBoolean mSilent = new AtomicBoolean();
     // The peer that last stated the youngest knowledge is asked again first.
-    private volatile Optional<PeerClient> mYoungest = Optional.empty();
+    private volatile Optional<ConfirmationPeer> mYoungest = Optional.empty();
 
     /** Creates an instance that asks the peers of a directory. */
     public PeerConfirmations(
@@ -42,6 +43,16 @@
             PeerConfiguration configuration,
             Random random,
             EventLog log) {
+        this(peers::responsivePeers, freshness, configuration, random, log);
+    }
+
+    /** Creates an instance that asks the given peers. */
+    PeerConfirmations(
+            Supplier<List<? extends ConfirmationPeer>> peers,
+            ConfigFreshness freshness,
+            PeerConfiguration configuration,
+            Random random,
+            EventLog log) {
         mPeers = peers;
         mFreshness = freshness;
         mConfiguration = configuration;
@@ -75,14 +86,14 @@
         return ageMillis.isEmpty() || ageMillis.getAsLong() >= millis;
     }
 
-    private List<PeerClient> selectPeers() {
-        List<PeerClient> peers = new ArrayList<>(mPeers.responsivePeers());
+    private List<ConfirmationPeer> selectPeers() {
+        List<ConfirmationPeer> peers = new ArrayList<>(mPeers.get());
         Collections.shuffle(peers, mRandom);
         mYoungest.filter(peers::remove).ifPresent(peers::addFirst);
         return peers.subList(0, Math.min(ASKED_PEERS, peers.size()));
     }
 
-    private void ask(PeerClient peer) {
+    private void ask(ConfirmationPeer peer) {
         ConfigFreshness.Moment begun = mFreshness.now();
         var _ =
                 peer.configurationAge(
@@ -97,7 +108,9 @@
     }
 
     private void onAge(
-            PeerClient peer, ConfigFreshness.Moment begun, PeerMessages.ConfigurationAge age) {
+            ConfirmationPeer peer,
+            ConfigFreshness.Moment begun,
+            PeerMessages.ConfigurationAge age) {
         if (!age.known()) {
             return;
         }
@@ -110,7 +123,9 @@
     }
 
     private void adopt(
-            PeerClient peer, ConfigFreshness.Moment begun, PeerMessages.ConfigurationAge age) {
+            ConfirmationPeer peer,
+            ConfigFreshness.Moment begun,
+            PeerMessages.ConfigurationAge age) {
         OptionalLong ownVersion = mConfiguration.version();
         if (ownVersion.isEmpty() || ownVersion.getAsLong() != age.version()) {
             return;
@@ -121,7 +136,9 @@
     }
 
     private void readFrom(
-            PeerClient peer, ConfigFreshness.Moment begun, PeerMessages.ConfigurationAge age) {
+            ConfirmationPeer peer,
+            ConfigFreshness.Moment begun,
+            PeerMessages.ConfigurationAge age) {
         if (!mReading.compareAndSet(false, true)) {
             return;
         }
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
@@ -154,7 +153,8 @@
                                 mStreamOrigins.findLocally(find.requestId()).orElse(null)));
             }
             case PeerMessages.CONFIGURATION_AGE_PATH ->
-                    CompletableFuture.completedFuture(configurationAge());
+                    CompletableFuture.completedFuture(
+                            PeerMessages.ConfigurationAge.of(mFreshness, mConfiguration));
             case PeerMessages.READ_CONFIGURATION_PATH ->
                     CompletableFuture.completedFuture(
                             new PeerMessages.ConfigurationRow(mConfiguration.row().orElse(null)));
@@ -162,16 +162,6 @@
         };
     }
 
-    // The age is read first, because it holds for the version in force then and for later ones.
-    private PeerMessages.ConfigurationAge configurationAge() {
-        OptionalLong ageMillis = mFreshness.ageMillis();
-        OptionalLong version = mConfiguration.version();
-        return ageMillis.isEmpty() || version.isEmpty()
-                ? PeerMessages.ConfigurationAge.UNKNOWN
-                : new PeerMessages.ConfigurationAge(
-                        true, version.getAsLong(), ageMillis.getAsLong());
-    }
-
     private CompletableFuture<?> callStore(String path, String body) {
         if (mDirectStoreFails.getAsBoolean()) {
             return CompletableFuture.failedFuture(
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.OptionalLong;
 import org.oleandertrack.coordination.conversation.Conversation;
 import org.oleandertrack.coordination.conversation.KeptTurn;
 import org.oleandertrack.coordination.store.RowChange;
@@ -11,6 +12,7 @@
 import org.oleandertrack.coordination.store.TransactionResult;
 import org.oleandertrack.coordination.stream.RecordedOrigin;
 import org.oleandertrack.coordination.stream.StreamOrigin;
+import org.oleandertrack.core.organisation.ConfigFreshness;
 import org.oleandertrack.core.rate.PermitRequest;
 import org.oleandertrack.core.rate.PermitResult;
 
@@ -58,6 +60,15 @@
     record ConfigurationAge(boolean known, long version, long ageMillis) {
 
         static final ConfigurationAge UNKNOWN = new ConfigurationAge(false, 0, 0);
+
+        // The age is read first, because it holds for the version in force then and later ones.
+        static ConfigurationAge of(ConfigFreshness freshness, PeerConfiguration configuration) {
+            OptionalLong ageMillis = freshness.ageMillis();
+            OptionalLong version = configuration.version();
+            return ageMillis.isEmpty() || version.isEmpty()
+                    ? UNKNOWN
+                    : new ConfigurationAge(true, version.getAsLong(), ageMillis.getAsLong());
+        }
     }
 
     /**
