--- a/coordination/src/test/java/org/oleandertrack/coordination/feed/TableFollowerTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/feed/TableFollowerTest.java
@@ -34,6 +34,8 @@
     private final List<Long> mAskedAfter = new ArrayList<>();
     private final List<Long> mDelaysMillis = new ArrayList<>();
     private final ArrayDeque<Runnable> mTasks = new ArrayDeque<>();
+    private final List<String> mConfirmations = new ArrayList<>();
+    private long mNowNanos;
 
     private final RowStore mStore =
             new RowStore() {
@@ -75,6 +77,11 @@
                     mEvents.add("changed " + changes.size());
                 }
 
+                @Override
+                public void onConfirmed(long begunNanos, long begunWallMillis) {
+                    mConfirmations.add(begunNanos + " " + begunWallMillis);
+                }
+
                 @Override
                 public void onStoreLost(String reason) {
                     mEvents.add("lost");
@@ -87,7 +94,14 @@
             };
 
     private void start() {
-        new TableFollower(mStore, "t", mScheduler, () -> 0, () -> 0, new Random(1), mListener)
+        new TableFollower(
+                        mStore,
+                        "t",
+                        mScheduler,
+                        () -> mNowNanos,
+                        () -> mNowNanos + 1_000,
+                        new Random(1),
+                        mListener)
                 .start();
     }
 
@@ -135,4 +149,27 @@
         assertTrue(mDelaysMillis.getLast() >= 250, mDelaysMillis.toString());
         assertTrue(mDelaysMillis.stream().allMatch(delay -> delay <= 500));
     }
+
+    /** Guards against an answer that counts as newer than the call that it answers. */
+    @Test
+    void anAnswerIsConfirmedAsOfTheStartOfItsCall() {
+        mReads.add(page(5));
+        CompletableFuture<RowChanges> feed = new CompletableFuture<>();
+        mFeeds.add(feed);
+        mNowNanos = 1;
+        start();
+        mNowNanos = 2;
+        feed.complete(new RowChanges.Changed(List.of(), 5));
+        assertEquals(List.of("1 1001", "1 1001"), mConfirmations);
+    }
+
+    /** Guards against a lost history or a failure that counts as a confirmation. */
+    @Test
+    void onlyAnswersThatStateAllRowsConfirm() {
+        mReads.add(page(5));
+        mReads.add(failed());
+        mFeeds.add(CompletableFuture.completedFuture(new RowChanges.HistoryLost()));
+        start();
+        assertEquals(List.of("0 1000"), mConfirmations);
+    }
 }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/MemoryRowStore.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/MemoryRowStore.java
@@ -45,6 +45,11 @@
         waiting.forEach(Runnable::run);
     }
 
+    /** Returns the table and the key of each row. */
+    synchronized List<String> keys() {
+        return mRows.keySet().stream().map(id -> id.table() + " " + id.key()).toList();
+    }
+
     synchronized void setUnavailable(boolean unavailable) {
         mUnavailable = unavailable;
     }
