--- a/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -19,10 +20,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
@@ -471,4 +474,42 @@
                 List.of(peers),
                 new EventLog(line -> {}, Clock.systemUTC(), 1));
     }
+
+    /** Guards against a peer without a configuration that confirms one. */
+    @Test
+    void aPeerStatesItsConfigurationAndItsAge() {
+        PeerMessages.AskConfigurationAge question = new PeerMessages.AskConfigurationAge(3);
+        assertFalse(mPeer.configurationAge(question).join().known());
+        mConfiguration.mVersion = OptionalLong.of(4);
+        assertFalse(mPeer.configurationAge(question).join().known());
+        mFreshness.confirm(mFreshness.now());
+        mNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(1_200));
+        assertEquals(
+                new PeerMessages.ConfigurationAge(true, 4, 1_200),
+                mPeer.configurationAge(question).join());
+    }
+
+    @Test
+    void aPeerPassesItsConfigurationOn() {
+        PeerMessages.ReadConfiguration request = new PeerMessages.ReadConfiguration(4);
+        assertNull(mPeer.readConfiguration(request).join().row());
+        mConfiguration.mVersion = OptionalLong.of(4);
+        assertEquals(FakePeerConfiguration.row(4), mPeer.readConfiguration(request).join().row());
+    }
+
+    /** Guards against rows that reach a peer with the secrets that the store has. */
+    @Test
+    void aFilteredStoreChangesRowsThatAreReadAndThatHaveChanged() {
+        StoredRow filteredRow = new StoredRow(ID, "filtered", 3);
+        RowStore filtered = new FilteredRowStore(mStore, row -> filteredRow);
+        assertEquals(
+                List.of(filteredRow), filtered.read("t", "p", Optional.empty(), 10).join().rows());
+        mChanges =
+                new RowChanges.Changed(
+                        List.of(new RowChange.Removed(ID), new RowChange.Written(ROW)), 9);
+        assertEquals(
+                new RowChanges.Changed(
+                        List.of(new RowChange.Removed(ID), new RowChange.Written(filteredRow)), 9),
+                filtered.awaitChanges("t", 0, 10).join());
+    }
 }
