--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayOrganisationTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayOrganisationTest.java
@@ -5,10 +5,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
 import java.util.OptionalLong;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
 
@@ -195,6 +200,42 @@
         }
     }
 
+    /** Guards against a host that the store turns away and that refuses although a peer serves. */
+    @Test
+    void aHostWithoutTheStoreServesAndLearnsRevocationsThroughAPeer() throws IOException {
+        OptionalLong bound = OptionalLong.of(5_000);
+        ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
+        MemoryRowStore ownStore = new MemoryRowStore(executor);
+        ownStore.setUnavailable(true);
+        int port = freePort();
+        int portOfPeer = freePort();
+        try (ScriptedTarget target = new ScriptedTarget(ANSWER);
+                TestGateway peer =
+                        new TestGateway(new MemoryRowStore(executor), bound, portOfPeer, port);
+                TestGateway gateway = new TestGateway(ownStore, bound, port, portOfPeer)) {
+            peer.configure(1, " alpha key-a");
+            peer.register("t0", "tool", target.port(), false);
+            gateway.awaitTargets(1);
+            long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(6);
+            while (System.nanoTime() < endNanos) {
+                String answer = call(gateway, "/safe/x", "r1", ALPHA);
+                assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+            }
+            peer.configure(2, " alpha key-new");
+            Awaitility.await()
+                    .atMost(Duration.ofSeconds(5))
+                    .until(() -> call(gateway, "/safe/x", "r2", ALPHA).contains("HTTP/1.1 401"));
+        } finally {
+            executor.shutdownNow();
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
     /** Guards against rows of the store that have other ids as soon as keys are supported. */
     @Test
     void withoutOrganisationsTheIdsOfRowsAreThoseOfTheCallers() throws IOException {
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
@@ -34,31 +34,45 @@
     private final InetSocketAddress mAddress;
 
     TestGateway(long graceMillis) {
-        this(graceMillis, Optional.empty(), OptionalLong.empty());
+        this(graceMillis, Optional.empty(), OptionalLong.empty(), 0, List.of());
     }
 
     /** Creates a gateway on which keys count only while the configuration is known to be new. */
     TestGateway(OptionalLong revocationMillis) {
-        this(1_000, Optional.empty(), revocationMillis);
+        this(1_000, Optional.empty(), revocationMillis, 0, List.of());
+    }
+
+    /** Creates such a gateway with a store of its own and with a peer. */
+    TestGateway(MemoryRowStore store, OptionalLong revocationMillis, int peerPort, int portOfPeer) {
+        this(
+                1_000,
+                Optional.of(store),
+                revocationMillis,
+                peerPort,
+                List.of(new InetSocketAddress(InetAddress.getLoopbackAddress(), portOfPeer)));
     }
 
     /** Creates a gateway that shares the store of another one. */
     TestGateway(MemoryRowStore store) {
-        this(1_000, Optional.of(store), OptionalLong.empty());
+        this(1_000, Optional.of(store), OptionalLong.empty(), 0, List.of());
     }
 
     private TestGateway(
-            long graceMillis, Optional<MemoryRowStore> store, OptionalLong revocationMillis) {
+            long graceMillis,
+            Optional<MemoryRowStore> store,
+            OptionalLong revocationMillis,
+            int peerPort,
+            List<InetSocketAddress> seeds) {
         mStore = store.orElseGet(() -> new MemoryRowStore(mExecutor));
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         mSettings =
                 new GatewaySettings(
-                        "node",
+                        peerPort == 0 ? "node" : "node-" + peerPort,
                         "zone",
                         any,
                         any,
-                        any,
-                        List.of(),
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), peerPort),
+                        seeds,
                         any,
                         graceMillis,
                         2_000,
