Let organisations share what is known about cached prompt parts

Engines cache prompt parts by id for all callers. Scoping the parts' ids to the organisation hid each cached part from the placement of all other organisations.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/TurnMetadata.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/TurnMetadata.java
@@ -27,19 +27,18 @@
 
     private static final int DEFAULT_EXPECTED_OUTPUT_TOKENS = 35;
 
-    /** Returns the turn as placement needs it, with ids that are unique among organisations. */
+    /**
+     * Returns the turn as placement needs it.
+     *
+     * @param scope scope of the program's id. The ids of prompt parts have none, because engines
+     *     share cached parts among organisations.
+     */
     TurnRequest toTurnRequest(Optional<ProgramMetadata> program, IdScope scope) {
         long expected = expectedTokens.orElse(DEFAULT_EXPECTED_OUTPUT_TOKENS);
         return new TurnRequest(
                 promptTokens,
-                scope.equals(IdScope.NONE)
-                        ? promptParts
-                        : promptParts.stream().map(part -> scoped(part, scope)).toList(),
+                promptParts,
                 Math.clamp(expected, 1, Math.max(1, maxTokens)),
                 program.map(ProgramMetadata::programId).map(scope::memoryId).orElse(""));
     }
-
-    private static PromptPart scoped(PromptPart part, IdScope scope) {
-        return new PromptPart(scope.memoryId(part.id()), part.tokens());
-    }
 }
