Name the organisation in the line at the end of a call

Operators otherwise find an organisation only for refused requests. The start of a process is no longer logged as a silence of the store.

Measured: 160 tests of gateway, 36 of coordination and RevocationPropertyTest pass, among them the tests of stops, resumed streams and rate limits.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
@@ -270,6 +270,9 @@
                         .number("refusals", summary.refusals());
         mForwardedHead.ifPresent(
                 head -> line.number("status", head.status()).text("target", head.targetId()));
+        if (!mMetadata.scope().name().isEmpty()) {
+            line.text("organisation", mMetadata.scope().name());
+        }
         // For a call that was never placed, no other log line names the program.
         mMetadata.program().ifPresent(program -> line.text("program", program.programId()));
         if (mRoute.kind() == RequestKind.STREAMING) {
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerConfirmations.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerConfirmations.java
@@ -66,7 +66,8 @@
             return;
         }
         boolean silent = isStoreSilent();
-        if (mSilent.getAndSet(silent) != silent) {
+        // Before the first answer, the process has just started.
+        if (mFreshness.millisSinceAnswer().isPresent() && mSilent.getAndSet(silent) != silent) {
             logSilence(silent);
         }
         if (silent && isOlderThan(MAX_SILENCE_MILLIS)) {
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayOrganisationTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayOrganisationTest.java
@@ -76,6 +76,7 @@
             String head = target.requests().getFirst();
             assertEquals("alpha", ScriptedTarget.header(head, "Organisation"));
             assertFalse(head.contains("key-a"), head);
+            assertTrue(gateway.logs().contains("\"organisation\":\"alpha\""));
             assertFalse(gateway.logs().contains("key-a"));
         }
     }
