Derive the times of confirmations from the bound on revocations

With revoke_ms below about 3,500, knowledge that is 3 s old in steady state would have been refused. The wait of the feed, the silence after which peers are asked and the age that triggers them shrink with the bound; with 5,000 they are as before. A test read the log before the line at the end of a call was written; it waits for the line now.

--- a/coordination/src/main/java/org/oleandertrack/coordination/feed/TableFollower.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/feed/TableFollower.java
@@ -16,9 +16,12 @@
  */
 public final class TableFollower {
 
-    // Longest wait for changes, short enough that a connection that no longer delivers data is
-    // noticed within two seconds.
-    private static final long MAX_WAIT_MILLIS = 1_500;
+    /**
+     * Longest useful wait for changes, short enough that a connection that no longer delivers data
+     * is noticed within two seconds.
+     */
+    public static final long MAX_WAIT_MILLIS = 1_500;
+
     // Keeps the retries of all hosts together far below the rate that the store can take: at the
     // largest delay, 30 hosts that follow two tables make 120 calls a second.
     private static final long MIN_RETRY_DELAY_MILLIS = 50;
@@ -28,6 +31,7 @@
 
     private final RowStore mStore;
     private final String mTable;
+    private final long mMaxWaitMillis;
     private final Scheduler mScheduler;
     private final LongSupplier mNanoClock;
     private final LongSupplier mWallClockMillis;
@@ -41,10 +45,15 @@
 
     // Life-cycle
 
-    /** Creates a follower that does nothing until it is started. */
+    /**
+     * Creates a follower that does nothing until it is started.
+     *
+     * @param maxWaitMillis longest wait for changes before the store answers that there are none
+     */
     public TableFollower(
             RowStore store,
             String table,
+            long maxWaitMillis,
             Scheduler scheduler,
             LongSupplier nanoClock,
             LongSupplier wallClockMillis,
@@ -52,6 +61,7 @@
             TableListener listener) {
         mStore = store;
         mTable = table;
+        mMaxWaitMillis = maxWaitMillis;
         mScheduler = scheduler;
         mNanoClock = nanoClock;
         mWallClockMillis = wallClockMillis;
@@ -102,7 +112,7 @@
     }
 
     private CompletableFuture<Boolean> awaitChanges() {
-        return mStore.awaitChanges(mTable, mVersion, MAX_WAIT_MILLIS)
+        return mStore.awaitChanges(mTable, mVersion, mMaxWaitMillis)
                 .thenApply(
                         answer -> {
                             onStoreAnswered();
--- a/coordination/src/test/java/org/oleandertrack/coordination/feed/TableFollowerTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/feed/TableFollowerTest.java
@@ -97,6 +97,7 @@
         new TableFollower(
                         mStore,
                         "t",
+                        TableFollower.MAX_WAIT_MILLIS,
                         mScheduler,
                         () -> mNowNanos,
                         () -> mNowNanos + 1_000,
--- a/core/src/main/java/org/oleandertrack/core/organisation/KeyAdmission.java
+++ b/core/src/main/java/org/oleandertrack/core/organisation/KeyAdmission.java
@@ -10,25 +10,22 @@
  */
 public final class KeyAdmission {
 
-    // Covers the rounding of both clocks and the time between the check and the send.
-    private static final long MARGIN_MILLIS = 100;
-    // The follower of the configuration gets an answer of the store at least this often.
-    private static final long ANSWER_INTERVAL_MILLIS = 1_500;
-    // Without these answers, peers are asked every 250 ms and respond within several milliseconds.
+    // Without answers of the store, peers are asked every 250 ms and respond within several
+    // milliseconds.
     private static final long PEER_ANSWER_MILLIS = 300;
     // An answer that is due may be several milliseconds late.
     private static final long MIN_RETRY_AFTER_MILLIS = 50;
 
-    private final OptionalLong mRevocationMillis;
+    private final Optional<RevocationBound> mBound;
 
     /**
      * Creates the decision.
      *
-     * @param revocationMillis time after which a revoked key must have no effect at any host, in
-     *     milliseconds; empty if the settings do not bound it
+     * @param bound time after which a revoked key must have no effect; empty if the settings do not
+     *     bound it
      */
-    public KeyAdmission(OptionalLong revocationMillis) {
-        mRevocationMillis = revocationMillis;
+    public KeyAdmission(Optional<RevocationBound> bound) {
+        mBound = bound;
     }
 
     /** Result of a decision. */
@@ -46,14 +43,13 @@
 
     /** Returns whether keys count only while the knowledge of the configuration is young enough. */
     public boolean isBounded() {
-        return mRevocationMillis.isPresent();
+        return mBound.isPresent();
     }
 
     /** Returns whether keys count with knowledge of the given age; empty if there is none. */
     public boolean isCurrent(OptionalLong ageMillis) {
-        return mRevocationMillis.isEmpty()
-                || (ageMillis.isPresent()
-                        && ageMillis.getAsLong() < mRevocationMillis.getAsLong() - MARGIN_MILLIS);
+        return mBound.isEmpty()
+                || (ageMillis.isPresent() && ageMillis.getAsLong() < mBound.get().maxAgeMillis());
     }
 
     /**
@@ -99,9 +95,10 @@
      *
      * @param millisSinceAnswer time since the store last answered, in milliseconds
      */
-    public static long retryAfterMillis(OptionalLong millisSinceAnswer) {
+    public long retryAfterMillis(OptionalLong millisSinceAnswer) {
         long untilAnswerMillis =
-                ANSWER_INTERVAL_MILLIS - millisSinceAnswer.orElse(ANSWER_INTERVAL_MILLIS);
+                mBound.map(RevocationBound::answerIntervalMillis).orElse(0L)
+                        - millisSinceAnswer.orElse(Long.MAX_VALUE);
         return untilAnswerMillis > 0
                 ? Math.max(MIN_RETRY_AFTER_MILLIS, untilAnswerMillis)
                 : PEER_ANSWER_MILLIS;
--- a/core/src/test/java/org/oleandertrack/core/organisation/KeyAdmissionTest.java
+++ b/core/src/test/java/org/oleandertrack/core/organisation/KeyAdmissionTest.java
@@ -23,8 +23,8 @@
     private static final OptionalLong YOUNG = OptionalLong.of(4_899);
     private static final OptionalLong OLD = OptionalLong.of(4_900);
 
-    private final KeyAdmission mBounded = new KeyAdmission(OptionalLong.of(5_000));
-    private final KeyAdmission mUnbounded = new KeyAdmission(OptionalLong.empty());
+    private final KeyAdmission mBounded = new KeyAdmission(Optional.of(new RevocationBound(5_000)));
+    private final KeyAdmission mUnbounded = new KeyAdmission(Optional.empty());
 
     private KeyAdmission.Decision decide(
             boolean anonymousRoute, Optional<String> key, OptionalLong ageMillis) {
@@ -106,9 +106,24 @@
 
     @Test
     void theTimeToRetryAfterFollowsFromTheNextAnswer() {
-        assertEquals(1_100, KeyAdmission.retryAfterMillis(OptionalLong.of(400)));
-        assertEquals(50, KeyAdmission.retryAfterMillis(OptionalLong.of(1_490)));
-        assertEquals(300, KeyAdmission.retryAfterMillis(OptionalLong.of(9_000)));
-        assertEquals(300, KeyAdmission.retryAfterMillis(OptionalLong.empty()));
+        assertEquals(1_100, mBounded.retryAfterMillis(OptionalLong.of(400)));
+        assertEquals(50, mBounded.retryAfterMillis(OptionalLong.of(1_490)));
+        assertEquals(300, mBounded.retryAfterMillis(OptionalLong.of(9_000)));
+        assertEquals(300, mBounded.retryAfterMillis(OptionalLong.empty()));
+    }
+
+    /** Guards against a short bound with which a host refuses keys while the store is available. */
+    @Test
+    void theTimesFollowFromTheBound() {
+        RevocationBound usual = new RevocationBound(5_000);
+        assertEquals(1_500, usual.answerIntervalMillis());
+        assertEquals(2_000, usual.maxSilenceMillis());
+        assertEquals(4_900, usual.maxAgeMillis());
+        for (long millis : List.of(1_000L, 3_000L, 5_000L, 60_000L)) {
+            RevocationBound bound = new RevocationBound(millis);
+            assertTrue(2 * bound.answerIntervalMillis() < bound.maxUsualAgeMillis());
+            assertTrue(bound.answerIntervalMillis() < bound.maxSilenceMillis());
+            assertTrue(bound.maxUsualAgeMillis() < bound.maxAgeMillis());
+        }
     }
 }
--- a/core/src/test/java/org/oleandertrack/core/organisation/RevocationPropertyTest.java
+++ b/core/src/test/java/org/oleandertrack/core/organisation/RevocationPropertyTest.java
@@ -31,7 +31,8 @@
     private static final OrganisationDirectory WITH_KEY = directory(Set.of(KEY));
     private static final OrganisationDirectory WITHOUT_KEY = directory(Set.of());
 
-    private final KeyAdmission mAdmission = new KeyAdmission(OptionalLong.of(REVOKE_MILLIS));
+    private final KeyAdmission mAdmission =
+            new KeyAdmission(Optional.of(new RevocationBound(REVOKE_MILLIS)));
     private List<Host> mHosts;
     private long mNowMillis;
     private OptionalLong mRevokedMillis;
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallerAdmission.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallerAdmission.java
@@ -193,7 +193,7 @@
     private ResultException notCurrent(OptionalLong ageMillis, long remainingMillis) {
         return CallFailures.keysNotCurrent(
                 ageMillis,
-                KeyAdmission.retryAfterMillis(mFreshness.millisSinceAnswer()),
+                mKeyAdmission.retryAfterMillis(mFreshness.millisSinceAnswer()),
                 remainingMillis);
     }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -37,6 +37,7 @@
 import org.oleandertrack.core.organisation.ConfigFreshness;
 import org.oleandertrack.core.organisation.ForwardWallClock;
 import org.oleandertrack.core.organisation.KeyAdmission;
+import org.oleandertrack.core.organisation.RevocationBound;
 import org.oleandertrack.core.quarantine.AnsweredPaths;
 import org.oleandertrack.core.rate.TargetPacers;
 import org.oleandertrack.core.result.ResultCode;
@@ -186,12 +187,19 @@
         mCallHandler = makeCallHandler(headerCodec, gatewayResponses);
         mTargetFeed = new TargetFeed(tables, mTargetDirectory, System::nanoTime, log);
         ConfigFeed configFeed = new ConfigFeed(tables, mCallHandler, mTargets, mFreshness, log);
-        mConfigFollower = follow(tables.configTable(), configFeed, random);
+        Optional<RevocationBound> bound = settings.revocationBound();
+        mConfigFollower =
+                follow(
+                        tables.configTable(),
+                        bound.map(RevocationBound::answerIntervalMillis)
+                                .orElse(TableFollower.MAX_WAIT_MILLIS),
+                        configFeed,
+                        random);
         mConfirmations =
-                settings.revocationMillis().isPresent()
-                        ? Optional.of(
-                                new PeerConfirmations(mPeers, mFreshness, configFeed, random, log))
-                        : Optional.empty();
+                bound.map(
+                        value ->
+                                new PeerConfirmations(
+                                        value, mPeers, mFreshness, configFeed, random, log));
         mConfigVersion = metrics.gauge(Metric.CONFIGURATION_VERSION);
         mConfigAge = metrics.gauge(Metric.CONFIGURATION_AGE);
         mTargetFollower = follow(tables.targetTable(), mTargetFeed, random);
@@ -319,8 +327,20 @@
     // Helpers
 
     private TableFollower follow(String table, TableListener listener, Random random) {
+        return follow(table, TableFollower.MAX_WAIT_MILLIS, listener, random);
+    }
+
+    private TableFollower follow(
+            String table, long maxWaitMillis, TableListener listener, Random random) {
         return new TableFollower(
-                mStore, table, mScheduler, System::nanoTime, mWallClock, random, listener);
+                mStore,
+                table,
+                maxWaitMillis,
+                mScheduler,
+                System::nanoTime,
+                mWallClock,
+                random,
+                listener);
     }
 
     private CallHandler makeCallHandler(
@@ -343,7 +363,7 @@
                         new CallMetrics(mMetrics)),
                 new CallerAdmission(
                         headerCodec,
-                        new KeyAdmission(mSettings.revocationMillis()),
+                        new KeyAdmission(mSettings.revocationBound()),
                         mFreshness,
                         OrganisationLimiter.UNLIMITED));
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
@@ -2,7 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
+import org.oleandertrack.core.organisation.RevocationBound;
 
 /**
  * Settings of a gateway process. Immutable.
@@ -37,6 +39,13 @@
         long responseMemoryBytes,
         OptionalLong revocationMillis) {
 
+    /** Returns the bound on the time until a revoked access key has no effect, if there is one. */
+    Optional<RevocationBound> revocationBound() {
+        return revocationMillis.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new RevocationBound(revocationMillis.getAsLong()));
+    }
+
     /** Returns these settings with the given values for those that may change at run time. */
     GatewaySettings withReloadable(GatewaySettings other) {
         return new GatewaySettings(
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerConfirmations.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerConfirmations.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import org.oleandertrack.core.organisation.ConfigFreshness;
+import org.oleandertrack.core.organisation.RevocationBound;
 import org.oleandertrack.telemetry.logging.EventLog;
 
 /**
@@ -19,13 +20,9 @@
  */
 public final class PeerConfirmations {
 
-    // The store answers a waiting call after 1.5 s at the latest.
-    private static final long MAX_SILENCE_MILLIS = 2_000;
-    // Older than any knowledge of a host that the store answers, which is at most about 3 s. This
-    // is noticed after a freeze, when the monotonic clock has not measured the silence.
-    private static final long MAX_USUAL_AGE_MILLIS = 3_500;
     private static final int ASKED_PEERS = 3;
 
+    private final RevocationBound mBound;
     private final Supplier<List<? extends ConfirmationPeer>> mPeers;
     private final ConfigFreshness mFreshness;
     private final PeerConfiguration mConfiguration;
@@ -38,21 +35,24 @@
 
     /** Creates an instance that asks the peers of a directory. */
     public PeerConfirmations(
+            RevocationBound bound,
             PeerDirectory peers,
             ConfigFreshness freshness,
             PeerConfiguration configuration,
             Random random,
             EventLog log) {
-        this(peers::responsivePeers, freshness, configuration, random, log);
+        this(bound, peers::responsivePeers, freshness, configuration, random, log);
     }
 
     /** Creates an instance that asks the given peers. */
     PeerConfirmations(
+            RevocationBound bound,
             Supplier<List<? extends ConfirmationPeer>> peers,
             ConfigFreshness freshness,
             PeerConfiguration configuration,
             Random random,
             EventLog log) {
+        mBound = bound;
         mPeers = peers;
         mFreshness = freshness;
         mConfiguration = configuration;
@@ -70,7 +70,7 @@
         if (mFreshness.millisSinceAnswer().isPresent() && mSilent.getAndSet(silent) != silent) {
             logSilence(silent);
         }
-        if (silent && isOlderThan(MAX_SILENCE_MILLIS)) {
+        if (silent && isOlderThan(mBound.maxSilenceMillis())) {
             selectPeers().forEach(this::ask);
         }
     }
@@ -78,8 +78,9 @@
     private boolean isStoreSilent() {
         OptionalLong sinceAnswer = mFreshness.millisSinceAnswer();
         return sinceAnswer.isEmpty()
-                || sinceAnswer.getAsLong() >= MAX_SILENCE_MILLIS
-                || isOlderThan(MAX_USUAL_AGE_MILLIS);
+                || sinceAnswer.getAsLong() >= mBound.maxSilenceMillis()
+                // After a freeze, the monotonic clock has not measured the silence.
+                || isOlderThan(mBound.maxUsualAgeMillis());
     }
 
     private boolean isOlderThan(long millis) {
--- a/gateway/src/test/java/org/oleandertrack/gateway/call/CallerAdmissionTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/call/CallerAdmissionTest.java
@@ -29,6 +29,7 @@
 import org.oleandertrack.core.organisation.KeyDigest;
 import org.oleandertrack.core.organisation.Organisation;
 import org.oleandertrack.core.organisation.OrganisationDirectory;
+import org.oleandertrack.core.organisation.RevocationBound;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
@@ -75,7 +76,7 @@
                     fake(
                             HeaderCodec.class,
                             Map.of("readAccessKey", Optional.of(KeyDigest.ofKey("k")))),
-                    new KeyAdmission(OptionalLong.of(5_000)),
+                    new KeyAdmission(Optional.of(new RevocationBound(5_000))),
                     mFreshness,
                     mLimiter);
 
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayOrganisationTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayOrganisationTest.java
@@ -76,7 +76,8 @@
             String head = target.requests().getFirst();
             assertEquals("alpha", ScriptedTarget.header(head, "Organisation"));
             assertFalse(head.contains("key-a"), head);
-            assertTrue(gateway.logs().contains("\"organisation\":\"alpha\""));
+            // The line at the end of a call is written after its response.
+            Awaitility.await().until(() -> gateway.logs().contains("\"organisation\":\"alpha\""));
             assertFalse(gateway.logs().contains("key-a"));
         }
     }
--- a/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerConfirmationsTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerConfirmationsTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.oleandertrack.core.organisation.ConfigFreshness;
+import org.oleandertrack.core.organisation.RevocationBound;
 import org.oleandertrack.telemetry.logging.EventLog;
 
 /**
@@ -50,6 +51,7 @@
         private final FakePeerConfiguration mConfiguration = new FakePeerConfiguration();
         private final PeerConfirmations mConfirmations =
                 new PeerConfirmations(
+                        new RevocationBound(5_000),
                         () -> mHosts.stream().filter(host -> host != this).toList(),
                         mFreshness,
                         mConfiguration,
