--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
 import org.oleandertrack.coordination.conversation.ConversationLimits;
 import org.oleandertrack.coordination.conversation.ConversationService;
 import org.oleandertrack.coordination.feed.TableFollower;
@@ -34,7 +35,9 @@
 import org.oleandertrack.coordination.stream.StreamOriginService;
 import org.oleandertrack.core.discovery.TargetDirectory;
 import org.oleandertrack.core.organisation.ConfigFreshness;
+import org.oleandertrack.core.organisation.ForwardWallClock;
 import org.oleandertrack.core.organisation.KeyAdmission;
+import org.oleandertrack.core.organisation.RevocationBound;
 import org.oleandertrack.core.quarantine.AnsweredPaths;
 import org.oleandertrack.core.rate.TargetPacers;
 import org.oleandertrack.core.result.ResultCode;
@@ -105,8 +108,9 @@
     private final StreamOriginService mStreamOrigins;
     private final ConversationService mConversations;
     private final Gauge mHeldTurns;
-    private final ConfigFreshness mFreshness =
-            new ConfigFreshness(System::nanoTime, System::currentTimeMillis);
+    private final LongSupplier mWallClock =
+            new ForwardWallClock(System::nanoTime, System::currentTimeMillis);
+    private final ConfigFreshness mFreshness = new ConfigFreshness(System::nanoTime, mWallClock);
     private final Optional<PeerConfirmations> mConfirmations;
     private final Gauge mConfigVersion;
     private final Gauge mConfigAge;
@@ -185,12 +189,19 @@
         mCallHandler = makeCallHandler(headerCodec, gatewayResponses);
         mTargetFeed = new TargetFeed(tables, mTargetDirectory, System::nanoTime, log);
         ConfigFeed configFeed = new ConfigFeed(tables, mCallHandler, mTargets, mFreshness, log);
-        mConfigFollower = follow(tables.configTable(), configFeed, random);
+        Optional<RevocationBound> bound = settings.revocationBound();
+        mConfigFollower =
+                follow(
+                        tables.configTable(),
+                        bound.map(RevocationBound::answerIntervalMillis)
+                                .orElse(TableFollower.MAX_WAIT_MILLIS),
+                        configFeed,
+                        random);
         mConfirmations =
-                settings.revocationMillis().isPresent()
-                        ? Optional.of(
-                                new PeerConfirmations(mPeers, mFreshness, configFeed, random, log))
-                        : Optional.empty();
+                bound.map(
+                        value ->
+                                new PeerConfirmations(
+                                        value, mPeers, mFreshness, configFeed, random, log));
         mConfigVersion = metrics.gauge(Metric.CONFIGURATION_VERSION);
         mConfigAge = metrics.gauge(Metric.CONFIGURATION_AGE);
         mTargetFollower = follow(tables.targetTable(), mTargetFeed, random);
@@ -318,12 +329,18 @@
     // Helpers
 
     private TableFollower follow(String table, TableListener listener, Random random) {
+        return follow(table, TableFollower.MAX_WAIT_MILLIS, listener, random);
+    }
+
+    private TableFollower follow(
+            String table, long maxWaitMillis, TableListener listener, Random random) {
         return new TableFollower(
                 mStore,
                 table,
+                maxWaitMillis,
                 mScheduler,
                 System::nanoTime,
-                System::currentTimeMillis,
+                mWallClock,
                 random,
                 listener);
     }
@@ -348,7 +365,7 @@
                         new CallMetrics(mMetrics)),
                 new CallerAdmission(
                         headerCodec,
-                        new KeyAdmission(mSettings.revocationMillis()),
+                        new KeyAdmission(mSettings.revocationBound()),
                         mFreshness,
                         OrganisationLimiter.UNLIMITED));
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerConfirmations.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerConfirmations.java
@@ -7,7 +7,9 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 import org.oleandertrack.core.organisation.ConfigFreshness;
+import org.oleandertrack.core.organisation.RevocationBound;
 import org.oleandertrack.telemetry.logging.EventLog;
 
 /**
@@ -18,14 +20,10 @@
  */
 public final class PeerConfirmations {
 
-    // The store answers a waiting call after 1.5 s at the latest.
-    private static final long MAX_SILENCE_MILLIS = 2_000;
-    // Older than any knowledge of a host that the store answers, which is at most about 3 s. This
-    // is noticed after a freeze, when the monotonic clock has not measured the silence.
-    private static final long MAX_USUAL_AGE_MILLIS = 3_500;
     private static final int ASKED_PEERS = 3;
 
-    private final PeerDirectory mPeers;
+    private final RevocationBound mBound;
+    private final Supplier<List<? extends ConfirmationPeer>> mPeers;
     private final ConfigFreshness mFreshness;
     private final PeerConfiguration mConfiguration;
     private final Random mRandom;
@@ -33,15 +31,28 @@
     private final AtomicBoolean mReading = new AtomicBoolean();
     private final AtomicBoolean mSilent = new AtomicBoolean();
     // The peer that last stated the youngest knowledge is asked again first.
-    private volatile Optional<PeerClient> mYoungest = Optional.empty();
+    private volatile Optional<ConfirmationPeer> mYoungest = Optional.empty();
 
     /** Creates an instance that asks the peers of a directory. */
     public PeerConfirmations(
+            RevocationBound bound,
             PeerDirectory peers,
             ConfigFreshness freshness,
             PeerConfiguration configuration,
             Random random,
             EventLog log) {
+        this(bound, peers::responsivePeers, freshness, configuration, random, log);
+    }
+
+    /** Creates an instance that asks the given peers. */
+    PeerConfirmations(
+            RevocationBound bound,
+            Supplier<List<? extends ConfirmationPeer>> peers,
+            ConfigFreshness freshness,
+            PeerConfiguration configuration,
+            Random random,
+            EventLog log) {
+        mBound = bound;
         mPeers = peers;
         mFreshness = freshness;
         mConfiguration = configuration;
@@ -55,10 +66,11 @@
             return;
         }
         boolean silent = isStoreSilent();
-        if (mSilent.getAndSet(silent) != silent) {
+        // Before the first answer, the process has just started.
+        if (mFreshness.millisSinceAnswer().isPresent() && mSilent.getAndSet(silent) != silent) {
             logSilence(silent);
         }
-        if (silent && isOlderThan(MAX_SILENCE_MILLIS)) {
+        if (silent && isOlderThan(mBound.maxSilenceMillis())) {
             selectPeers().forEach(this::ask);
         }
     }
@@ -66,8 +78,9 @@
     private boolean isStoreSilent() {
         OptionalLong sinceAnswer = mFreshness.millisSinceAnswer();
         return sinceAnswer.isEmpty()
-                || sinceAnswer.getAsLong() >= MAX_SILENCE_MILLIS
-                || isOlderThan(MAX_USUAL_AGE_MILLIS);
+                || sinceAnswer.getAsLong() >= mBound.maxSilenceMillis()
+                // After a freeze, the monotonic clock has not measured the silence.
+                || isOlderThan(mBound.maxUsualAgeMillis());
     }
 
     private boolean isOlderThan(long millis) {
@@ -75,14 +88,14 @@
         return ageMillis.isEmpty() || ageMillis.getAsLong() >= millis;
     }
 
-    private List<PeerClient> selectPeers() {
-        List<PeerClient> peers = new ArrayList<>(mPeers.responsivePeers());
+    private List<ConfirmationPeer> selectPeers() {
+        List<ConfirmationPeer> peers = new ArrayList<>(mPeers.get());
         Collections.shuffle(peers, mRandom);
         mYoungest.filter(peers::remove).ifPresent(peers::addFirst);
         return peers.subList(0, Math.min(ASKED_PEERS, peers.size()));
     }
 
-    private void ask(PeerClient peer) {
+    private void ask(ConfirmationPeer peer) {
         ConfigFreshness.Moment begun = mFreshness.now();
         var _ =
                 peer.configurationAge(
@@ -97,7 +110,9 @@
     }
 
     private void onAge(
-            PeerClient peer, ConfigFreshness.Moment begun, PeerMessages.ConfigurationAge age) {
+            ConfirmationPeer peer,
+            ConfigFreshness.Moment begun,
+            PeerMessages.ConfigurationAge age) {
         if (!age.known()) {
             return;
         }
@@ -110,7 +125,9 @@
     }
 
     private void adopt(
-            PeerClient peer, ConfigFreshness.Moment begun, PeerMessages.ConfigurationAge age) {
+            ConfirmationPeer peer,
+            ConfigFreshness.Moment begun,
+            PeerMessages.ConfigurationAge age) {
         OptionalLong ownVersion = mConfiguration.version();
         if (ownVersion.isEmpty() || ownVersion.getAsLong() != age.version()) {
             return;
@@ -121,7 +138,9 @@
     }
 
     private void readFrom(
-            PeerClient peer, ConfigFreshness.Moment begun, PeerMessages.ConfigurationAge age) {
+            ConfirmationPeer peer,
+            ConfigFreshness.Moment begun,
+            PeerMessages.ConfigurationAge age) {
         if (!mReading.compareAndSet(false, true)) {
             return;
         }
