Limit the requests of organisations at all hosts together

Each request of an organisation with a limit takes a permit from the host that rendezvous hashing ranks first, over the peer path /organisation-permits. The second host issues if the first one does not respond, forwards if it does, also through other peers, and otherwise each host uses its share of the rate. A new host leaves the issuing to the previous one for 3 s, while others do not know it. An issuer that reaches less than half of the hosts issues nothing. Hosts that were silent for 30 s are left out, because rows of ended gateways remain.

OrganisationLimitTest runs three gateways over loopback and stops the issuer.

--- a/gateway/src/main/java/org/oleandertrack/gateway/host/ConfigFeed.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/ConfigFeed.java
@@ -22,6 +22,7 @@
     private final PlatformTables mTables;
     private final CallHandler mCallHandler;
     private final TargetRegistry mTargets;
+    private final OrganisationLimits mLimits;
     private final ConfigFreshness mFreshness;
     private final EventLog mLog;
     private final StoreOutageLog mOutageLog;
@@ -32,11 +33,13 @@
             PlatformTables tables,
             CallHandler callHandler,
             TargetRegistry targets,
+            OrganisationLimits limits,
             ConfigFreshness freshness,
             EventLog log) {
         mTables = tables;
         mCallHandler = callHandler;
         mTargets = targets;
+        mLimits = limits;
         mFreshness = freshness;
         mLog = log;
         mOutageLog = new StoreOutageLog(tables.configTable(), log);
@@ -116,6 +119,7 @@
         boolean activated = mCallHandler.configure(config);
         if (activated) {
             mTargets.configure(config);
+            mLimits.configure(config.organisations().organisations(), config.version());
             mRow = Optional.of(mTables.withoutSecrets(row));
             for (String reason : config.organisations().rejectedEntries()) {
                 mLog.warn("organisation rejected")
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -50,7 +50,6 @@
 import org.oleandertrack.gateway.call.CallerAdmission;
 import org.oleandertrack.gateway.call.GatewayResponses;
 import org.oleandertrack.gateway.call.HeaderCodec;
-import org.oleandertrack.gateway.call.OrganisationLimiter;
 import org.oleandertrack.gateway.call.ResponseMemory;
 import org.oleandertrack.gateway.call.StopAdmission;
 import org.oleandertrack.gateway.peer.FilteredRowStore;
@@ -98,6 +97,7 @@
     private final OutageAllowances mOwnAllowances = new OutageAllowances(System::nanoTime);
     private final TargetPacers mOwnPacers;
     private final PeerPermitIssuer mPermits;
+    private final OrganisationLimits mOrganisationLimits;
     private final QuarantineService mQuarantine;
     private final TableFollower mQuarantineFollower;
     private final Gauge mQuarantinedRequests;
@@ -154,6 +154,8 @@
                         log);
         mOwnPacers = new TargetPacers(random);
         mPermits = new PeerPermitIssuer(mPeers, mOwnPacers, random, log);
+        mOrganisationLimits =
+                OrganisationLimits.create(mPeers, settings.nodeName(), random, log, metrics);
         mStore = new RelayingRowStore(store, mPeers::relayStores, random);
         mTargets =
                 new TargetRegistry(
@@ -182,7 +184,9 @@
         GatewayResponses gatewayResponses = new GatewayResponses(headerCodec);
         mCallHandler = makeCallHandler(headerCodec, gatewayResponses);
         mTargetFeed = new TargetFeed(tables, mTargetDirectory, System::nanoTime, log);
-        ConfigFeed configFeed = new ConfigFeed(tables, mCallHandler, mTargets, mFreshness, log);
+        ConfigFeed configFeed =
+                new ConfigFeed(
+                        tables, mCallHandler, mTargets, mOrganisationLimits, mFreshness, log);
         mConfigFollower = follow(tables.configTable(), configFeed, random);
         mConfirmations =
                 settings.revocationMillis().isPresent()
@@ -348,7 +352,7 @@
                         headerCodec,
                         new KeyAdmission(mSettings.revocationMillis()),
                         mFreshness,
-                        OrganisationLimiter.UNLIMITED));
+                        mOrganisationLimits.limiter()));
     }
 
     private HttpServer makeCallerServer(EventLoopGroup loops, GatewayResponses gatewayResponses) {
@@ -372,6 +376,7 @@
                         mOwnPacers,
                         mQuarantine,
                         mStreamOrigins,
+                        mOrganisationLimits.permitService(),
                         mFreshness,
                         configuration),
                 HttpResponses::empty);
@@ -440,6 +445,7 @@
         mSpending.runMaintenance();
         mOwnAllowances.dropIdle();
         mPermits.dropIdle(System.nanoTime());
+        mOrganisationLimits.runMaintenance();
         mQuarantine.runMaintenance();
         mQuarantinedRequests.set(mQuarantine.quarantinedCount());
         mStreamOrigins.runMaintenance();
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
@@ -17,6 +17,8 @@
 import org.oleandertrack.coordination.stream.StreamOrigin;
 import org.oleandertrack.core.rate.PermitResult;
 import org.oleandertrack.core.result.Execution;
+import org.oleandertrack.gateway.organisation.PermitAnswer;
+import org.oleandertrack.gateway.organisation.PermitCall;
 import org.oleandertrack.http.HttpCallException;
 import org.oleandertrack.http.PooledHttpClient;
 import org.oleandertrack.http.ReceivedResponse;
@@ -41,6 +43,7 @@
 
     private final PooledHttpClient mHttpClient;
     private final PermitBackoff mPermitBackoff = new PermitBackoff();
+    private final IssuerContact mIssuerContact = new IssuerContact();
     private final AtomicLong mUnresponsiveUntilNanos;
     private final AtomicLong mStoreUnreachableUntilNanos;
     // When the first of the latest calls failed without an answer; 0 if the last one was answered.
@@ -72,6 +75,11 @@
         return mPermitBackoff.hasEnded(nowNanos);
     }
 
+    /** Returns whether the peer responds to calls about permits of organisations. */
+    IssuerContact issuerContact() {
+        return mIssuerContact;
+    }
+
     /** Returns whether the peer has answered no call for longer than the given time. */
     boolean isSilentFor(long millis, long nowNanos) {
         long silentSinceNanos = mSilentSinceNanos.get();
@@ -203,6 +211,27 @@
                         (result, failure) -> mPermitBackoff.record(failure, System.nanoTime()));
     }
 
+    /** Takes a permit for a request of an organisation; fails if the peer does not decide. */
+    CompletableFuture<PermitAnswer> takeOrganisationPermit(PermitCall call, long timeoutMillis) {
+        return callIssuer(
+                        OrganisationPermitMessages.TAKE_PATH,
+                        OrganisationPermitMessages.Take.of(call),
+                        OrganisationPermitMessages.Decision.class,
+                        timeoutMillis)
+                .thenApply(OrganisationPermitMessages.Decision::toPermitAnswer);
+    }
+
+    /** Returns whether the peer responds; the future does not fail. */
+    CompletableFuture<Boolean> respondsWithin(long timeoutMillis) {
+        return callIssuer(
+                        OrganisationPermitMessages.REACH_PATH,
+                        new OrganisationPermitMessages.Reach(),
+                        OrganisationPermitMessages.Reached.class,
+                        timeoutMillis)
+                .thenApply(OrganisationPermitMessages.Reached::reached)
+                .exceptionally(failure -> false);
+    }
+
     void close() {
         mHttpClient.close();
     }
@@ -213,6 +242,22 @@
                 .thenApply(PeerMessages.AllowanceMoved::moved);
     }
 
+    private <T> CompletableFuture<T> callIssuer(
+            String path, Object message, Class<T> responseType, long timeoutMillis) {
+        byte[] body = RowJson.encode(message).getBytes(StandardCharsets.UTF_8);
+        return mHttpClient
+                .call(HttpMethod.POST, path, JSON, body, timeoutMillis)
+                .whenComplete(
+                        (response, failure) -> {
+                            if (failure == null) {
+                                mIssuerContact.recordResponse();
+                            } else {
+                                mIssuerContact.recordSilence(System.nanoTime());
+                            }
+                        })
+                .thenApply(response -> decode(path, response, responseType));
+    }
+
     private <T> CompletableFuture<T> call(
             String path, Object message, Class<T> responseType, long timeoutMillis) {
         byte[] body = RowJson.encode(message).getBytes(StandardCharsets.UTF_8);
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerDirectory.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerDirectory.java
@@ -35,6 +35,7 @@
     private final EventLog mLog;
     private final Map<InetSocketAddress, PeerClient> mClients = new HashMap<>();
     private final Map<String, InetSocketAddress> mAnnouncedAddresses = new HashMap<>();
+    private long mAnnouncedVersion;
 
     /**
      * Creates a directory.
@@ -86,6 +87,23 @@
         return mClients.size();
     }
 
+    /** Returns the names of all announced gateways, which may include this one. */
+    synchronized List<String> announcedNames() {
+        return List.copyOf(mAnnouncedAddresses.keySet());
+    }
+
+    /** Returns a number that increases when a gateway is announced or removed. */
+    synchronized long announcedVersion() {
+        return mAnnouncedVersion;
+    }
+
+    /** Returns an announced gateway other than this one. */
+    synchronized Optional<PeerClient> announcedPeer(String node) {
+        return node.equals(mOwnNodeName)
+                ? Optional.empty()
+                : Optional.ofNullable(mAnnouncedAddresses.get(node)).map(mClients::get);
+    }
+
     /** Returns the peers that respond. */
     synchronized List<PeerClient> responsivePeers() {
         long nowNanos = System.nanoTime();
@@ -229,14 +247,21 @@
             return;
         }
         InetSocketAddress previous = mAnnouncedAddresses.put(row.id().key(), address);
-        if (previous != null && !previous.equals(address)) {
+        if (previous == null) {
+            mAnnouncedVersion++;
+        } else if (!previous.equals(address)) {
             close(previous);
         }
         add(address);
     }
 
     private void remove(String node) {
-        Optional.ofNullable(mAnnouncedAddresses.remove(node)).ifPresent(this::close);
+        Optional.ofNullable(mAnnouncedAddresses.remove(node))
+                .ifPresent(
+                        address -> {
+                            mAnnouncedVersion++;
+                            close(address);
+                        });
     }
 
     private void add(InetSocketAddress address) {
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
@@ -20,6 +20,7 @@
 import org.oleandertrack.core.organisation.ConfigFreshness;
 import org.oleandertrack.core.rate.TargetPacers;
 import org.oleandertrack.core.result.Execution;
+import org.oleandertrack.gateway.organisation.OrganisationPermitService;
 import org.oleandertrack.http.HttpResponses;
 import org.oleandertrack.http.InboundHandler;
 import org.oleandertrack.http.InboundRequest;
@@ -41,6 +42,7 @@
     private final TargetPacers mOwnPacers;
     private final QuarantineService mQuarantine;
     private final StreamOriginService mStreamOrigins;
+    private final OrganisationPermitService mOrganisationPermits;
     private final ConfigFreshness mFreshness;
     private final PeerConfiguration mConfiguration;
 
@@ -51,6 +53,8 @@
      * @param directStoreFails returns whether direct calls to the store currently fail
      * @param ownAllowances outage allowances that this host holds
      * @param ownPacers pacers of the targets that this host paces for all hosts
+     * @param organisationPermits issues permits of the organisations for which this host is a
+     *     candidate
      */
     public PeerHandler(
             RowStore directStore,
@@ -60,6 +64,7 @@
             TargetPacers ownPacers,
             QuarantineService quarantine,
             StreamOriginService streamOrigins,
+            OrganisationPermitService organisationPermits,
             ConfigFreshness freshness,
             PeerConfiguration configuration) {
         mDirectStore = directStore;
@@ -69,6 +74,7 @@
         mOwnPacers = ownPacers;
         mQuarantine = quarantine;
         mStreamOrigins = streamOrigins;
+        mOrganisationPermits = organisationPermits;
         mFreshness = freshness;
         mConfiguration = configuration;
     }
@@ -117,6 +123,17 @@
                         PeerMessages.Permit.of(
                                 mOwnPacers.take(take.toPermitRequest(), System.nanoTime())));
             }
+            case OrganisationPermitMessages.TAKE_PATH ->
+                    mOrganisationPermits
+                            .take(
+                                    RowJson.decode(
+                                                    path,
+                                                    body,
+                                                    OrganisationPermitMessages.Take.class)
+                                            .toPermitCall())
+                            .thenApply(OrganisationPermitMessages.Decision::of);
+            case OrganisationPermitMessages.REACH_PATH ->
+                    CompletableFuture.completedFuture(new OrganisationPermitMessages.Reached(true));
             case PeerMessages.REPORT_CRASHES_PATH -> {
                 PeerMessages.ReportCrashes report =
                         RowJson.decode(path, body, PeerMessages.ReportCrashes.class);
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
@@ -34,30 +34,39 @@
     private final InetSocketAddress mAddress;
 
     TestGateway(long graceMillis) {
-        this(graceMillis, Optional.empty(), OptionalLong.empty());
+        this("node", 0, graceMillis, Optional.empty(), OptionalLong.empty());
     }
 
     /** Creates a gateway on which keys count only while the configuration is known to be new. */
     TestGateway(OptionalLong revocationMillis) {
-        this(1_000, Optional.empty(), revocationMillis);
+        this("node", 0, 1_000, Optional.empty(), revocationMillis);
     }
 
     /** Creates a gateway that shares the store of another one. */
     TestGateway(MemoryRowStore store) {
-        this(1_000, Optional.of(store), OptionalLong.empty());
+        this("node", 0, 1_000, Optional.of(store), OptionalLong.empty());
+    }
+
+    /** Creates a gateway that shares the store of another one and can be reached by its peers. */
+    TestGateway(MemoryRowStore store, String node, int peerPort) {
+        this(node, peerPort, 10, Optional.of(store), OptionalLong.empty());
     }
 
     private TestGateway(
-            long graceMillis, Optional<MemoryRowStore> store, OptionalLong revocationMillis) {
+            String node,
+            int peerPort,
+            long graceMillis,
+            Optional<MemoryRowStore> store,
+            OptionalLong revocationMillis) {
         mStore = store.orElseGet(() -> new MemoryRowStore(mExecutor));
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         mSettings =
                 new GatewaySettings(
-                        "node",
+                        node,
                         "zone",
                         any,
                         any,
-                        any,
+                        new InetSocketAddress(any.getAddress(), peerPort),
                         List.of(),
                         any,
                         graceMillis,
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestTables.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestTables.java
@@ -13,6 +13,7 @@
 import org.oleandertrack.core.organisation.KeyDigest;
 import org.oleandertrack.core.organisation.Organisation;
 import org.oleandertrack.core.organisation.OrganisationDirectory;
+import org.oleandertrack.core.organisation.RequestLimit;
 import org.oleandertrack.core.traffic.CallerLimits;
 import org.oleandertrack.core.traffic.EngineSpec;
 import org.oleandertrack.core.traffic.RequestKind;
@@ -23,8 +24,9 @@
 
 /**
  * Row formats of the tests. The row of a configuration holds its version, and then the name of each
- * organisation and its key in turn; the row of a target holds "service port draining
- * startedAtMillis", and the version of the software if it is not "v1".
+ * organisation, followed by ":rate:burst" if it has a limit, and its key in turn; the row of a
+ * target holds "service port draining startedAtMillis", and the version of the software if it is
+ * not "v1".
  */
 final class TestTables implements PlatformTables {
 
@@ -77,12 +79,18 @@
     private static OrganisationDirectory readOrganisations(String[] words) {
         List<Organisation> organisations = new ArrayList<>();
         for (int i = 1; i + 1 < words.length; i += 2) {
+            String[] parts = words[i].split(":", -1);
             organisations.add(
                     new Organisation(
-                            words[i],
+                            parts[0],
                             Set.of(KeyDigest.ofKey(words[i + 1])),
                             OptionalInt.empty(),
-                            Optional.empty()));
+                            parts.length == 1
+                                    ? Optional.empty()
+                                    : Optional.of(
+                                            new RequestLimit(
+                                                    Double.parseDouble(parts[1]),
+                                                    Double.parseDouble(parts[2])))));
         }
         return new OrganisationDirectory(words.length > 1, organisations, List.of());
     }
--- a/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
@@ -54,10 +54,12 @@
 import org.oleandertrack.coordination.stream.StreamOriginListener;
 import org.oleandertrack.coordination.stream.StreamOriginService;
 import org.oleandertrack.core.organisation.ConfigFreshness;
+import org.oleandertrack.core.organisation.limit.PermitIssuerState;
 import org.oleandertrack.core.rate.PermitRequest;
 import org.oleandertrack.core.rate.PermitResult;
 import org.oleandertrack.core.rate.TargetPacers;
 import org.oleandertrack.core.result.Execution;
+import org.oleandertrack.gateway.organisation.OrganisationPermitService;
 import org.oleandertrack.http.HttpResponses;
 import org.oleandertrack.http.HttpServer;
 import org.oleandertrack.http.InboundLimits;
@@ -167,6 +169,7 @@
                             mPacers,
                             mQuarantine,
                             mStreamOrigins,
+                            permitService(directory()),
                             mFreshness,
                             mConfiguration),
                     HttpResponses::empty);
@@ -375,6 +378,14 @@
         assertTrue(second.waitMillis() - first.waitMillis() > 500, first + " " + second);
     }
 
+    private static OrganisationPermitService permitService(PeerDirectory peers) {
+        return new OrganisationPermitService(
+                new PeerOrganisationIssuers(peers, "own", new Random(1), System::nanoTime, log()),
+                new PermitIssuerState(new Random(1), 0, 0),
+                System::nanoTime,
+                System::currentTimeMillis);
+    }
+
     private static PeerPermitIssuer issuer(PeerDirectory peers) {
         return new PeerPermitIssuer(peers, new TargetPacers(new Random(1)), new Random(1), log());
     }
--- a/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
@@ -4,7 +4,8 @@
 
 /**
  * All metrics of the product. They are documented in {@code docs/metrics.md}. Labels never contain
- * program ids or organisations, because their number is not bounded.
+ * program ids, because their number is not bounded, and of organisations only the ten with the
+ * largest limits.
  */
 public enum Metric {
     // Calls.
@@ -75,6 +76,20 @@
             MetricKind.GAUGE,
             "turns",
             "Turns that this host holds because the store does not have them yet."),
+    // Limits of organisations.
+    ORGANISATION_PERMITS(
+            "oleandertrack_organisation_permits_total",
+            MetricKind.COUNTER,
+            "permits",
+            "Permits asked for, by result and the issuer's rank; 0 if no issuer was asked.",
+            "result",
+            "rank"),
+    ORGANISATION_DENIALS(
+            "oleandertrack_organisation_denials_total",
+            MetricKind.COUNTER,
+            "requests",
+            "Requests over their organisation's limit; the ten with the largest limits by name.",
+            "organisation"),
     // Ownership and commit.
     SHARDS_HELD(
             "oleandertrack_shards_held",
