--- a/gateway/src/test/java/org/oleandertrack/gateway/host/OrganisationLimitTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/OrganisationLimitTest.java
@@ -24,7 +24,7 @@
     private static final double RATE = 20;
     private static final double BURST = 10;
     private static final String LIMITED = " birch:20:10 key-1";
-    private static final Pattern ISSUER = Pattern.compile("\"issuer\":\"(host-\\d)\",\"rank\":1");
+    private static final Pattern ISSUER = Pattern.compile("\"issuer\":\"(node-\\d+)\",\"rank\":1");
 
     private final ScheduledExecutorService mExecutor = Executors.newSingleThreadScheduledExecutor();
     private final MemoryRowStore mStore = new MemoryRowStore(mExecutor);
@@ -34,7 +34,7 @@
 
     OrganisationLimitTest() throws IOException {
         for (int i = 0; i < 3; i++) {
-            mGateways.add(new TestGateway(mStore, "host-" + i, freePort()));
+            mGateways.add(new TestGateway(mStore, freePort()));
         }
         mStore.put(TestTables.CONFIG, "config", "1" + LIMITED);
         mGateways.getFirst().register("t0", "tool", mTarget.port(), false);
@@ -95,14 +95,16 @@
     }
 
     private TestGateway issuer() {
+        String name = "";
         for (TestGateway gateway : mGateways) {
             Matcher matcher = ISSUER.matcher(gateway.logs());
-            if (matcher.find()) {
-                String name = matcher.group(1);
-                return mGateways.get(name.charAt(name.length() - 1) - '0');
-            }
+            name = matcher.find() ? matcher.group(1) : name;
         }
-        throw new AssertionError("no issuer of the first rank in the logs");
+        String issuer = name;
+        return mGateways.stream()
+                .filter(gateway -> gateway.settings().nodeName().equals(issuer))
+                .findFirst()
+                .orElseThrow();
     }
 
     private int flood(long millis) throws IOException {
