--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -53,7 +53,6 @@
 import org.oleandertrack.gateway.call.CallerAdmission;
 import org.oleandertrack.gateway.call.GatewayResponses;
 import org.oleandertrack.gateway.call.HeaderCodec;
-import org.oleandertrack.gateway.call.OrganisationLimiter;
 import org.oleandertrack.gateway.call.ResponseMemory;
 import org.oleandertrack.gateway.call.StopAdmission;
 import org.oleandertrack.gateway.peer.FilteredRowStore;
@@ -101,6 +100,7 @@
     private final OutageAllowances mOwnAllowances = new OutageAllowances(System::nanoTime);
     private final TargetPacers mOwnPacers;
     private final PeerPermitIssuer mPermits;
+    private final OrganisationLimits mOrganisationLimits;
     private final QuarantineService mQuarantine;
     private final TableFollower mQuarantineFollower;
     private final Gauge mQuarantinedRequests;
@@ -158,6 +158,8 @@
                         log);
         mOwnPacers = new TargetPacers(random);
         mPermits = new PeerPermitIssuer(mPeers, mOwnPacers, random, log);
+        mOrganisationLimits =
+                OrganisationLimits.create(mPeers, settings.nodeName(), random, log, metrics);
         mStore =
                 new RelayingRowStore(
                         store, mPeers::relayStores, random, new StoreCallLog(log, metrics));
@@ -188,7 +190,9 @@
         GatewayResponses gatewayResponses = new GatewayResponses(headerCodec);
         mCallHandler = makeCallHandler(headerCodec, gatewayResponses);
         mTargetFeed = new TargetFeed(tables, mTargetDirectory, System::nanoTime, log);
-        ConfigFeed configFeed = new ConfigFeed(tables, mCallHandler, mTargets, mFreshness, log);
+        ConfigFeed configFeed =
+                new ConfigFeed(
+                        tables, mCallHandler, mTargets, mOrganisationLimits, mFreshness, log);
         Optional<RevocationBound> bound = settings.revocationBound();
         mConfigFollower =
                 follow(
@@ -367,7 +371,7 @@
                         headerCodec,
                         new KeyAdmission(mSettings.revocationBound()),
                         mFreshness,
-                        OrganisationLimiter.UNLIMITED));
+                        mOrganisationLimits.limiter()));
     }
 
     private HttpServer makeCallerServer(EventLoopGroup loops, GatewayResponses gatewayResponses) {
@@ -391,6 +395,7 @@
                         mOwnPacers,
                         mQuarantine,
                         mStreamOrigins,
+                        mOrganisationLimits.permitService(),
                         mFreshness,
                         configuration),
                 HttpResponses::empty);
@@ -461,6 +466,7 @@
         mSpending.runMaintenance();
         mOwnAllowances.dropIdle();
         mPermits.dropIdle(System.nanoTime());
+        mOrganisationLimits.runMaintenance();
         mQuarantine.runMaintenance();
         mQuarantinedRequests.set(mQuarantine.quarantinedCount());
         mStreamOrigins.runMaintenance();
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
@@ -57,6 +57,11 @@
         this(1_000, Optional.of(store), OptionalLong.empty(), 0, List.of());
     }
 
+    /** Creates a gateway that shares the store of another one and can be reached by its peers. */
+    TestGateway(MemoryRowStore store, int peerPort) {
+        this(10, Optional.of(store), OptionalLong.empty(), peerPort, List.of());
+    }
+
     private TestGateway(
             long graceMillis,
             Optional<MemoryRowStore> store,
