Pace writes while the store is over its rate

Hosts that all write as they like are refused several hundred times a second once their writes exceed the store's rate, and each refused client waits without knowing for how long.

Until the store refuses a write for its rate, each call is passed on at once. From then on until 500 ms after the last refusal and until none waits, writes wait in a queue: grants and stored turns, then other records, then removals. WriteRate begins with the even share or 0.7 of what the host wrote just before, falls with refusals and rises steadily. A write that would wait for too long is refused at once with a time to come back. Writes of one part are joined into one transaction; if one of them is rejected, the others are made again alone. An equal write that still waits is made once; repetitions of a kept turn therefore state the same time.

GroupCommit is not used: it puts batches into an object store and needs rows of its own format.

--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
@@ -24,6 +24,12 @@
  */
 public final class ConversationService {
 
+    /** Table with the rows of kept turns. */
+    public static final String TURN_TABLE = ConversationRows.TURN_TABLE;
+
+    /** Table with one row for each kept turn, by the time when it may be removed. */
+    public static final String DUE_TABLE = ConversationRows.DUE_TABLE;
+
     // A slow store answers within 500 ms. After this time, peers hold the turn as well.
     private static final long STORE_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
     // The store answers in 10 to 20 ms. A call whose answer is lost stays open until its timeout;
@@ -51,6 +57,7 @@
     private final ConversationPeers mPeers;
     private final Scheduler mScheduler;
     private final LongSupplier mNanoClock;
+    private final LongSupplier mEpochMillisClock;
     private final ConversationListener mListener;
     private final ConversationCache mCache;
     private final HeldTurns mHeldTurns;
@@ -81,6 +88,7 @@
         mPeers = peers;
         mScheduler = scheduler;
         mNanoClock = nanoClock;
+        mEpochMillisClock = epochMillisClock;
         mRandom = random;
         mListener = listener;
         mCache = new ConversationCache(limits.cacheBytes());
@@ -165,7 +173,7 @@
                 continue;
             }
             var _ =
-                    mStore.write(turn)
+                    mStore.write(turn, mEpochMillisClock.getAsLong())
                             .whenComplete(
                                     (done, failure) -> {
                                         mHandOversInFlight.remove(turn.turnId());
@@ -217,6 +225,7 @@
     private final class Keeping {
         private final KeptTurn mTurn;
         private final long mBeginNanos = mNanoClock.getAsLong();
+        private final long mBeginMillis = mEpochMillisClock.getAsLong();
         private final CompletableFuture<KeepOutcome> mOutcome = new CompletableFuture<>();
         private final AtomicInteger mRefusedWrites = new AtomicInteger();
         private final AtomicInteger mRateRefusals = new AtomicInteger();
@@ -239,7 +248,7 @@
         private void write() {
             mPausing = false;
             var _ =
-                    mStore.write(mTurn)
+                    mStore.write(mTurn, mBeginMillis)
                             .whenComplete(
                                     (done, failure) -> {
                                         if (failure == null) {
--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationStore.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationStore.java
@@ -44,8 +44,11 @@
     /**
      * Writes a turn. May be repeated after a failure. If the store has another conversation under
      * the same id, from an earlier try of the turn, it is replaced.
+     *
+     * @param keptMillis time of day at which the turn was first written, in milliseconds since the
+     *     epoch. Repetitions state the same time, so that their transactions are equal.
      */
-    CompletableFuture<Void> write(KeptTurn turn) {
+    CompletableFuture<Void> write(KeptTurn turn, long keptMillis) {
         List<String> values = ConversationCodec.encode(turn.conversation());
         List<RowTransaction.Write> writes = new ArrayList<>();
         for (int piece = 1; piece < values.size(); piece++) {
@@ -53,8 +56,7 @@
                     new RowTransaction.Write(
                             ConversationRows.turnRow(turn.turnId(), piece), values.get(piece)));
         }
-        long dueMillis =
-                mEpochMillisClock.getAsLong() + turn.retentionMillis() + REMOVAL_DELAY_MILLIS;
+        long dueMillis = keptMillis + turn.retentionMillis() + REMOVAL_DELAY_MILLIS;
         writes.add(
                 new RowTransaction.Write(
                         ConversationRows.dueRow(
--- a/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingService.java
@@ -39,7 +39,9 @@
  */
 public final class SpendingService {
 
-    private static final String TABLE = "spending";
+    /** Table with one row for each program, which states what is granted of its budget. */
+    public static final String TABLE = "spending";
+
     // The store runs the transactions of one part of a table one after another, a few hundred a
     // second. Programs are spread over the parts, so that transactions do not queue at one part.
     private static final int TABLE_PARTS = 64;
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -103,6 +103,7 @@
     private final TableFollower mTargetFollower;
     private final TargetRegistry mTargets;
     private final RegisteredTargets mRegisteredTargets;
+    private final StorePacing mPacing;
     private final RelayingRowStore mStore;
     private final PeerDirectory mPeers;
     private final TableFollower mPeerFollower;
@@ -140,9 +141,8 @@
                         log);
         mOwnPacers = new TargetPacers(random);
         mPermits = new PeerPermitIssuer(mPeers, mOwnPacers, random, log);
-        mStore =
-                new RelayingRowStore(
-                        store, mPeers::relayStores, random, new StoreCallLog(log, metrics));
+        mPacing = makePacing(store);
+        mStore = makeRelayingStore(random);
         mTargets =
                 new TargetRegistry(
                         new TurnPlacement(EngineTimes.DEFAULT, settings.zone()),
@@ -194,7 +194,7 @@
         mTargetFollower = follow(tables.targetTable(), mTargetFeed, random);
         mPeerFollower = follow(PeerDirectory.TABLE, mPeers, random);
         mQuarantineFollower = follow(QuarantineService.TABLE, mQuarantine, random);
-        mPeerServer = makePeerServer(loops, store);
+        mPeerServer = makePeerServer(loops, mPacing.store());
         mCallerServer = makeCallerServer(loops, gatewayResponses);
         mReadinessServer =
                 new HttpServer(
@@ -340,6 +340,16 @@
                 HttpResponses::empty);
     }
 
+    private StorePacing makePacing(RowStore store) {
+        return new StorePacing(
+                store, mSettings.storeLimits(), mPeers::peerCount, mScheduler, mLog, mMetrics);
+    }
+
+    private RelayingRowStore makeRelayingStore(Random random) {
+        return new RelayingRowStore(
+                mPacing.store(), mPeers::relayStores, random, new StoreCallLog(mLog, mMetrics));
+    }
+
     private SpendingService makeSpending(Random random) {
         return new SpendingService(
                 mStore,
@@ -397,6 +407,7 @@
 
     private void runMaintenance() {
         mStore.probe();
+        mPacing.runMaintenance();
         mTargets.setHostCount(1 + mPeers.peerCount());
         mTargetDirectory.dropExpired(System.nanoTime());
         mSpending.runMaintenance();
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
+import org.oleandertrack.coordination.pacing.StoreLimits;
 
 /**
  * Settings of a gateway process. Immutable.
@@ -19,6 +21,7 @@
  * @param maxLogLinesPerSecond number of log lines per second beyond which lines about routine work
  *     are dropped
  * @param responseMemoryBytes bytes of responses that are held until they are complete
+ * @param storeLimits rates of the store, by which this host paces its writes; empty if it does not
  */
 public record GatewaySettings(
         String nodeName,
@@ -31,7 +34,8 @@
         long graceMillis,
         long entryRenewalMillis,
         int maxLogLinesPerSecond,
-        long responseMemoryBytes) {
+        long responseMemoryBytes,
+        Optional<StoreLimits> storeLimits) {
 
     /** Returns these settings with the given values for those that may change at run time. */
     GatewaySettings withReloadable(GatewaySettings other) {
@@ -46,6 +50,7 @@
                 other.graceMillis,
                 entryRenewalMillis,
                 maxLogLinesPerSecond,
-                responseMemoryBytes);
+                responseMemoryBytes,
+                storeLimits);
     }
 }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
@@ -56,7 +56,8 @@
                         graceMillis,
                         2_000,
                         MAX_LOG_LINES,
-                        RESPONSE_MEMORY_BYTES);
+                        RESPONSE_MEMORY_BYTES,
+                        Optional.empty());
         mHost =
                 new GatewayHost(
                         mSettings,
--- a/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
@@ -82,6 +82,22 @@
             "calls",
             "Direct calls to the store that failed, by cause: over_rate or unavailable.",
             "cause"),
+    STORE_WRITE_LIMIT(
+            "oleandertrack_store_write_limit",
+            MetricKind.GAUGE,
+            "writes per second",
+            "Rate to which this host limits its writes to the store; 0 while it does not."),
+    STORE_WRITES_QUEUED(
+            "oleandertrack_store_writes_queued",
+            MetricKind.GAUGE,
+            "writes",
+            "Writes that wait for the store's rate."),
+    STORE_WRITES_PACED(
+            "oleandertrack_store_writes_paced_total",
+            MetricKind.COUNTER,
+            "writes",
+            "Writes that were joined into one transaction or refused by this host's limit.",
+            "outcome"),
     // Ownership and commit.
     SHARDS_HELD(
             "oleandertrack_shards_held",
