Save writes while the store's rate is short

Pacing alone spreads the writes but does not make them fewer: 800 turns a second with grants, origins and stored turns are more than 1,200 writes.

--- a/coordination/src/test/java/org/oleandertrack/coordination/spending/SpendingServiceTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/spending/SpendingServiceTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.oleandertrack.coordination.sim.VirtualTime;
 import org.oleandertrack.coordination.spending.FakeRowStore.Fate;
+import org.oleandertrack.coordination.store.StoreRate;
 import org.oleandertrack.coordination.store.WriteIds;
 
 /**
@@ -38,6 +39,7 @@
     private SpendingService host(long seed) {
         return new SpendingService(
                 mStore,
+                StoreRate.NEVER_SHORT,
                 mIssuer,
                 new WriteIds(new Random(seed)),
                 mTime,
@@ -227,6 +229,7 @@
             SpendingService restarted =
                     new SpendingService(
                             mStore,
+                            StoreRate.NEVER_SHORT,
                             new LocalAllowanceIssuer(new OutageAllowances(() -> mNowNanos)),
                             new WriteIds(new Random(restart)),
                             mTime,
--- a/coordination/src/test/java/org/oleandertrack/coordination/stream/StreamOriginServiceTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/stream/StreamOriginServiceTest.java
@@ -14,6 +14,7 @@
 import org.oleandertrack.coordination.spending.FakeRowStore;
 import org.oleandertrack.coordination.store.RowId;
 import org.oleandertrack.coordination.store.RowTransaction;
+import org.oleandertrack.coordination.store.StoreRate;
 
 /** Guards against origins that are lost with a host, guessed, or never removed. */
 final class StreamOriginServiceTest {
@@ -32,6 +33,7 @@
         private final StreamOriginService mService =
                 new StreamOriginService(
                         mStore,
+                        StoreRate.NEVER_SHORT,
                         mVersions,
                         this,
                         mTime,
