--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
@@ -16,6 +16,7 @@
 import org.oleandertrack.coordination.store.RateRetry;
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.coordination.store.StoreRate;
 import org.oleandertrack.core.result.Execution;
 
 /**
@@ -25,6 +26,12 @@
  */
 public final class ConversationService {
 
+    /** Table with the rows of kept turns. */
+    public static final String TURN_TABLE = ConversationRows.TURN_TABLE;
+
+    /** Table with one row for each kept turn, by the time when it may be removed. */
+    public static final String DUE_TABLE = ConversationRows.DUE_TABLE;
+
     // A slow store answers within 500 ms. After this time, peers hold the turn as well.
     private static final long STORE_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
     // The store answers in 10 to 20 ms. A call whose answer is lost stays open until its timeout;
@@ -54,13 +61,18 @@
     // A read that is refused for the store's rate is repeated for this long.
     private static final long READ_RATE_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
     private static final int MAX_HAND_OVERS_IN_FLIGHT = 8;
+    // Searches are this much rarer while the store's rate is short. They are not left out, so that
+    // the tables do not grow without end.
+    private static final int REMOVAL_DELAY_FACTOR = 10;
     // Each part is searched for expired turns about once in this time, by any host.
     private static final long REMOVAL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(60);
 
     private final ConversationStore mStore;
+    private final StoreRate mRate;
     private final ConversationPeers mPeers;
     private final Scheduler mScheduler;
     private final LongSupplier mNanoClock;
+    private final LongSupplier mEpochMillisClock;
     private final ConversationListener mListener;
     private final ConversationCache mCache;
     private final HeldTurns mHeldTurns;
@@ -74,12 +86,14 @@
     /**
      * Creates a service.
      *
+     * @param rate tells when the removal of expired turns is put off
      * @param nanoClock monotonic time, in nanoseconds
      * @param epochMillisClock time of day, in milliseconds since the epoch
      * @param random chooses the parts of the store that are searched for expired turns
      */
     public ConversationService(
             RowStore store,
+            StoreRate rate,
             ConversationPeers peers,
             Scheduler scheduler,
             LongSupplier nanoClock,
@@ -88,9 +102,11 @@
             ConversationListener listener,
             ConversationLimits limits) {
         mStore = new ConversationStore(store, epochMillisClock);
+        mRate = rate;
         mPeers = peers;
         mScheduler = scheduler;
         mNanoClock = nanoClock;
+        mEpochMillisClock = epochMillisClock;
         mRandom = random;
         mListener = listener;
         mCache = new ConversationCache(limits.cacheBytes());
@@ -177,7 +193,10 @@
             mScheduler.schedule(
                     HAND_OVER_REPEAT_NANOS, () -> mHandOversInFlight.remove(turn.turnId()));
             var _ =
-                    mStore.write(turn, mRandom.nextInt(ConversationRows.PART_CHOICES))
+                    mStore.write(
+                                    turn,
+                                    mRandom.nextInt(ConversationRows.PART_CHOICES),
+                                    mEpochMillisClock.getAsLong())
                             .whenComplete(
                                     (done, failure) -> {
                                         mHandOversInFlight.remove(turn.turnId());
@@ -200,7 +219,8 @@
     private synchronized void searchNextPart() {
         long nowNanos = mNanoClock.getAsLong();
         long intervalNanos = REMOVAL_INTERVAL_NANOS * (1 + mPeers.peerCount()) / mParts.size();
-        if (nowNanos - mLastSearchNanos < intervalNanos) {
+        if (nowNanos - mLastSearchNanos
+                < intervalNanos * (mRate.isShort() ? REMOVAL_DELAY_FACTOR : 1)) {
             return;
         }
         mLastSearchNanos = nowNanos;
@@ -229,6 +249,7 @@
     private final class Keeping {
         private final KeptTurn mTurn;
         private final long mBeginNanos = mNanoClock.getAsLong();
+        private final long mBeginMillis = mEpochMillisClock.getAsLong();
         private final CompletableFuture<KeepOutcome> mOutcome = new CompletableFuture<>();
         private final AtomicInteger mRefusedWrites = new AtomicInteger();
         private final AtomicInteger mWrites = new AtomicInteger();
@@ -252,7 +273,7 @@
         private void write() {
             mPausing = false;
             var _ =
-                    mStore.write(mTurn, partChoice())
+                    mStore.write(mTurn, partChoice(), mBeginMillis)
                             .whenComplete(
                                     (done, failure) -> {
                                         if (failure == null) {
@@ -265,8 +286,12 @@
                                     });
         }
 
-        // The part may be the only one that is unavailable, and an answer may have been lost.
+        // The part may be the only one that is unavailable, and an answer may have been lost. A
+        // write that waits for the store's rate stays in its part, so that it is written once.
         private int partChoice() {
+            if (mRate.isShort()) {
+                return 0;
+            }
             int write = mWrites.getAndIncrement();
             return write < USUAL_PART_WRITES
                     ? 0
@@ -311,10 +336,10 @@
 
         private void holdUnlessOverRate() {
             long sinceRefusalNanos = mNanoClock.getAsLong() - mLastRateRefusalNanos;
-            if (mRateRefusals.get() > 0 && sinceRefusalNanos < RateRetry.ANSWERED_AGAIN_NANOS) {
-                mScheduler.schedule(
-                        RateRetry.ANSWERED_AGAIN_NANOS - sinceRefusalNanos,
-                        this::holdUnlessOverRate);
+            boolean refused =
+                    mRateRefusals.get() > 0 && sinceRefusalNanos < RateRetry.ANSWERED_AGAIN_NANOS;
+            if (refused || mRate.delaysWrites()) {
+                mScheduler.schedule(RateRetry.ANSWERED_AGAIN_NANOS, this::holdUnlessOverRate);
                 return;
             }
             holdUnlessEnded();
--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationStore.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationStore.java
@@ -46,8 +46,10 @@
      * the same id, from an earlier try of the turn, it is replaced.
      *
      * @param choice number of the part to which the turn is written
+     * @param keptMillis time of day at which the turn was first written, in milliseconds since the
+     *     epoch. Repetitions state the same time, so that their transactions are equal.
      */
-    CompletableFuture<Void> write(KeptTurn turn, int choice) {
+    CompletableFuture<Void> write(KeptTurn turn, int choice, long keptMillis) {
         List<String> values = ConversationCodec.encode(turn.conversation());
         List<RowTransaction.Write> writes = new ArrayList<>();
         for (int piece = 1; piece < values.size(); piece++) {
@@ -56,8 +58,7 @@
                             ConversationRows.turnRow(turn.turnId(), choice, piece),
                             values.get(piece)));
         }
-        long dueMillis =
-                mEpochMillisClock.getAsLong() + turn.retentionMillis() + REMOVAL_DELAY_MILLIS;
+        long dueMillis = keptMillis + turn.retentionMillis() + REMOVAL_DELAY_MILLIS;
         writes.add(
                 new RowTransaction.Write(
                         ConversationRows.dueRow(
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -121,6 +121,7 @@
     private final TableFollower mTargetFollower;
     private final TargetRegistry mTargets;
     private final RegisteredTargets mRegisteredTargets;
+    private final StorePacing mPacing;
     private final RelayingRowStore mStore;
     private final PeerDirectory mPeers;
     private final TableFollower mPeerFollower;
@@ -160,9 +161,8 @@
         mPermits = new PeerPermitIssuer(mPeers, mOwnPacers, random, log);
         mOrganisationLimits =
                 OrganisationLimits.create(mPeers, settings.nodeName(), random, log, metrics);
-        mStore =
-                new RelayingRowStore(
-                        store, mPeers::relayStores, random, new StoreCallLog(log, metrics));
+        mPacing = makePacing(store);
+        mStore = makeRelayingStore(random);
         mTargets =
                 new TargetRegistry(
                         new TurnPlacement(EngineTimes.DEFAULT, settings.zone()),
@@ -213,7 +213,9 @@
         mQuarantineFollower = follow(QuarantineService.TABLE, mQuarantine, random);
         mPeerServer =
                 makePeerServer(
-                        loops, new FilteredRowStore(store, tables::withoutSecrets), configFeed);
+                        loops,
+                        new FilteredRowStore(mPacing.store(), tables::withoutSecrets),
+                        configFeed);
         mCallerServer = makeCallerServer(loops, gatewayResponses);
         mReadinessServer =
                 new HttpServer(
@@ -401,9 +403,20 @@
                 HttpResponses::empty);
     }
 
+    private StorePacing makePacing(RowStore store) {
+        return new StorePacing(
+                store, mSettings.storeLimits(), mPeers::peerCount, mScheduler, mLog, mMetrics);
+    }
+
+    private RelayingRowStore makeRelayingStore(Random random) {
+        return new RelayingRowStore(
+                mPacing.store(), mPeers::relayStores, random, new StoreCallLog(mLog, mMetrics));
+    }
+
     private SpendingService makeSpending(Random random) {
         return new SpendingService(
                 mStore,
+                mPacing.rate(),
                 new PeerAllowanceIssuer(mPeers, mOwnAllowances, mLog),
                 new WriteIds(random),
                 mScheduler,
@@ -414,6 +427,7 @@
     private StreamOriginService makeStreamOrigins(SoftwareVersions versions, Random random) {
         return new StreamOriginService(
                 mStore,
+                mPacing.rate(),
                 versions,
                 new PeerStreamOrigins(mPeers, mLog),
                 mScheduler,
@@ -426,6 +440,7 @@
     private ConversationService makeConversations(Random random) {
         return new ConversationService(
                 mStore,
+                mPacing.rate(),
                 new PeerConversations(mPeers, mLog),
                 mScheduler,
                 System::nanoTime,
@@ -461,6 +476,7 @@
         mConfirmations.ifPresent(PeerConfirmations::runMaintenance);
         mCallHandler.config().ifPresent(config -> mConfigVersion.set((double) config.version()));
         mFreshness.ageMillis().ifPresent(millis -> mConfigAge.set(millis / MILLIS_PER_SECOND));
+        mPacing.runMaintenance();
         mTargets.setHostCount(1 + mPeers.peerCount());
         mTargetDirectory.dropExpired(System.nanoTime());
         mSpending.runMaintenance();
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.oleandertrack.coordination.pacing.StoreLimits;
 import org.oleandertrack.core.organisation.RevocationBound;
 
 /**
@@ -24,6 +25,7 @@
  * @param responseMemoryBytes bytes of responses that are held until they are complete
  * @param revocationMillis time after which a revoked access key must have no effect at any host, in
  *     milliseconds; empty if it is not bounded
+ * @param storeLimits rates of the store, by which this host paces its writes; empty if it does not
  */
 public record GatewaySettings(
         String nodeName,
@@ -37,7 +39,8 @@
         long entryRenewalMillis,
         int maxLogLinesPerSecond,
         long responseMemoryBytes,
-        OptionalLong revocationMillis) {
+        OptionalLong revocationMillis,
+        Optional<StoreLimits> storeLimits) {
 
     /** Returns the bound on the time until a revoked access key has no effect, if there is one. */
     Optional<RevocationBound> revocationBound() {
@@ -60,6 +63,7 @@
                 entryRenewalMillis,
                 maxLogLinesPerSecond,
                 responseMemoryBytes,
-                revocationMillis);
+                revocationMillis,
+                storeLimits);
     }
 }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayReloadTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayReloadTest.java
@@ -52,6 +52,7 @@
                 current.entryRenewalMillis(),
                 current.maxLogLinesPerSecond(),
                 current.responseMemoryBytes(),
-                current.revocationMillis());
+                current.revocationMillis(),
+                current.storeLimits());
     }
 }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
@@ -83,7 +83,8 @@
                         2_000,
                         MAX_LOG_LINES,
                         RESPONSE_MEMORY_BYTES,
-                        revocationMillis);
+                        revocationMillis,
+                        Optional.empty());
         mHost =
                 new GatewayHost(
                         mSettings,
