Save writes while the store's rate is short

Pacing alone spreads the writes but does not make them fewer: 800 turns a second with grants, origins and stored turns are more than 1,200 writes.

Until 0.95 s after a refusal, a grant also covers a further turn if that leaves half of the budget to others; a host reads a program's row before its first grant instead of having the write rejected; two peers hold origins instead of the store; and parts are searched for expired rows ten times less often. Stored turns go before grants, because their work is done. Outage behaviour after 700 ms without an answer does not begin while a write may wait for the rate.

The tests of coordination, gateway and platform that concern the store pass.

--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
@@ -15,6 +15,7 @@
 import org.oleandertrack.coordination.store.RateRetry;
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.coordination.store.StoreRate;
 import org.oleandertrack.core.result.Execution;
 
 /**
@@ -50,10 +51,14 @@
     // A read that is refused for the store's rate is repeated for this long.
     private static final long READ_RATE_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
     private static final int MAX_HAND_OVERS_IN_FLIGHT = 8;
+    // Searches are this much rarer while the store's rate is short. They are not left out, so that
+    // the tables do not grow without end.
+    private static final int REMOVAL_DELAY_FACTOR = 10;
     // Each part is searched for expired turns about once in this time, by any host.
     private static final long REMOVAL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(60);
 
     private final ConversationStore mStore;
+    private final StoreRate mRate;
     private final ConversationPeers mPeers;
     private final Scheduler mScheduler;
     private final LongSupplier mNanoClock;
@@ -71,12 +76,14 @@
     /**
      * Creates a service.
      *
+     * @param rate tells when the removal of expired turns is put off
      * @param nanoClock monotonic time, in nanoseconds
      * @param epochMillisClock time of day, in milliseconds since the epoch
      * @param random chooses the parts of the store that are searched for expired turns
      */
     public ConversationService(
             RowStore store,
+            StoreRate rate,
             ConversationPeers peers,
             Scheduler scheduler,
             LongSupplier nanoClock,
@@ -85,6 +92,7 @@
             ConversationListener listener,
             ConversationLimits limits) {
         mStore = new ConversationStore(store, epochMillisClock);
+        mRate = rate;
         mPeers = peers;
         mScheduler = scheduler;
         mNanoClock = nanoClock;
@@ -196,7 +204,8 @@
     private synchronized void searchNextPart() {
         long nowNanos = mNanoClock.getAsLong();
         long intervalNanos = REMOVAL_INTERVAL_NANOS * (1 + mPeers.peerCount()) / mParts.size();
-        if (nowNanos - mLastSearchNanos < intervalNanos) {
+        if (nowNanos - mLastSearchNanos
+                < intervalNanos * (mRate.isShort() ? REMOVAL_DELAY_FACTOR : 1)) {
             return;
         }
         mLastSearchNanos = nowNanos;
@@ -299,10 +308,10 @@
 
         private void holdUnlessOverRate() {
             long sinceRefusalNanos = mNanoClock.getAsLong() - mLastRateRefusalNanos;
-            if (mRateRefusals.get() > 0 && sinceRefusalNanos < RateRetry.ANSWERED_AGAIN_NANOS) {
-                mScheduler.schedule(
-                        RateRetry.ANSWERED_AGAIN_NANOS - sinceRefusalNanos,
-                        this::holdUnlessOverRate);
+            boolean refused =
+                    mRateRefusals.get() > 0 && sinceRefusalNanos < RateRetry.ANSWERED_AGAIN_NANOS;
+            if (refused || mRate.delaysWrites()) {
+                mScheduler.schedule(RateRetry.ANSWERED_AGAIN_NANOS, this::holdUnlessOverRate);
                 return;
             }
             holdUnlessEnded();
--- a/coordination/src/main/java/org/oleandertrack/coordination/pacing/PacingRowStore.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/pacing/PacingRowStore.java
@@ -30,8 +30,19 @@
  */
 public final class PacingRowStore implements RowStore, StoreRate {
 
+    // Writes are paced for this long after a refusal, and while any wait. Together this is to be
+    // less than 1 s after a burst.
+    private static final long QUIET_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    // Writes are saved for this long after a refusal. Hosts that are refused seldom, because others
+    // are refused instead, would otherwise write in full again and again.
+    private static final long SAVING_NANOS = TimeUnit.MILLISECONDS.toNanos(950);
     // Beyond it, writes are refused whatever the rate: conversations take up to some 100 KB each.
     private static final int MAX_QUEUED = 400;
+    // A write is refused at once if it is expected to wait for more than this share of the time
+    // that
+    // it has. The rate may fall while it waits, and would then refuse it only at the end. That is
+    // likely while the store takes less than its stated rate, and the share is then smaller.
+    private static final double EXPECTED_WAIT_SHARE = 0.8;
     // A part that many hosts write to is written to no less often than this.
     private static final long MAX_PART_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     // Time after which the queue is looked at again if only rates of parts delay it.
@@ -76,7 +87,12 @@
 
     @Override
     public synchronized boolean isShort() {
-        return mRate.isShort(mNanoClock.getAsLong()) || !mQueue.isEmpty();
+        return mRate.isShort(mNanoClock.getAsLong(), SAVING_NANOS) || !mQueue.isEmpty();
+    }
+
+    @Override
+    public synchronized boolean delaysWrites() {
+        return isPacing(mNanoClock.getAsLong());
     }
 
     /** Returns the number of writes that wait. */
@@ -86,7 +102,7 @@
 
     /** Returns the rate to which writes are limited; 0 while they are not. */
     public synchronized double writesPerSecond() {
-        return isShort() ? mRate.writesPerSecond() : 0;
+        return delaysWrites() ? mRate.writesPerSecond() : 0;
     }
 
     // Operations
@@ -109,7 +125,7 @@
         WriteImportance importance = WriteImportance.of(transaction);
         long endNanos = nowNanos + importance.maxWaitNanos();
         synchronized (this) {
-            if (!isShort()) {
+            if (!isPacing(nowNanos)) {
                 mRate.recordWrite(nowNanos);
             } else {
                 return enqueue(transaction, importance, endNanos, nowNanos);
@@ -138,6 +154,10 @@
 
     // Helpers
 
+    private boolean isPacing(long nowNanos) {
+        return mRate.isShort(nowNanos, QUIET_NANOS) || !mQueue.isEmpty();
+    }
+
     private CompletableFuture<TransactionResult> writeAgain(
             RowTransaction transaction, WriteImportance importance, long endNanos) {
         long nowNanos = mNanoClock.getAsLong();
@@ -168,8 +188,14 @@
         if (equal.isPresent()) {
             return equal.get().result();
         }
-        long waitNanos = mRate.nanosUntil(mQueue.countBefore(importance) + 1, nowNanos);
-        if (nowNanos + waitNanos - endNanos > 0 || mQueue.size() >= MAX_QUEUED) {
+        long waitNanos = expectedWaitNanos(importance, nowNanos);
+        // The work of a stored turn is done, so that nothing is gained by an early refusal.
+        double waitShare =
+                importance == WriteImportance.STORED_TURN
+                        ? 1
+                        : EXPECTED_WAIT_SHARE * Math.pow(mRate.shareTaken(), 2);
+        long maxWaitNanos = (long) (waitShare * (endNanos - nowNanos));
+        if (waitNanos > maxWaitNanos || mQueue.size() >= MAX_QUEUED) {
             return CompletableFuture.failedFuture(refuse(importance, waitNanos));
         }
         CompletableFuture<TransactionResult> result = new CompletableFuture<>();
@@ -178,6 +204,11 @@
         return result;
     }
 
+    private long expectedWaitNanos(WriteImportance importance, long nowNanos) {
+        long ownNanos = mRate.nanosUntil(mQueue.countBefore(importance) + 1, nowNanos);
+        return (long) (ownNanos / (1 - mQueue.shareBefore(importance)));
+    }
+
     private StoreException refuse(WriteImportance importance, long waitNanos) {
         long waitMillis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(waitNanos));
         mListener.onRefused(importance.name(), waitMillis);
--- a/coordination/src/main/java/org/oleandertrack/coordination/pacing/WriteImportance.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/pacing/WriteImportance.java
@@ -7,8 +7,13 @@
 
 /** Order in which writes are made while the store is over its rate, and how long each may wait. */
 enum WriteImportance {
-    /** Grants and stored turns: a client waits for them, and a guarantee depends on them. */
-    CLIENT_WAITS(400),
+    /**
+     * Stored turns: a client waits for the end of a response, and a target has done the work. The
+     * turn's response ends without being kept after 1.8 s.
+     */
+    STORED_TURN(1_500),
+    /** Grants: a client waits, but nothing has been done for it yet. */
+    GRANT(600),
     /** Records that peers hold as well, or that other hosts need within seconds. */
     RECORD(1_000),
     /** Removals of expired rows, and other writes that may be made at any time. */
@@ -30,10 +35,8 @@
             return DEFERRABLE;
         }
         return switch (transaction.writes().getFirst().id().table()) {
-            case SpendingService.TABLE,
-                    ConversationService.TURN_TABLE,
-                    ConversationService.DUE_TABLE ->
-                    CLIENT_WAITS;
+            case ConversationService.TURN_TABLE, ConversationService.DUE_TABLE -> STORED_TURN;
+            case SpendingService.TABLE -> GRANT;
             default -> RECORD;
         };
     }
--- a/coordination/src/main/java/org/oleandertrack/coordination/pacing/WriteQueue.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/pacing/WriteQueue.java
@@ -23,16 +23,23 @@
     // The platform accepts 1 MB and 100 entries in a transaction; values are sent as Base64.
     private static final int MAX_ENTRIES = 100;
     private static final int MAX_CHARS = 600_000;
+    // Weight that a transaction keeps with each later one: the last 20 or so count.
+    private static final double HISTORY_WEIGHT = 0.95;
+    // Keeps a share that is known from a few transactions only from being close to 1.
+    private static final double PRIOR_WEIGHT = 5;
 
     private final Map<WriteImportance, LinkedHashMap<RowTransaction, QueuedWrite>> mWrites =
             new EnumMap<>(WriteImportance.class);
     // Time from which the next transaction of a part may be made.
     private final Map<QueuedWrite.Part, Long> mNextNanos = new HashMap<>();
     private final Set<QueuedWrite.Part> mUnderWay = new HashSet<>();
+    // Recent transactions by importance; older ones count less.
+    private final Map<WriteImportance, Double> mRecent = new EnumMap<>(WriteImportance.class);
 
     WriteQueue() {
         for (WriteImportance importance : WriteImportance.values()) {
             mWrites.put(importance, new LinkedHashMap<>());
+            mRecent.put(importance, 0.0);
         }
     }
 
@@ -54,6 +61,20 @@
                 .sum();
     }
 
+    /**
+     * Returns the share of recent transactions that were more important than the given importance.
+     * Those yet to come are made before a write that waits now.
+     */
+    double shareBefore(WriteImportance importance) {
+        double before = 0;
+        double all = PRIOR_WEIGHT;
+        for (Map.Entry<WriteImportance, Double> entry : mRecent.entrySet()) {
+            all += entry.getValue();
+            before += entry.getKey().compareTo(importance) < 0 ? entry.getValue() : 0;
+        }
+        return before / all;
+    }
+
     /** Returns the write of an equal transaction; both may then have the same result. */
     Optional<QueuedWrite> find(RowTransaction transaction) {
         return Optional.ofNullable(mWrites.get(WriteImportance.of(transaction)).get(transaction));
@@ -99,6 +120,8 @@
         mNextNanos.values().removeIf(nanos -> nowNanos - nanos >= 0);
         mNextNanos.put(part, nowNanos + partIntervalNanos);
         mUnderWay.add(part);
+        mRecent.replaceAll((importance, transactions) -> HISTORY_WEIGHT * transactions);
+        mRecent.merge(next.get().importance(), 1.0, Double::sum);
         return takeWith(next.get(), part);
     }
 
--- a/coordination/src/main/java/org/oleandertrack/coordination/pacing/WriteRate.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/pacing/WriteRate.java
@@ -10,18 +10,20 @@
  */
 final class WriteRate {
 
-    // The rate counts as short for this long after a refusal. With the 400 ms for which writes of
-    // clients wait, a host recovers within 1 s after a burst.
-    private static final long QUIET_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     // Refusals of calls that were in flight together are answered with one decrease.
     private static final long REACTION_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     private static final double DECREASE_FACTOR = 0.7;
+    // The first decrease is smaller, because the writes that are saved from now on reduce the
+    // demand.
+    private static final double FIRST_FACTOR = 0.9;
+    // After this time without a refusal, the rate begins anew.
+    private static final long RESTART_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     // At the even share or below, the store takes less than its stated rate, or other hosts take
     // more.
     private static final double NEAR_SHARE_FACTOR = 1.2;
     private static final double DECREASE_FACTOR_BELOW_SHARE = 0.85;
-    // Rise per second, relative to the even share. At the whole share per second, a store with half
-    // of its stated rate refuses every host ten times a second.
+    // Rise per second, relative to the even share. With 0.5, a store that takes half of its stated
+    // rate refused a third more writes in a replay.
     private static final double INCREASE_SHARE = 0.25;
     private static final double MIN_WRITES_PER_SECOND = 2;
     // Unused rate is kept for this long.
@@ -56,9 +58,9 @@
 
     // Accessors
 
-    /** Returns whether the store has refused a write lately. */
-    boolean isShort(long nowNanos) {
-        return mRefused && nowNanos - mLastRefusalNanos < QUIET_NANOS;
+    /** Returns whether the store has refused a write within the given time. */
+    boolean isShort(long nowNanos, long withinNanos) {
+        return mRefused && nowNanos - mLastRefusalNanos < withinNanos;
     }
 
     /** Returns the current rate; meaningful only while it is short. */
@@ -66,6 +68,11 @@
         return mWritesPerSecond;
     }
 
+    /** Returns the current rate relative to the even share, but at most 1. */
+    double shareTaken() {
+        return Math.min(1, mWritesPerSecond / mEvenShare);
+    }
+
     /** Returns the time after which the given number of further writes may have been made. */
     long nanosUntil(int writes, long nowNanos) {
         update(nowNanos);
@@ -103,9 +110,9 @@
 
     /** Records that the store refused a write for its rate. */
     void recordRefusal(long nowNanos) {
-        if (!isShort(nowNanos)) {
+        if (!isShort(nowNanos, RESTART_NANOS)) {
             recordWrite(nowNanos);
-            mWritesPerSecond = Math.max(mEvenShare, DECREASE_FACTOR * recentWritesPerSecond());
+            mWritesPerSecond = Math.max(mEvenShare, FIRST_FACTOR * recentWritesPerSecond());
             mTokens = 0;
             mUpdatedNanos = nowNanos;
             mLastDecreaseNanos = nowNanos;
--- a/coordination/src/main/java/org/oleandertrack/coordination/spending/GrantPolicy.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/spending/GrantPolicy.java
@@ -48,8 +48,11 @@
      *
      * @param grantedTokens tokens granted to all hosts and to the allowance so far
      * @param neededTokens tokens that the host needs now
+     * @param furtherTokens tokens that are to be granted for later turns as well, unless that makes
+     *     the budget scarce for other hosts; 0 while writes are not to be saved
      */
-    static Optional<GrantSize> nextGrant(long budgetTokens, long grantedTokens, long neededTokens) {
+    static Optional<GrantSize> nextGrant(
+            long budgetTokens, long grantedTokens, long neededTokens, long furtherTokens) {
         long ungrantedTokens = budgetTokens - grantedTokens;
         if (ungrantedTokens < neededTokens) {
             return Optional.empty();
@@ -58,6 +61,10 @@
                 grantedTokens == 0 ? outageAllowanceTokens(budgetTokens, neededTokens) : 0;
         long hostTokens =
                 Math.max(neededTokens, (ungrantedTokens - allowanceTokens) / GRANT_DIVISOR);
+        long largerTokens = Math.max(hostTokens, neededTokens + furtherTokens);
+        if (!isScarce(budgetTokens, grantedTokens + allowanceTokens + largerTokens)) {
+            hostTokens = largerTokens;
+        }
         return Optional.of(new GrantSize(hostTokens, allowanceTokens));
     }
 
--- a/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingAccount.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingAccount.java
@@ -35,6 +35,7 @@
     long mRowVersion;
     int mOpenReservations;
     boolean mStoreRequestInFlight;
+    boolean mRowKnown;
     // Refusals for the store's rate since the store last answered otherwise.
     int mRateRefusals;
     long mLastRateRefusalNanos;
@@ -66,6 +67,7 @@
      */
     void updateFromRow(long version, SpendingRow row) {
         mRowVersion = version;
+        mRowKnown = true;
         mTokensGrantedToAllHosts = row.grantedTokens();
         GrantSize size = mUnconfirmedGrants.remove(row.writeId());
         if (size != null) {
--- a/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/spending/SpendingService.java
@@ -20,6 +20,7 @@
 import org.oleandertrack.coordination.store.RowTransaction;
 import org.oleandertrack.coordination.store.StoreException;
 import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.coordination.store.StoreRate;
 import org.oleandertrack.coordination.store.StoredRow;
 import org.oleandertrack.coordination.store.TransactionResult;
 import org.oleandertrack.coordination.store.WriteIds;
@@ -58,6 +59,7 @@
     private static final long RATE_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
     private final RowStore mStore;
+    private final StoreRate mRate;
     private final AllowanceIssuer mIssuer;
     private final WriteIds mWriteIds;
     private final Scheduler mScheduler;
@@ -68,17 +70,20 @@
     /**
      * Creates a service without accounts.
      *
+     * @param rate tells when grants are to be larger
      * @param issuer holds the outage allowances
      * @param random spreads the repetitions of writes that were refused for the store's rate
      */
     public SpendingService(
             RowStore store,
+            StoreRate rate,
             AllowanceIssuer issuer,
             WriteIds writeIds,
             Scheduler scheduler,
             LongSupplier nanoClock,
             RandomGenerator random) {
         mStore = store;
+        mRate = rate;
         mIssuer = issuer;
         mWriteIds = writeIds;
         mScheduler = scheduler;
@@ -129,9 +134,11 @@
         long nowNanos = mNanoClock.getAsLong();
         synchronized (stripeOf(program)) {
             SpendingAccount account = stripeOf(program).get(program);
-            if (account != null
-                    && account.mRateRefusals > 0
-                    && nowNanos - account.mLastRateRefusalNanos < RATE_PATIENCE_NANOS) {
+            boolean refused =
+                    account != null
+                            && account.mRateRefusals > 0
+                            && nowNanos - account.mLastRateRefusalNanos < RATE_PATIENCE_NANOS;
+            if (refused || mRate.delaysWrites()) {
                 return CompletableFuture.completedFuture(
                         new SpendingResult.OverRate("the store is over its rate", 0));
             }
@@ -194,6 +201,7 @@
         Map<String, SpendingAccount> stripe = stripeOf(program);
         List<Waiter> served = new ArrayList<>();
         Optional<Grant> grant = Optional.empty();
+        boolean readsFirst = false;
         long tokensToDeposit;
         synchronized (stripe) {
             SpendingAccount account = stripe.get(program);
@@ -203,7 +211,10 @@
             tokensToDeposit = account.takeTokensToDeposit();
             serveFromGrant(account, served);
             if (!account.mWaiters.isEmpty()) {
-                grant = Optional.of(nextGrant(account));
+                // The row may exist, and the store then rejects a write. While its rate is short, a
+                // read is cheaper than a rejected write.
+                readsFirst = !account.mRowKnown && mRate.isShort();
+                grant = readsFirst ? Optional.empty() : Optional.of(nextGrant(account));
                 account.mStoreRequestInFlight = true;
             }
         }
@@ -215,6 +226,9 @@
             deposit(program, tokensToDeposit);
         }
         grant.ifPresent(this::writeGrant);
+        if (readsFirst) {
+            readBeforeGrant(program);
+        }
     }
 
     private void deposit(String program, long tokens) {
@@ -328,11 +342,15 @@
             long grantedBeforeTokens,
             Optional<GrantSize> size) {}
 
-    private static Grant nextGrant(SpendingAccount account) {
-        long neededTokens = account.mWaiters.peek().tokens() - account.availableTokens();
+    private Grant nextGrant(SpendingAccount account) {
+        long turnTokens = account.mWaiters.peek().tokens();
+        long neededTokens = turnTokens - account.availableTokens();
         Optional<GrantSize> size =
                 GrantPolicy.nextGrant(
-                        account.mBudgetTokens, account.mTokensGrantedToAllHosts, neededTokens);
+                        account.mBudgetTokens,
+                        account.mTokensGrantedToAllHosts,
+                        neededTokens,
+                        mRate.isShort() ? turnTokens : 0);
         return new Grant(
                 account.mProgram, account.mRowVersion, account.mTokensGrantedToAllHosts, size);
     }
@@ -392,17 +410,22 @@
             onRequestFailed(program, failure);
             return;
         }
+        readBeforeGrant(program);
+    }
+
+    private void readBeforeGrant(String program) {
         var _ =
                 readRow(program)
                         .whenComplete(
-                                (page, readFailure) -> {
-                                    if (readFailure != null) {
-                                        onRequestFailed(program, readFailure);
+                                (page, failure) -> {
+                                    if (failure != null) {
+                                        onRequestFailed(program, failure);
                                         return;
                                     }
                                     synchronized (stripeOf(program)) {
                                         SpendingAccount account = account(program);
                                         account.mStoreRequestInFlight = false;
+                                        account.mRowKnown = true;
                                         updateFromRows(account, page.rows());
                                     }
                                     serveWaiters(program);
@@ -468,7 +491,7 @@
     /**
      * Makes the program's request again after a pause, for those waiters that can wait so long.
      * During the pause, the request counts as in flight. A refusal that names a time is one of this
-     * host's own limit, which would refuse a request before that time again.
+     * host's own limit; it ends all waiters at once, because the limit counts their time already.
      */
     private void waitForRate(String program, StoreException refusal) {
         List<Waiter> refused = new ArrayList<>();
@@ -493,7 +516,11 @@
                                 .complete(
                                         new SpendingResult.OverRate(
                                                 refusal.getMessage(), refusal.retryAfterMillis())));
-        mScheduler.schedule(pauseNanos, () -> endPause(program));
+        if (refusal.retryAfterMillis() > 0) {
+            endPause(program);
+        } else {
+            mScheduler.schedule(pauseNanos, () -> endPause(program));
+        }
     }
 
     private void endPause(String program) {
--- a/coordination/src/main/java/org/oleandertrack/coordination/stream/OriginWriter.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/stream/OriginWriter.java
@@ -15,11 +15,14 @@
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.RowTransaction;
 import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.coordination.store.StoreRate;
 
 /**
  * Writes origins to one part of the store, those that arrive during a transaction together in the
  * next one, and removes expired ones of this host in the same transactions. Peers hold the origins
- * that the store does not take in time. Thread-safe.
+ * that the store does not take in time, and hold them instead of the store while its rate is short:
+ * an origin is of use for some seconds only, and grants and stored turns need the rate.
+ * Thread-safe.
  *
  * <p>Writes have no condition: the origin of a request never changes, so that a write may be
  * repeated, and one that takes effect late does no harm.
@@ -49,6 +52,7 @@
     private record Written(RowId row, long endNanos) {}
 
     private final RowStore mStore;
+    private final StoreRate mRate;
     private final StreamOriginPeers mPeers;
     private final Scheduler mScheduler;
     private final LongSupplier mNanoClock;
@@ -64,6 +68,7 @@
 
     OriginWriter(
             RowStore store,
+            StoreRate rate,
             StreamOriginPeers peers,
             Scheduler scheduler,
             LongSupplier nanoClock,
@@ -71,6 +76,7 @@
             RandomGenerator random,
             StreamOriginListener listener) {
         mStore = store;
+        mRate = rate;
         mPeers = peers;
         mScheduler = scheduler;
         mNanoClock = nanoClock;
@@ -80,6 +86,10 @@
     }
 
     void add(RecordedOrigin recorded) {
+        if (isLeftToPeers()) {
+            mPeers.hold(List.of(recorded));
+            return;
+        }
         long retentionMillis = recorded.retentionMillis();
         OriginRows.Value value =
                 new OriginRows.Value(
@@ -148,6 +158,10 @@
     }
 
     private void onWriteFailed(List<Waiting> batch, List<RowId> removals, Throwable failure) {
+        if (StoreFailures.isOverRate(failure) && isLeftToPeers()) {
+            leaveToPeers(batch, removals);
+            return;
+        }
         if (StoreFailures.isOverRate(failure)) {
             int earlierRefusals;
             synchronized (this) {
@@ -164,6 +178,16 @@
         writeAgainLater(batch, removals, RETRY_NANOS);
     }
 
+    private boolean isLeftToPeers() {
+        return mRate.isShort() && mPeers.peerCount() > 0;
+    }
+
+    private void leaveToPeers(List<Waiting> batch, List<RowId> removals) {
+        mPeers.hold(batch.stream().map(Waiting::recorded).toList());
+        batch.forEach(waiting -> waiting.safe().set(true));
+        writeAgainLater(List.of(), removals, RETRY_NANOS);
+    }
+
     private void holdUnlessOverRate(Waiting waiting) {
         boolean overRate;
         synchronized (this) {
--- a/coordination/src/main/java/org/oleandertrack/coordination/stream/StreamOriginService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/stream/StreamOriginService.java
@@ -20,13 +20,14 @@
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.RowTransaction;
 import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.coordination.store.StoreRate;
 import org.oleandertrack.coordination.store.StoredRow;
 
 /**
  * Records which service and software version began a stream, and finds it again on any host when
  * the caller takes the stream up, also after the host that began it was killed. Origins are rows of
- * the store; while it does not take them, some peers hold them. Nothing waits for a write: a stream
- * whose origin was not recorded in time is not continued. Thread-safe.
+ * the store; while it does not take them or its rate is short, some peers hold them. Nothing waits
+ * for a write: a stream whose origin was not recorded in time is not continued. Thread-safe.
  */
 public final class StreamOriginService {
 
@@ -40,6 +41,9 @@
     private static final long PEER_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     // Longer than a slow store takes; the caller still has time to begin a new stream.
     private static final long LOOKUP_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+    // Searches are this much rarer while the store's rate is short. They are not left out, so that
+    // the table does not grow without end.
+    private static final int REMOVAL_DELAY_FACTOR = 10;
     // Each part is searched for rows of hosts that are gone about once in this time, by any host.
     private static final long REMOVAL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(60);
     // Clocks of hosts differ, and an origin may be written late.
@@ -47,6 +51,7 @@
     private static final int REMOVAL_PAGE_ROWS = 100;
 
     private final RowStore mStore;
+    private final StoreRate mRate;
     private final SoftwareVersions mVersions;
     private final StreamOriginPeers mPeers;
     private final Scheduler mScheduler;
@@ -63,6 +68,7 @@
     /**
      * Creates a service.
      *
+     * @param rate tells when peers hold origins instead of the store
      * @param nanoClock monotonic time, in nanoseconds
      * @param epochMillisClock time of day, in milliseconds since the epoch
      * @param random chooses the parts of the store that are searched for expired origins, and
@@ -70,6 +76,7 @@
      */
     public StreamOriginService(
             RowStore store,
+            StoreRate rate,
             SoftwareVersions versions,
             StreamOriginPeers peers,
             Scheduler scheduler,
@@ -78,6 +85,7 @@
             RandomGenerator random,
             StreamOriginListener listener) {
         mStore = store;
+        mRate = rate;
         mVersions = versions;
         mPeers = peers;
         mScheduler = scheduler;
@@ -94,6 +102,7 @@
                                         part ->
                                                 new OriginWriter(
                                                         store,
+                                                        rate,
                                                         peers,
                                                         scheduler,
                                                         nanoClock,
@@ -181,7 +190,8 @@
         synchronized (this) {
             long nowNanos = mNanoClock.getAsLong();
             long intervalNanos = REMOVAL_INTERVAL_NANOS * (1 + mPeers.peerCount()) / mParts.size();
-            if (nowNanos - mLastSearchNanos < intervalNanos) {
+            if (nowNanos - mLastSearchNanos
+                    < intervalNanos * (mRate.isShort() ? REMOVAL_DELAY_FACTOR : 1)) {
                 return;
             }
             mLastSearchNanos = nowNanos;
--- a/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationCluster.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationCluster.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.oleandertrack.coordination.sim.VirtualTime;
 import org.oleandertrack.coordination.store.RowStore;
+import org.oleandertrack.coordination.store.StoreRate;
 
 /** Three hosts that keep conversations in one store and reach each other directly. */
 final class ConversationCluster {
@@ -70,6 +71,7 @@
             mService =
                     new ConversationService(
                             mStore,
+                            StoreRate.NEVER_SHORT,
                             this,
                             mTime,
                             mTime::nowNanos,
--- a/coordination/src/test/java/org/oleandertrack/coordination/pacing/RatedRowStore.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/pacing/RatedRowStore.java
@@ -41,6 +41,7 @@
         mTime = time;
         mPartWriteNanos = (long) (VirtualTime.SECOND / partWritesPerSecond);
         mWritesPerSecond = writesPerSecond;
+        mTokens = writesPerSecond * BURST_SECONDS;
     }
 
     void setWritesPerSecond(double writesPerSecond) {
--- a/coordination/src/test/java/org/oleandertrack/coordination/spending/SpendingOrdersPropertyTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/spending/SpendingOrdersPropertyTest.java
@@ -13,6 +13,7 @@
 import net.jqwik.api.lifecycle.BeforeTry;
 import org.junit.jupiter.api.Assertions;
 import org.oleandertrack.coordination.spending.FakeRowStore.Fate;
+import org.oleandertrack.coordination.store.StoreRate;
 import org.oleandertrack.coordination.store.WriteIds;
 
 /**
@@ -63,6 +64,7 @@
         host.mSpending =
                 new SpendingService(
                         mStore,
+                        StoreRate.NEVER_SHORT,
                         issuerOf(host),
                         new WriteIds(new Random(++mRestarts)),
                         (delayNanos, task) -> () -> {},
--- a/coordination/src/test/java/org/oleandertrack/coordination/spending/SpendingServiceTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/spending/SpendingServiceTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.oleandertrack.coordination.sim.VirtualTime;
 import org.oleandertrack.coordination.spending.FakeRowStore.Fate;
+import org.oleandertrack.coordination.store.StoreRate;
 import org.oleandertrack.coordination.store.WriteIds;
 
 /**
@@ -38,6 +39,7 @@
     private SpendingService host(long seed) {
         return new SpendingService(
                 mStore,
+                StoreRate.NEVER_SHORT,
                 mIssuer,
                 new WriteIds(new Random(seed)),
                 mTime,
@@ -227,6 +229,7 @@
             SpendingService restarted =
                     new SpendingService(
                             mStore,
+                            StoreRate.NEVER_SHORT,
                             new LocalAllowanceIssuer(new OutageAllowances(() -> mNowNanos)),
                             new WriteIds(new Random(restart)),
                             mTime,
@@ -239,6 +242,25 @@
         }
     }
 
+    /** Guards against a write for each turn while the store's rate is short. */
+    @Test
+    void whileTheRateIsShortOneGrantSufficesForLaterTurns() {
+        SpendingService host =
+                new SpendingService(
+                        mStore,
+                        () -> true,
+                        mIssuer,
+                        new WriteIds(new Random(1)),
+                        mTime,
+                        () -> mNowNanos,
+                        new Random(1));
+        for (int i = 0; i < 5; i++) {
+            SpendingResult result = host.reserve("p", 1_600, 200).join();
+            host.settle("p", assertInstanceOf(SpendingResult.Reserved.class, result), 50);
+        }
+        assertEquals(1, mStore.transactions());
+    }
+
     /** Guards against an allowance that is used up although the store is only over its rate. */
     @Test
     void aGrantOverTheRateIsWrittenAgainAndTakesNoAllowance() {
--- a/coordination/src/test/java/org/oleandertrack/coordination/stream/StreamOriginServiceTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/stream/StreamOriginServiceTest.java
@@ -25,6 +25,7 @@
     private final FakeRowStore mStore = new FakeRowStore();
     private final List<Host> mHosts = new ArrayList<>();
     private int mHeldOrigins;
+    private boolean mRateShort;
 
     /** A host whose peers are all the others. */
     private final class Host implements StreamOriginPeers, StreamOriginListener {
@@ -32,6 +33,7 @@
         private final StreamOriginService mService =
                 new StreamOriginService(
                         mStore,
+                        () -> mRateShort,
                         mVersions,
                         this,
                         mTime,
@@ -173,6 +175,17 @@
         assertFound(OriginLookup.Source.STORE, find(0, "r1"));
     }
 
+    /** Guards against origins that use up the rate which grants and stored turns need. */
+    @Test
+    void whileTheRateIsShortOnlyPeersHoldAnOrigin() {
+        mRateShort = true;
+        record(0, "r1");
+        mTime.runFor(VirtualTime.SECOND);
+        assertEquals(0, mStore.transactions());
+        mHosts.set(0, new Host());
+        assertFound(OriginLookup.Source.PEER, find(0, "r1"));
+    }
+
     @Test
     void anUnknownOriginIsNotGuessed() {
         record(0, "r1");
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -353,6 +353,7 @@
     private SpendingService makeSpending(Random random) {
         return new SpendingService(
                 mStore,
+                mPacing.rate(),
                 new PeerAllowanceIssuer(mPeers, mOwnAllowances, mLog),
                 new WriteIds(random),
                 mScheduler,
@@ -363,6 +364,7 @@
     private StreamOriginService makeStreamOrigins(SoftwareVersions versions, Random random) {
         return new StreamOriginService(
                 mStore,
+                mPacing.rate(),
                 versions,
                 new PeerStreamOrigins(mPeers, mLog),
                 mScheduler,
@@ -375,6 +377,7 @@
     private ConversationService makeConversations(Random random) {
         return new ConversationService(
                 mStore,
+                mPacing.rate(),
                 new PeerConversations(mPeers, mLog),
                 mScheduler,
                 System::nanoTime,
--- a/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
@@ -46,6 +46,7 @@
 import org.oleandertrack.coordination.store.RowTransaction;
 import org.oleandertrack.coordination.store.StoreException;
 import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.coordination.store.StoreRate;
 import org.oleandertrack.coordination.store.StoredRow;
 import org.oleandertrack.coordination.store.TransactionResult;
 import org.oleandertrack.coordination.stream.RecordedOrigin;
@@ -146,6 +147,7 @@
     private final StreamOriginService mStreamOrigins =
             new StreamOriginService(
                     mStore,
+                    StoreRate.NEVER_SHORT,
                     new SoftwareVersions(
                             mStore, new ExecutorScheduler(mLoops), mStreamOriginListener),
                     new PeerStreamOrigins(directory(), log()),
@@ -444,6 +446,7 @@
     private ConversationService conversations() {
         return new ConversationService(
                 mStore,
+                StoreRate.NEVER_SHORT,
                 new PeerConversations(directory(), log()),
                 new ExecutorScheduler(mLoops),
                 System::nanoTime,
