--- a/coordination/src/main/java/org/oleandertrack/coordination/pacing/PacingRowStore.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/pacing/PacingRowStore.java
@@ -43,6 +43,9 @@
     // it has. The rate may fall while it waits, and would then refuse it only at the end. That is
     // likely while the store takes less than its stated rate, and the share is then smaller.
     private static final double EXPECTED_WAIT_SHARE = 0.8;
+    // From this share of the even share on, the store takes what it states, and a longer wait than
+    // usual is that of a short peak at this host.
+    private static final double NEARLY_STATED_SHARE = 0.8;
     // A part that many hosts write to is written to no less often than this.
     private static final long MAX_PART_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     // Time after which the queue is looked at again if only rates of parts delay it.
@@ -190,10 +193,11 @@
         }
         long waitNanos = expectedWaitNanos(importance, nowNanos);
         // The work of a stored turn is done, so that nothing is gained by an early refusal.
-        double waitShare =
+        boolean usesWholeTime =
                 importance == WriteImportance.STORED_TURN
-                        ? 1
-                        : EXPECTED_WAIT_SHARE * Math.pow(mRate.shareTaken(), 2);
+                        || mRate.shareTaken() >= NEARLY_STATED_SHARE;
+        double waitShare =
+                usesWholeTime ? 1 : EXPECTED_WAIT_SHARE * Math.pow(mRate.shareTaken(), 2);
         long maxWaitNanos = (long) (waitShare * (endNanos - nowNanos));
         if (waitNanos > maxWaitNanos || mQueue.size() >= MAX_QUEUED) {
             return CompletableFuture.failedFuture(refuse(importance, waitNanos));
--- a/coordination/src/test/java/org/oleandertrack/coordination/pacing/StoreRateReplayTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/pacing/StoreRateReplayTest.java
@@ -21,6 +21,8 @@
 import org.oleandertrack.coordination.spending.OutageAllowances;
 import org.oleandertrack.coordination.spending.SpendingResult;
 import org.oleandertrack.coordination.spending.SpendingService;
+import org.oleandertrack.coordination.store.RowStore;
+import org.oleandertrack.coordination.store.StoreRate;
 import org.oleandertrack.coordination.store.WriteIds;
 import org.oleandertrack.coordination.stream.RecordedOrigin;
 import org.oleandertrack.coordination.stream.SoftwareVersions;
@@ -38,7 +40,6 @@
     private static final int HOSTS = 27;
     private static final int TURNS_PER_PROGRAM = 6;
     private static final int PROGRAMS = 1_000;
-    private static final long TURN_INTERVAL_NANOS = VirtualTime.SECOND / 800;
     private static final long BUDGET_TOKENS = 8_000;
     private static final long MAX_TOKENS = 500;
     private static final StoreLimits LIMITS = new StoreLimits(1_200, 200);
@@ -48,6 +49,7 @@
     private final OutageAllowances mAllowances = new OutageAllowances(mTime::nowNanos);
     private final List<Host> mHosts = new ArrayList<>();
     private final List<Long> mRefusedAfterNanos = new ArrayList<>();
+    private boolean mPaced = true;
     private int mTurns;
     private int mReserved;
     private int mStored;
@@ -55,13 +57,14 @@
     private int mRefusedWithoutTime;
     private int mOutageActions;
 
-    private void run(long seconds) {
+    private void run(long seconds, int turnsPerSecond) {
+        long intervalNanos = VirtualTime.SECOND / turnsPerSecond;
         for (int i = 0; i < HOSTS; i++) {
             mHosts.add(new Host());
         }
-        for (long nanos = 0; nanos < seconds * VirtualTime.SECOND; nanos += TURN_INTERVAL_NANOS) {
+        for (long nanos = 0; nanos < seconds * VirtualTime.SECOND; nanos += intervalNanos) {
             startTurn();
-            mTime.runFor(TURN_INTERVAL_NANOS);
+            mTime.runFor(intervalNanos);
         }
         mTime.runFor(4 * VirtualTime.SECOND);
     }
@@ -94,7 +97,7 @@
     /** Guards against turns that are refused because of the store while it takes 1,200 writes. */
     @Test
     void noTurnIsRefusedWhileTheStoreTakes1200Writes() {
-        run(10);
+        run(10, 800);
         assertEquals(mTurns, mReserved, figures());
         assertEquals(mToStore, mStored, figures());
         assertEquals(0, mOutageActions, figures());
@@ -104,7 +107,7 @@
     @Test
     void turnsOver600WritesAreRefusedAtOnceWithATime() {
         mDirect.setWritesPerSecond(600);
-        run(10);
+        run(10, 800);
         assertTrue(mReserved > 0, figures());
         assertEquals(mTurns, mReserved + mRefusedAfterNanos.size(), figures());
         assertEquals(mToStore, mStored, figures());
@@ -114,6 +117,17 @@
         assertTrue(late * 10 <= mRefusedAfterNanos.size(), late + " late; " + figures());
     }
 
+    /** Guards against hosts that write otherwise than before while the rate suffices. */
+    @Test
+    void turnsWithinTheRateMakeTheSameCallsInTheSameOrderAsWithoutPacing() {
+        run(5, 300);
+        StoreRateReplayTest unpaced = new StoreRateReplayTest();
+        unpaced.mPaced = false;
+        unpaced.run(5, 300);
+        assertEquals(0, mDirect.refusals(), figures());
+        assertEquals(unpaced.mDirect.calls(), mDirect.calls());
+    }
+
     /** A host with the services of a gateway that write for turns. */
     private final class Host
             implements PacingListener,
@@ -124,10 +138,12 @@
                     ConversationListener {
         private final PacingRowStore mStore =
                 new PacingRowStore(mDirect, LIMITS, () -> HOSTS, mTime, mTime::nowNanos, this);
+        private final RowStore mUsedStore = mPaced ? mStore : mDirect;
+        private final StoreRate mRate = mPaced ? mStore : StoreRate.NEVER_SHORT;
         private final SpendingService mSpending =
                 new SpendingService(
-                        mStore,
-                        mStore,
+                        mUsedStore,
+                        mRate,
                         this,
                         new WriteIds(mTime.random()),
                         mTime,
@@ -135,9 +151,9 @@
                         mTime.random());
         private final StreamOriginService mOrigins =
                 new StreamOriginService(
-                        mStore,
-                        mStore,
-                        new SoftwareVersions(mStore, mTime, this),
+                        mUsedStore,
+                        mRate,
+                        new SoftwareVersions(mUsedStore, mTime, this),
                         this,
                         mTime,
                         mTime::nowNanos,
@@ -146,8 +162,8 @@
                         this);
         private final ConversationService mConversations =
                 new ConversationService(
-                        mStore,
-                        mStore,
+                        mUsedStore,
+                        mRate,
                         this,
                         mTime,
                         mTime::nowNanos,
--- a/coordination/src/test/java/org/oleandertrack/coordination/spending/SpendingServiceTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/spending/SpendingServiceTest.java
@@ -242,6 +242,25 @@
         }
     }
 
+    /** Guards against a write for each turn while the store's rate is short. */
+    @Test
+    void whileTheRateIsShortOneGrantSufficesForLaterTurns() {
+        SpendingService host =
+                new SpendingService(
+                        mStore,
+                        () -> true,
+                        mIssuer,
+                        new WriteIds(new Random(1)),
+                        mTime,
+                        () -> mNowNanos,
+                        new Random(1));
+        for (int i = 0; i < 5; i++) {
+            SpendingResult result = host.reserve("p", 1_600, 200).join();
+            host.settle("p", assertInstanceOf(SpendingResult.Reserved.class, result), 50);
+        }
+        assertEquals(1, mStore.transactions());
+    }
+
     /** Guards against an allowance that is used up although the store is only over its rate. */
     @Test
     void aGrantOverTheRateIsWrittenAgainAndTakesNoAllowance() {
--- a/coordination/src/test/java/org/oleandertrack/coordination/stream/StreamOriginServiceTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/stream/StreamOriginServiceTest.java
@@ -14,7 +14,6 @@
 import org.oleandertrack.coordination.spending.FakeRowStore;
 import org.oleandertrack.coordination.store.RowId;
 import org.oleandertrack.coordination.store.RowTransaction;
-import org.oleandertrack.coordination.store.StoreRate;
 
 /** Guards against origins that are lost with a host, guessed, or never removed. */
 final class StreamOriginServiceTest {
@@ -26,6 +25,7 @@
     private final FakeRowStore mStore = new FakeRowStore();
     private final List<Host> mHosts = new ArrayList<>();
     private int mHeldOrigins;
+    private boolean mRateShort;
 
     /** A host whose peers are all the others. */
     private final class Host implements StreamOriginPeers, StreamOriginListener {
@@ -33,7 +33,7 @@
         private final StreamOriginService mService =
                 new StreamOriginService(
                         mStore,
-                        StoreRate.NEVER_SHORT,
+                        () -> mRateShort,
                         mVersions,
                         this,
                         mTime,
@@ -175,6 +175,17 @@
         assertFound(OriginLookup.Source.STORE, find(0, "r1"));
     }
 
+    /** Guards against origins that use up the rate which grants and stored turns need. */
+    @Test
+    void whileTheRateIsShortOnlyPeersHoldAnOrigin() {
+        mRateShort = true;
+        record(0, "r1");
+        mTime.runFor(VirtualTime.SECOND);
+        assertEquals(0, mStore.transactions());
+        mHosts.set(0, new Host());
+        assertFound(OriginLookup.Source.PEER, find(0, "r1"));
+    }
+
     @Test
     void anUnknownOriginIsNotGuessed() {
         record(0, "r1");
