Split the dispatch of a call from its life-cycle

CallDispatcher now sends the request and decides what follows when an attempt ends; Call prepares the request and ends it towards the caller. The times of an attempt are its own, so that two attempts can be observed independently. Behaviour is unchanged.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -54,6 +54,7 @@
     }
 
     private final Call mCall;
+    private final CallDispatcher mDispatcher;
     private final TargetHandle mHandle;
     private final EventLoop mLoop;
     private final OutboundConnection mConnection;
@@ -66,10 +67,13 @@
     private boolean mRemovedFromLoad;
     private boolean mRefusalHasId;
     private int mRefusalBytes;
+    private long mSentNanos;
+    private long mLastActivityNanos;
     private OptionalLong mFirstEventNanos = OptionalLong.empty();
 
-    Attempt(Call call, TargetHandle handle) {
+    Attempt(Call call, CallDispatcher dispatcher, TargetHandle handle) {
         mCall = call;
+        mDispatcher = dispatcher;
         mHandle = handle;
         mLoop = call.writer().eventLoop();
         mOutput = new PartBuffer(call.writer());
@@ -83,6 +87,17 @@
         return mHandle;
     }
 
+    long sentNanos() {
+        return mSentNanos;
+    }
+
+    /**
+     * Returns the time since the target last showed that it runs the request, or since the send.
+     */
+    long silentMillis(long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nowNanos - mLastActivityNanos);
+    }
+
     /** Returns whether the target may have just begun to run the request at the given time. */
     boolean isBeginning(long nowNanos) {
         return mFirstEventNanos.isEmpty()
@@ -92,6 +107,8 @@
     // Operations
 
     void send(HttpRequest head, ByteBuf body) {
+        mSentNanos = System.nanoTime();
+        mLastActivityNanos = mSentNanos;
         mConnection.send(head, body, this);
         // The caller may not have read what was written before, and the connection may have served
         // another caller.
@@ -161,7 +178,7 @@
         mHead = head;
         mRefusalHasId = metadata.requestId().isPresent();
         mBodyMode = refused ? BodyMode.REFUSAL : bodyModeOf(head);
-        if (mBodyMode == BodyMode.BUFFER && !mCall.onAnswer(this, status)) {
+        if (mBodyMode == BodyMode.BUFFER && !mDispatcher.onAnswer(this, status)) {
             mConnection.close();
         }
         return true;
@@ -172,11 +189,11 @@
         switch (mBodyMode) {
             case REFUSAL -> skipRefusalBody(part);
             case BUFFER -> {
-                mCall.progress().recordActivity(System.nanoTime());
+                mLastActivityNanos = System.nanoTime();
                 bufferOrForward(part);
             }
             case FORWARD -> {
-                mCall.progress().recordActivity(System.nanoTime());
+                mLastActivityNanos = System.nanoTime();
                 mOutput.add(part);
             }
             case EVENTS -> {
@@ -208,7 +225,7 @@
         mHandle.connections().release(mLoop, mConnection);
         switch (mBodyMode) {
             case REFUSAL -> {
-                mCall.onRefused(this, status);
+                mDispatcher.onRefused(this, status);
                 return;
             }
             case BUFFER -> respondBuffered();
@@ -216,21 +233,21 @@
             case EVENTS -> {
                 if (mSplitter.hasPartialEvent()) {
                     mConnection.close();
-                    mCall.onFailed(this, OutboundFailure.MALFORMED);
+                    mDispatcher.onFailed(this, OutboundFailure.MALFORMED);
                     return;
                 }
                 startEvents();
-                mCall.onStreamComplete(this, status);
+                mDispatcher.onStreamComplete(this, status);
                 return;
             }
         }
-        mCall.onResponseForwarded(this, status);
+        mDispatcher.onResponseForwarded(this, status);
     }
 
     @Override
     public void onFailure(OutboundFailure failure) {
         mOutput.flush();
-        mCall.onFailed(this, failure);
+        mDispatcher.onFailed(this, failure);
     }
 
     // Helpers
@@ -263,7 +280,7 @@
         mRefusalBytes += part.readableBytes();
         if (mRefusalBytes > MAX_REFUSAL_BYTES) {
             mConnection.close();
-            mCall.onRefused(this, mHead.status().code());
+            mDispatcher.onRefused(this, mHead.status().code());
         }
     }
 
@@ -321,8 +338,8 @@
     }
 
     private void forward(EventSplitter.Event event) {
+        mLastActivityNanos = System.nanoTime();
         if (event.isComment()) {
-            mCall.progress().recordActivity(System.nanoTime());
             // A comment must not commit the response to this attempt.
             if (mCall.progress().isStarted()) {
                 mOutput.add(event.bytes());
@@ -330,9 +347,9 @@
             return;
         }
         if (mFirstEventNanos.isEmpty()) {
-            mFirstEventNanos = OptionalLong.of(System.nanoTime());
+            mFirstEventNanos = OptionalLong.of(mLastActivityNanos);
         }
-        if (mCall.recordEvent(event, mHandle)) {
+        if (mDispatcher.recordEvent(event, this)) {
             startEvents();
             mOutput.add(event.bytes());
         }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/StallDetector.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StallDetector.java
@@ -12,6 +12,7 @@
     private static final long MIN_RECHECK_MILLIS = 100;
 
     private final Call mCall;
+    private final CallDispatcher mDispatcher;
     private final Attempt mAttempt;
     private final long mPredictedMillis;
 
@@ -20,8 +21,9 @@
      *
      * @param predictedMillis predicted duration of the request at the target; 0 if unknown
      */
-    StallDetector(Call call, Attempt attempt, long predictedMillis) {
+    StallDetector(Call call, CallDispatcher dispatcher, Attempt attempt, long predictedMillis) {
         mCall = call;
+        mDispatcher = dispatcher;
         mAttempt = attempt;
         mPredictedMillis = predictedMillis;
     }
@@ -38,7 +40,7 @@
     }
 
     private void check() {
-        if (!mCall.isCurrent(mAttempt)) {
+        if (!mDispatcher.isCurrent(mAttempt)) {
             return;
         }
         // The target is not read while the caller does not read.
@@ -47,7 +49,7 @@
             return;
         }
         long nowNanos = System.nanoTime();
-        long silentMillis = mCall.silentMillis(nowNanos);
+        long silentMillis = mAttempt.silentMillis(nowNanos);
         boolean stalled =
                 StallPolicy.isStalled(
                         silentMillis,
@@ -55,7 +57,7 @@
                         mCall.context().targets().hasRoom(mAttempt.handle(), nowNanos),
                         mCall.context()
                                 .targets()
-                                .hasRespondedSince(mAttempt.handle(), mCall.sentNanos()));
+                                .hasRespondedSince(mAttempt.handle(), mAttempt.sentNanos()));
         if (!stalled) {
             checkAfter(
                     Math.max(
@@ -63,6 +65,6 @@
                             StallPolicy.maxSilenceMillis(mPredictedMillis) - silentMillis));
             return;
         }
-        mCall.onStalled(mAttempt, silentMillis);
+        mDispatcher.onStalled(mAttempt, silentMillis);
     }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/StreamProgress.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StreamProgress.java
@@ -1,7 +1,6 @@
 package org.oleandertrack.gateway.call;
 
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.oleandertrack.core.attempt.ForwardedPart;
 
@@ -15,7 +14,6 @@
     private Optional<String> mLastEventId = Optional.empty();
     private long mFirstEventNanos;
     private long mLastEventNanos;
-    private OptionalLong mLastActivityNanos = OptionalLong.empty();
     private long mLongestGapNanos;
 
     /** Returns whether the response head was sent to the caller. */
@@ -35,16 +33,6 @@
         return mLastEventId;
     }
 
-    /**
-     * Returns the time of the last event, the last comment or the last send, whichever is latest.
-     *
-     * @param sentNanos when the request was last sent to a target
-     */
-    long lastActivityNanos(long sentNanos) {
-        long activityNanos = mLastActivityNanos.orElse(sentNanos);
-        return sentNanos - activityNanos > 0 ? sentNanos : activityNanos;
-    }
-
     /** Returns the time from the given moment to the first event; 0 if there was no event. */
     long firstEventMillis(long sinceNanos) {
         return mEventCount == 0 ? 0 : TimeUnit.NANOSECONDS.toMillis(mFirstEventNanos - sinceNanos);
@@ -58,11 +46,6 @@
         mForwardedPart = part;
     }
 
-    /** Records that the target has sent something that shows that it still runs the request. */
-    void recordActivity(long nowNanos) {
-        mLastActivityNanos = OptionalLong.of(nowNanos);
-    }
-
     void recordEvent(Optional<String> id, long nowNanos) {
         if (mEventCount++ == 0) {
             mFirstEventNanos = nowNanos;
@@ -70,7 +53,6 @@
             mLongestGapNanos = Math.max(mLongestGapNanos, nowNanos - mLastEventNanos);
         }
         mLastEventNanos = nowNanos;
-        recordActivity(nowNanos);
         if (id.isPresent()) {
             mLastEventId = id;
         }
