--- a/core/src/main/java/org/oleandertrack/core/health/HedgePolicy.java
+++ b/core/src/main/java/org/oleandertrack/core/health/HedgePolicy.java
@@ -1,6 +1,5 @@
 package org.oleandertrack.core.health;
 
-import java.util.Arrays;
 import java.util.OptionalLong;
 
 /**
@@ -20,18 +19,10 @@
     public static final int PER_HUNDRED = 5;
 
     private static final int MAX_SAVED_HEDGES = 20;
-    private static final int WINDOW_SAMPLES = 512;
-    private static final int MIN_SAMPLES = 40;
-    // Number of samples after which the quantile is computed again.
-    private static final int SAMPLES_PER_REFRESH = 16;
-    private static final double QUANTILE = 0.95;
 
     private final ExtraCallAllowance mAllowance =
             new ExtraCallAllowance(PER_HUNDRED, MAX_SAVED_HEDGES);
-    private final long[] mLatenessSamplesNanos = new long[WINDOW_SAMPLES];
-    private int mSampleCount;
-    private boolean mHasQuantile;
-    private long mQuantileLatenessNanos;
+    private final LatenessQuantile mQuantile = new LatenessQuantile();
 
     /** Counts a call by a caller; its attempts are not counted. */
     public void recordCall() {
@@ -45,16 +36,7 @@
      * @param actualNanos time that the attempt took, in nanoseconds
      */
     public void recordAttempt(long expectedNanos, long actualNanos) {
-        mLatenessSamplesNanos[mSampleCount % WINDOW_SAMPLES] = actualNanos - expectedNanos;
-        mSampleCount++;
-        if (mSampleCount >= MIN_SAMPLES
-                && (!mHasQuantile || mSampleCount % SAMPLES_PER_REFRESH == 0)) {
-            long[] sorted =
-                    Arrays.copyOf(mLatenessSamplesNanos, Math.min(mSampleCount, WINDOW_SAMPLES));
-            Arrays.sort(sorted);
-            mQuantileLatenessNanos = sorted[(int) (QUANTILE * (sorted.length - 1))];
-            mHasQuantile = true;
-        }
+        mQuantile.record(actualNanos - expectedNanos);
     }
 
     /**
@@ -66,8 +48,9 @@
      *     done, in nanoseconds
      */
     public OptionalLong delayNanos(long expectedNanos, long repeatNanos) {
-        return mHasQuantile
-                ? OptionalLong.of(expectedNanos + Math.max(mQuantileLatenessNanos, repeatNanos))
+        OptionalLong quantileNanos = mQuantile.nanos();
+        return quantileNanos.isPresent()
+                ? OptionalLong.of(expectedNanos + Math.max(quantileNanos.getAsLong(), repeatNanos))
                 : OptionalLong.empty();
     }
 
--- a/core/src/main/java/org/oleandertrack/core/turn/TurnPlacement.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/TurnPlacement.java
@@ -68,6 +68,13 @@
         return Optional.of(describe(best, turn, bestMissingTokens, nowNanos));
     }
 
+    /** Returns the predicted time from the send of a turn to its first event, in milliseconds. */
+    public double firstEventMillis(PlacementChoice choice) {
+        return choice.slowness()
+                * (mEngineTimes.startDelayMillis()
+                        + mEngineTimes.prefillMillis(choice.missingTokens()));
+    }
+
     // Helpers
 
     private double predictedMillis(
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -236,6 +236,7 @@
                     mDispatcher.onFailed(this, OutboundFailure.MALFORMED);
                     return;
                 }
+                mDispatcher.onResponseBegun(this, true);
                 startEvents();
                 mDispatcher.onStreamComplete(this, status);
                 return;
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -151,6 +151,11 @@
         return mMetadata.requestId();
     }
 
+    /** Returns whether the request is a turn that continues a stored conversation. */
+    boolean continuesConversation() {
+        return mHistory.isPresent() && mMetadata.previousTurnId().isPresent();
+    }
+
     boolean hasEnded() {
         return mEnded;
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
@@ -1,5 +1,6 @@
 package org.oleandertrack.gateway.call;
 
+import java.util.Optional;
 import org.oleandertrack.coordination.conversation.ConversationService;
 import org.oleandertrack.coordination.quarantine.QuarantineService;
 import org.oleandertrack.coordination.spending.SpendingService;
@@ -25,6 +26,7 @@
  * @param conversations keeps and finds the turns of routes that keep history
  * @param stopAdmission decides which calls are taken and sent while the process stops
  * @param responseMemory bounds the parts of responses that are held
+ * @param hedging sends late requests to a second target; empty if the process does not
  * @param log receives one line for each decision
  * @param metrics counts calls and decisions
  */
@@ -41,5 +43,6 @@
         ConversationService conversations,
         StopAdmission stopAdmission,
         ResponseMemory responseMemory,
+        Optional<Hedging> hedging,
         EventLog log,
         CallMetrics metrics) {}
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallDispatcher.java
@@ -1,14 +1,17 @@
 package org.oleandertrack.gateway.call;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import org.oleandertrack.core.attempt.AttemptEnd;
 import org.oleandertrack.core.attempt.CallProgress;
 import org.oleandertrack.core.attempt.ContinuationPolicy;
 import org.oleandertrack.core.attempt.NextStep;
+import org.oleandertrack.core.health.HedgeRequest;
 import org.oleandertrack.core.rate.PermitPatience;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.core.result.ResultCode;
@@ -21,8 +24,10 @@
 import org.oleandertrack.http.OutboundFailure;
 
 /**
- * Sends the request of one call to targets, and decides what follows when an attempt ends. Confined
- * to the call's event loop.
+ * Sends the request of one call to targets, and decides what follows when an attempt ends. At most
+ * two attempts run at a time, the second one because the first is late: the one that begins its
+ * response first is given to the caller, and an attempt that fails leaves the call to the other.
+ * Confined to the call's event loop.
  */
 final class CallDispatcher {
 
@@ -39,7 +44,11 @@
     private final TargetSelection mSelection;
     private final SendHistory mSends;
     private final TargetReports mReports;
+    // Empty unless the process hedges requests and this one may be hedged.
+    private final Optional<CallHedge> mHedge;
     private Optional<Attempt> mCurrentAttempt = Optional.empty();
+    // Present only while two attempts are running and neither has begun its response.
+    private Optional<Attempt> mSecondAttempt = Optional.empty();
     private long mPredictedMillis;
     private ByteBuf mBody;
 
@@ -81,6 +90,7 @@
                                         .stopAdmission()
                                         .maySend(call.route(), call.remainingMillis()),
                         call.log());
+        mHedge = makeHedge();
     }
 
     // Accessors
@@ -94,10 +104,31 @@
         return mCurrentAttempt.isPresent() || mSends.mayHaveRun();
     }
 
-    boolean isCurrent(Attempt attempt) {
+    /** Returns whether the response of an attempt is still awaited. */
+    boolean isRunning(Attempt attempt) {
         return !mCall.hasEnded()
-                && mCurrentAttempt.isPresent()
-                && mCurrentAttempt.get().equals(attempt);
+                && (isPresent(mCurrentAttempt, attempt) || isPresent(mSecondAttempt, attempt));
+    }
+
+    /** Returns the targets to which the request may be sent; empty if there can be none. */
+    Optional<TargetFilter> targetFilter() {
+        return mContinuation.targetsExcept(mSends.excludedTargetIds());
+    }
+
+    /** Describes the call for the decision on a second send. */
+    HedgeRequest hedgeRequest() {
+        CallContext context = mCall.context();
+        return new HedgeRequest(
+                mCall.route().isRepeatable(),
+                mCall.continuesConversation(),
+                mCall.progress().isStarted(),
+                mSends.mayHaveRun(),
+                mSends.sendCount(),
+                mCall.route().maxAttempts(),
+                mCrashGuard.isSuspect(),
+                context.stopAdmission().isStopping(),
+                mCall.remainingMillis(),
+                context.targets().isNearlyFull(mService, System.nanoTime()));
     }
 
     // Operations
@@ -114,12 +145,22 @@
 
     void setReading(boolean reading) {
         mCurrentAttempt.ifPresent(attempt -> attempt.setReading(reading));
+        mSecondAttempt.ifPresent(attempt -> attempt.setReading(reading));
     }
 
     /** Cancels what is running. Called when the call ends before its response does. */
     void cancel() {
+        mHedge.ifPresent(CallHedge::stop);
         mCurrentAttempt.ifPresent(Attempt::cancel);
         mCurrentAttempt = Optional.empty();
+        mSecondAttempt.ifPresent(Attempt::cancel);
+        mSecondAttempt = Optional.empty();
+    }
+
+    /** Sends the request to a second target while the first one has not begun its response. */
+    void sendSecond(PlacedTarget placed) {
+        mSecondAttempt = Optional.of(makeAttempt(placed, OptionalLong.empty(), false));
+        mSecondAttempt.get().send(requestHead(placed.handle()), mBody.retainedDuplicate());
     }
 
     // Dispatch
@@ -128,7 +169,7 @@
     private void dispatch(Optional<TargetHandle> target) {
         // A target that leaves takes nothing new, and no other one may run what it may have run.
         boolean targetLeaves = target.filter(TargetHandle::isLeaving).isPresent();
-        Optional<TargetFilter> filter = mContinuation.targetsExcept(mSends.excludedTargetIds());
+        Optional<TargetFilter> filter = targetFilter();
         if (targetLeaves || filter.isEmpty()) {
             failWithoutTarget();
             return;
@@ -163,37 +204,51 @@
 
     private void send(TargetSelection.Result.Selected selected, boolean sameTarget) {
         PlacedTarget placed = selected.target();
+        Optional<Hedging> hedging = mCall.context().hedging();
+        if (hedging.isPresent() && mSends.sendCount() == 0 && mCall.route().isRepeatable()) {
+            hedging.get().schedule().recordRequest();
+        }
+        Attempt attempt = makeAttempt(placed, selected.permitWaitMillis(), sameTarget);
+        mCurrentAttempt = Optional.of(attempt);
+        if (mHedge.isPresent() && !mSends.mayHaveRun()) {
+            mHedge.get().observe(attempt, placed.choice());
+        }
+        attempt.send(requestHead(placed.handle()), mBody.retainedDuplicate());
+    }
+
+    private Attempt makeAttempt(
+            PlacedTarget placed, OptionalLong permitWaitMillis, boolean sameTarget) {
         mSends.recordSend();
-        TargetHandle handle = placed.handle();
         mCall.log()
                 .placed(
-                        handle,
+                        placed.handle(),
                         placed.choice(),
                         sameTarget,
-                        selected.permitWaitMillis(),
+                        permitWaitMillis,
                         mSends.sendCount(),
                         mCall.remainingMillis(),
                         mTurn,
                         mCall.progress());
-        Attempt attempt = new Attempt(mCall, this, handle);
-        mCurrentAttempt = Optional.of(attempt);
+        Attempt attempt = new Attempt(mCall, this, placed.handle());
         if (mTurn.isPresent() && !sameTarget) {
             mPredictedMillis = (long) placed.choice().predictedCost();
         }
         if (mCall.route().isRepeatable() && mSends.mayStall()) {
             new StallDetector(mCall, this, attempt, mPredictedMillis).start();
         }
-        attempt.send(
-                TargetRequestHead.of(
-                        mRequest.head(),
-                        mBody.readableBytes(),
-                        mCall.context().headerCodec(),
-                        new TargetInstructions(
-                                handle.id(),
-                                Math.max(1, mCall.remainingMillis()),
-                                OptionalInt.empty(),
-                                mContinuation.resumeAfter(mCall.progress().lastEventId()))),
-                mBody.retainedDuplicate());
+        return attempt;
+    }
+
+    private HttpRequest requestHead(TargetHandle handle) {
+        return TargetRequestHead.of(
+                mRequest.head(),
+                mBody.readableBytes(),
+                mCall.context().headerCodec(),
+                new TargetInstructions(
+                        handle.id(),
+                        Math.max(1, mCall.remainingMillis()),
+                        OptionalInt.empty(),
+                        mContinuation.resumeAfter(mCall.progress().lastEventId())));
     }
 
     private void failWithoutTarget() {
@@ -238,6 +293,10 @@
         mCall.context().targets().recordNoResponse(handle, attempt.sentNanos(), System.nanoTime());
         logEvent("target stalled", handle, "no data for " + silentMillis + " ms");
         mSends.recordMayHaveRun(handle);
+        if (leaveToOther(attempt)) {
+            attempt.cancel();
+            return;
+        }
         NextStep step = nextStep(new AttemptEnd.Stalled(hung));
         if (step instanceof NextStep.KeepWaiting) {
             return;
@@ -256,6 +315,9 @@
         mReports.refused(handle, otherIncarnation);
         mSends.exclude(handle);
         logEvent("target refused", handle, "status " + status);
+        if (leaveToOther(attempt)) {
+            return;
+        }
         follow(
                 nextStep(new AttemptEnd.Refused(otherIncarnation)),
                 handle,
@@ -270,6 +332,9 @@
         mReports.failed(handle, failure);
         if (!failure.mayHaveRun()) {
             mSends.exclude(handle);
+            if (leaveToOther(attempt)) {
+                return;
+            }
             follow(
                     nextStep(new AttemptEnd.NotReached(failure.isUnreachable())),
                     handle,
@@ -278,6 +343,9 @@
         }
         mSends.recordMayHaveRun(handle);
         mCrashGuard.watch(attempt);
+        if (leaveToOther(attempt)) {
+            return;
+        }
         follow(nextStep(new AttemptEnd.BrokenOff()), handle, failure.toString());
     }
 
@@ -289,8 +357,16 @@
     boolean onAnswer(Attempt attempt, int status) {
         TargetHandle handle = attempt.handle();
         mSends.recordMayHaveRun(handle);
+        boolean failed = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
+        // A failure of one target must not hide the response of the other one.
+        if (failed && leaveToOther(attempt)) {
+            recordOutcome(attempt, status);
+            logEvent("target failed", handle, "status " + status);
+            return false;
+        }
         NextStep step = nextStep(new AttemptEnd.Answered());
         if (step instanceof NextStep.ForwardResponse) {
+            onResponseBegun(attempt, !failed);
             return true;
         }
         recordOutcome(attempt, status);
@@ -300,12 +376,37 @@
         return false;
     }
 
+    /**
+     * Handles the beginning of the response that is given to the caller, and cancels the other
+     * attempt if there is one. Has an effect only once in a call.
+     *
+     * @param succeeded whether the response reports no failure of the target
+     */
+    void onResponseBegun(Attempt winner, boolean succeeded) {
+        if (mHedge.isEmpty()) {
+            return;
+        }
+        Optional<Attempt> loser =
+                isPresent(mSecondAttempt, winner) ? mCurrentAttempt : mSecondAttempt;
+        loser.ifPresent(
+                attempt -> {
+                    mSends.recordMayHaveRun(attempt.handle());
+                    attempt.cancel();
+                });
+        mCurrentAttempt = Optional.of(winner);
+        mSecondAttempt = Optional.empty();
+        mHedge.get().onResponseBegun(winner, loser, succeeded);
+    }
+
     /**
      * Records an event of a target.
      *
      * @return whether it is to be forwarded to the caller
      */
     boolean recordEvent(EventSplitter.Event event, Attempt attempt) {
+        if (mCall.progress().eventCount() == 0) {
+            onResponseBegun(attempt, true);
+        }
         mContinuation.recordEvent(attempt.handle(), mCall.remainingMillis());
         mCall.progress().recordEvent(event.id(), System.nanoTime());
         mHistory.ifPresent(history -> history.recordEvent(event));
@@ -334,6 +435,39 @@
 
     // Helpers
 
+    private Optional<CallHedge> makeHedge() {
+        Optional<Hedging> hedging = mCall.context().hedging();
+        if (hedging.isEmpty()
+                || !HedgeRequest.mayBeHedged(
+                        mCall.route().isRepeatable(),
+                        mCall.continuesConversation(),
+                        mCall.route().maxAttempts())) {
+            return Optional.empty();
+        }
+        return Optional.of(new CallHedge(mCall, this, hedging.get(), mTurn));
+    }
+
+    private static boolean isPresent(Optional<Attempt> running, Attempt attempt) {
+        return running.isPresent() && running.get().equals(attempt);
+    }
+
+    /**
+     * Leaves the call to the other attempt if two are running and the given one has ended without a
+     * usable response. Returns false if there is no other one.
+     */
+    private boolean leaveToOther(Attempt ended) {
+        if (mSecondAttempt.isEmpty()) {
+            return false;
+        }
+        if (isPresent(mCurrentAttempt, ended)) {
+            mCurrentAttempt = mSecondAttempt;
+            mHedge.ifPresent(CallHedge::stop);
+        }
+        mSecondAttempt = Optional.empty();
+        mSends.exclude(ended.handle());
+        return true;
+    }
+
     private void recordOutcome(Attempt attempt, int status) {
         mCrashGuard.recordAnswer();
         attempt.removeFromLoad();
@@ -356,6 +490,7 @@
 
     private void follow(NextStep step, TargetHandle handle, String reason) {
         mCurrentAttempt = Optional.empty();
+        mHedge.ifPresent(CallHedge::stop);
         switch (step) {
             case NextStep.SendToOtherTarget other -> {
                 mSends.exclude(handle);
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
@@ -8,6 +8,7 @@
 import org.oleandertrack.coordination.conversation.TurnLookup;
 import org.oleandertrack.coordination.spending.SpendingResult;
 import org.oleandertrack.coordination.stream.OriginLookup;
+import org.oleandertrack.core.health.HedgeDenial;
 import org.oleandertrack.core.traffic.RequestKind;
 import org.oleandertrack.core.traffic.Route;
 import org.oleandertrack.core.turn.PlacementChoice;
@@ -120,6 +121,37 @@
                         });
     }
 
+    void hedged(TargetHandle first, TargetHandle second, long elapsedNanos) {
+        mLog.info("hedged")
+                .text("request", mMetadata.requestId())
+                .text("route", mRoute.name())
+                .text("target", second.id())
+                .text("lateTarget", first.id())
+                .number("lateMs", TimeUnit.NANOSECONDS.toMillis(elapsedNanos))
+                .write();
+    }
+
+    void hedgeDenied(
+            TargetHandle first, HedgeDenial denial, long elapsedNanos, long remainingMillis) {
+        mLog.info("hedge denied")
+                .text("request", mMetadata.requestId())
+                .text("route", mRoute.name())
+                .text("lateTarget", first.id())
+                .text("reason", denial.text())
+                .number("lateMs", TimeUnit.NANOSECONDS.toMillis(elapsedNanos))
+                .number("remainingMs", remainingMillis)
+                .write();
+    }
+
+    void hedgeDecided(TargetHandle winner, TargetHandle cancelled, boolean secondWon) {
+        mLog.info("hedge decided")
+                .text("request", mMetadata.requestId())
+                .text("target", winner.id())
+                .text("cancelledTarget", cancelled.id())
+                .flag("secondWon", secondWon)
+                .write();
+    }
+
     void targetDown(TargetHandle handle, String contentKey, String pathKey) {
         mLog.info("target down")
                 .text("request", mMetadata.requestId())
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CrashGuard.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CrashGuard.java
@@ -64,6 +64,11 @@
         return true;
     }
 
+    /** Returns whether requests like this one may be the cause of known crashes of targets. */
+    boolean isSuspect() {
+        return mQuarantine.hasSuspects() && (!mAnsweredPaths.contains(mPath) || isQuarantined());
+    }
+
     /** Finds out whether the target of a failed attempt has crashed when it began to run it. */
     void watch(Attempt attempt) {
         if (!attempt.isBeginning(System.nanoTime())) {
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/StallDetector.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StallDetector.java
@@ -40,7 +40,7 @@
     }
 
     private void check() {
-        if (!mDispatcher.isCurrent(mAttempt)) {
+        if (!mDispatcher.isRunning(mAttempt)) {
             return;
         }
         // The target is not read while the caller does not read.
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/StopAdmission.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StopAdmission.java
@@ -34,6 +34,11 @@
         mClosed = true;
     }
 
+    /** Returns whether a stop has begun. */
+    boolean isStopping() {
+        return mEndNanos.isPresent();
+    }
+
     /** Returns whether no new calls are taken. */
     boolean isClosed() {
         return mClosed;
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -13,6 +13,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +33,7 @@
 import org.oleandertrack.coordination.stream.SoftwareVersions;
 import org.oleandertrack.coordination.stream.StreamOriginService;
 import org.oleandertrack.core.discovery.TargetDirectory;
+import org.oleandertrack.core.health.HedgeSchedule;
 import org.oleandertrack.core.quarantine.AnsweredPaths;
 import org.oleandertrack.core.rate.TargetPacers;
 import org.oleandertrack.core.result.ResultCode;
@@ -46,6 +48,8 @@
 import org.oleandertrack.gateway.call.CallMetrics;
 import org.oleandertrack.gateway.call.GatewayResponses;
 import org.oleandertrack.gateway.call.HeaderCodec;
+import org.oleandertrack.gateway.call.HedgeMetrics;
+import org.oleandertrack.gateway.call.Hedging;
 import org.oleandertrack.gateway.call.ResponseMemory;
 import org.oleandertrack.gateway.call.StopAdmission;
 import org.oleandertrack.gateway.peer.PeerAllowanceIssuer;
@@ -181,6 +185,7 @@
                                 mConversations,
                                 mStopAdmission,
                                 new ResponseMemory(settings.responseMemoryBytes()),
+                                makeHedging(settings, metrics),
                                 log,
                                 new CallMetrics(metrics)));
         mTargetFeed = new TargetFeed(tables, mTargetDirectory, System::nanoTime, log);
@@ -338,6 +343,16 @@
                 HttpResponses::empty);
     }
 
+    private static Optional<Hedging> makeHedging(
+            GatewaySettings settings, MetricsRegistry metrics) {
+        return settings.hedgePercent() == 0
+                ? Optional.empty()
+                : Optional.of(
+                        new Hedging(
+                                new HedgeSchedule(settings.hedgePercent()),
+                                new HedgeMetrics(metrics)));
+    }
+
     private SpendingService makeSpending(Random random) {
         return new SpendingService(
                 mStore,
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
@@ -19,6 +19,8 @@
  * @param maxLogLinesPerSecond number of log lines per second beyond which lines about routine work
  *     are dropped
  * @param responseMemoryBytes bytes of responses that are held until they are complete
+ * @param hedgePercent number of late requests per hundred repeatable requests that may be sent to a
+ *     second target; 0 for none
  */
 public record GatewaySettings(
         String nodeName,
@@ -31,7 +33,8 @@
         long graceMillis,
         long entryRenewalMillis,
         int maxLogLinesPerSecond,
-        long responseMemoryBytes) {
+        long responseMemoryBytes,
+        int hedgePercent) {
 
     /** Returns these settings with the given values for those that may change at run time. */
     GatewaySettings withReloadable(GatewaySettings other) {
@@ -46,6 +49,24 @@
                 other.graceMillis,
                 entryRenewalMillis,
                 maxLogLinesPerSecond,
-                responseMemoryBytes);
+                responseMemoryBytes,
+                hedgePercent);
+    }
+
+    /** Returns these settings with another number of hedged requests. */
+    public GatewaySettings withHedgePercent(int percent) {
+        return new GatewaySettings(
+                nodeName,
+                zone,
+                callerAddress,
+                readinessAddress,
+                peerAddress,
+                seedAddresses,
+                metricsAddress,
+                graceMillis,
+                entryRenewalMillis,
+                maxLogLinesPerSecond,
+                responseMemoryBytes,
+                percent);
     }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
@@ -34,6 +34,8 @@
 
     // A request may have to wait at a target that has at least this fraction of its slots in use.
     private static final double HAS_ROOM_LOAD_FRACTION = 0.75;
+    // Costs of two targets within this ratio count as equal, as in placement.
+    private static final double EQUAL_COST_RATIO = 1.1;
     // If more of the targets fail than their number divided by this, the cause is more likely the
     // network or this host, so placement then treats all targets as healthy.
     private static final int MAX_FAILING_TARGETS_DIVISOR = 2;
@@ -144,6 +146,46 @@
         return choice.or(() -> placement.choose(mStates, excluded, nowNanos)).map(this::recordSend);
     }
 
+    synchronized Optional<PlacedTarget> placeHedge(
+            HedgePlacement placement, TargetFilter filter, String firstZone, long nowNanos) {
+        Set<String> excluded = withFailingTargets(rejectedIds(filter));
+        Set<String> inFirstZone = new HashSet<>();
+        for (TargetHandle handle : mHandles.values()) {
+            if (handle.statedRate().isPresent()
+                    || handle.state().isAvoided(nowNanos)
+                    || !hasRoom(handle, nowNanos)) {
+                excluded.add(handle.id());
+            }
+            if (handle.record().zone().equals(firstZone)) {
+                inFirstZone.add(handle.id());
+            }
+        }
+        Optional<PlacementChoice> best = placement.choose(mStates, excluded);
+        inFirstZone.addAll(excluded);
+        // What slows the first target down may affect its whole zone.
+        Optional<PlacementChoice> inOtherZone =
+                best.flatMap(
+                        choice ->
+                                placement
+                                        .choose(mStates, inFirstZone)
+                                        .filter(
+                                                other ->
+                                                        other.predictedCost()
+                                                                <= choice.predictedCost()
+                                                                        * EQUAL_COST_RATIO));
+        return inOtherZone.or(() -> best).map(this::recordSend);
+    }
+
+    synchronized boolean isNearlyFull(long nowNanos) {
+        double requests = 0;
+        double slots = 0;
+        for (TargetState state : mStates) {
+            requests += state.load().requests(nowNanos);
+            slots += state.slots();
+        }
+        return requests >= slots * HAS_ROOM_LOAD_FRACTION;
+    }
+
     synchronized void recordResend(TargetHandle handle) {
         handle.state().load().recordSent();
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
@@ -4,15 +4,18 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.oleandertrack.core.discovery.RemovalReason;
 import org.oleandertrack.core.discovery.TargetListener;
 import org.oleandertrack.core.discovery.TargetRecord;
+import org.oleandertrack.core.health.SendPrediction;
 import org.oleandertrack.core.rate.PermitRequest;
 import org.oleandertrack.core.traffic.EngineSpec;
 import org.oleandertrack.core.traffic.ServiceSpec;
 import org.oleandertrack.core.traffic.TrafficConfig;
 import org.oleandertrack.core.turn.CallPlacement;
+import org.oleandertrack.core.turn.PlacementChoice;
 import org.oleandertrack.core.turn.ReportedLoad;
 import org.oleandertrack.core.turn.TurnPlacement;
 import org.oleandertrack.core.turn.TurnRequest;
@@ -104,6 +107,39 @@
         return targetsOf(service).placeCall(mCallPlacement, filter, repeatable, nowNanos);
     }
 
+    /**
+     * Chooses a second target for a request that another target is late with, and counts it in the
+     * target's load. Targets that are failing, avoided, nearly full or limit their rate get none.
+     *
+     * @param turn the turn if the request is one for a model engine
+     */
+    public Optional<PlacedTarget> placeHedge(
+            TargetHandle first, Optional<TurnRequest> turn, TargetFilter filter, long nowNanos) {
+        HedgePlacement placement =
+                (states, excluded) ->
+                        turn.isPresent()
+                                ? mTurnPlacement.choose(states, turn.get(), excluded, nowNanos)
+                                : mCallPlacement.choose(states, excluded, nowNanos);
+        return targetsOf(first.record().service())
+                .placeHedge(
+                        placement,
+                        filter.withExcluded(Set.of(first.id())),
+                        first.record().zone(),
+                        nowNanos);
+    }
+
+    /** Returns whether the targets of a service have too few free slots for extra requests. */
+    public boolean isNearlyFull(String service, long nowNanos) {
+        return targetsOf(service).isNearlyFull(nowNanos);
+    }
+
+    /** Predicts the time until the response to a request begins that is sent as chosen. */
+    public SendPrediction predictSend(Optional<TurnRequest> turn, PlacementChoice choice) {
+        return turn.isPresent()
+                ? SendPrediction.ofMillis(mTurnPlacement.firstEventMillis(choice))
+                : SendPrediction.ofFactor(choice.predictedCost());
+    }
+
     /** Takes back a placement, because the request is not sent to the target. */
     public void withdraw(TargetHandle handle) {
         targetsOf(handle.record().service()).withdraw(handle);
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayReloadTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayReloadTest.java
@@ -51,6 +51,7 @@
                 graceMillis,
                 current.entryRenewalMillis(),
                 current.maxLogLinesPerSecond(),
-                current.responseMemoryBytes());
+                current.responseMemoryBytes(),
+                current.hedgePercent());
     }
 }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
@@ -33,15 +33,15 @@
     private final InetSocketAddress mAddress;
 
     TestGateway(long graceMillis) {
-        this(graceMillis, Optional.empty());
+        this(graceMillis, Optional.empty(), 0);
     }
 
     /** Creates a gateway that shares the store of another one. */
     TestGateway(MemoryRowStore store) {
-        this(1_000, Optional.of(store));
+        this(1_000, Optional.of(store), 0);
     }
 
-    private TestGateway(long graceMillis, Optional<MemoryRowStore> store) {
+    private TestGateway(long graceMillis, Optional<MemoryRowStore> store, int hedgePercent) {
         mStore = store.orElseGet(() -> new MemoryRowStore(mExecutor));
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         mSettings =
@@ -56,7 +56,8 @@
                         graceMillis,
                         2_000,
                         MAX_LOG_LINES,
-                        RESPONSE_MEMORY_BYTES);
+                        RESPONSE_MEMORY_BYTES,
+                        hedgePercent);
         mHost =
                 new GatewayHost(
                         mSettings,
@@ -76,7 +77,16 @@
 
     /** Returns a configured gateway that knows the given targets and has the given grace period. */
     static TestGateway with(long graceMillis, String service, ScriptedTarget... targets) {
-        TestGateway gateway = new TestGateway(graceMillis);
+        return with(new TestGateway(graceMillis), service, targets);
+    }
+
+    /** Returns a configured gateway that hedges requests to the given targets. */
+    static TestGateway hedging(int hedgePercent, String service, ScriptedTarget... targets) {
+        return with(new TestGateway(1_000, Optional.empty(), hedgePercent), service, targets);
+    }
+
+    private static TestGateway with(
+            TestGateway gateway, String service, ScriptedTarget... targets) {
         gateway.configure(1);
         for (int i = 0; i < targets.length; i++) {
             gateway.register("t" + i, service, targets[i].port(), false);
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestTables.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestTables.java
@@ -53,6 +53,7 @@
                                 route("kept", RequestKind.STREAMING, "engine"),
                                 route("relay", RequestKind.STREAMING, "engine"),
                                 route("safe", RequestKind.SAFE, "tool"),
+                                route("lookup", RequestKind.SAFE, "tool"),
                                 route("unsafe", RequestKind.UNSAFE, "tool"),
                                 route(
                                         "patient",
@@ -77,7 +78,7 @@
                 timeoutMillis,
                 200,
                 0,
-                name.equals("relay") ? 3 : 1,
+                name.equals("relay") || name.equals("lookup") ? 3 : 1,
                 !name.equals("talk"),
                 300,
                 name.equals("talk") || name.equals("kept"),
--- a/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
@@ -35,6 +35,24 @@
             "Routing and placement decisions, by kind and reason.",
             "kind",
             "reason"),
+    HEDGES(
+            "oleandertrack_hedges_total",
+            MetricKind.COUNTER,
+            "sends",
+            "Second sends of late requests, by event: sent, won (it was answered first) or"
+                    + " cancelled (one of the two sends was).",
+            "event"),
+    HEDGES_DENIED(
+            "oleandertrack_hedges_denied_total",
+            MetricKind.COUNTER,
+            "requests",
+            "Late requests that were not sent to a second target, by reason.",
+            "reason"),
+    HEDGE_EXTRA_WORK(
+            "oleandertrack_hedge_extra_percent",
+            MetricKind.GAUGE,
+            "percent",
+            "Second sends per hundred repeatable requests since the start."),
     DECISION_DURATION(
             "oleandertrack_decision_duration_seconds",
             MetricKind.HISTOGRAM,
