Hedge only while the caller reads, and count a second send that is used

While the caller does not read, neither is its target, so a late response says nothing about the target. A second send whose response is used because the first one failed now counts as won.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallDispatcher.java
@@ -158,9 +158,11 @@
     }
 
     /** Sends the request to a second target while the first one has not begun its response. */
-    void sendSecond(PlacedTarget placed) {
-        mSecondAttempt = Optional.of(makeAttempt(placed, OptionalLong.empty(), false));
-        mSecondAttempt.get().send(requestHead(placed.handle()), mBody.retainedDuplicate());
+    Attempt sendSecond(PlacedTarget placed) {
+        Attempt attempt = makeAttempt(placed, OptionalLong.empty(), false);
+        mSecondAttempt = Optional.of(attempt);
+        attempt.send(requestHead(placed.handle()), mBody.retainedDuplicate());
+        return attempt;
     }
 
     // Dispatch
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallHedge.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallHedge.java
@@ -25,6 +25,7 @@
     private final TargetRegistry mTargets;
     private final Optional<TurnRequest> mTurn;
     private Optional<Attempt> mFirst = Optional.empty();
+    private Optional<Attempt> mSecond = Optional.empty();
     private SendPrediction mPrediction = SendPrediction.ofMillis(0);
     private long mDelayNanos;
     private boolean mDeniedByLimit;
@@ -55,14 +56,17 @@
     /**
      * Handles the beginning of the response that is given to the caller.
      *
-     * @param loser the other attempt, which was cancelled
+     * @param loser the other attempt, which was cancelled; empty if there was none or it has failed
      */
     void onResponseBegun(Attempt winner, Optional<Attempt> loser, boolean succeeded) {
         if (mFirst.isPresent() && succeeded) {
             mHedging.schedule()
                     .recordTime(mCall.route().name(), mPrediction, elapsedNanos(mFirst.get()));
         }
-        loser.ifPresent(cancelled -> recordRace(winner, cancelled));
+        boolean secondWon = mSecond.filter(winner::equals).isPresent();
+        if (secondWon || loser.isPresent()) {
+            recordRace(winner, loser, secondWon);
+        }
         stop();
     }
 
@@ -86,6 +90,11 @@
     private void check() {
         mTimer = Optional.empty();
         Attempt first = mFirst.orElseThrow();
+        // The target is not read while the caller does not read.
+        if (!mCall.writer().isWritable()) {
+            checkAfter(HedgeSchedule.recheckNanos(mDelayNanos));
+            return;
+        }
         HedgeSchedule schedule = mHedging.schedule();
         Optional<HedgeDenial> denial = mDispatcher.hedgeRequest().denial();
         if (denial.isPresent()) {
@@ -123,7 +132,7 @@
         mHedging.metrics().recordSent(schedule.extraPercent());
         mCall.log().hedged(first.handle(), second.get().handle(), elapsedNanos(first));
         mTurn.ifPresent(turn -> mTargets.recordPrefill(second.get().handle(), turn));
-        mDispatcher.sendSecond(second.get());
+        mSecond = Optional.of(mDispatcher.sendSecond(second.get()));
     }
 
     private void denyByLimit(Attempt first) {
@@ -140,13 +149,14 @@
                 .hedgeDenied(first.handle(), denial, elapsedNanos(first), mCall.remainingMillis());
     }
 
-    private void recordRace(Attempt winner, Attempt cancelled) {
-        mHedging.metrics().recordCancelled();
-        boolean secondWon = mFirst.filter(cancelled::equals).isPresent();
+    private void recordRace(Attempt winner, Optional<Attempt> loser, boolean secondWon) {
         if (secondWon) {
             mHedging.metrics().recordWon();
         }
-        mCall.log().hedgeDecided(winner.handle(), cancelled.handle(), secondWon);
+        if (loser.isPresent()) {
+            mHedging.metrics().recordCancelled();
+        }
+        mCall.log().hedgeDecided(winner.handle(), loser.map(Attempt::handle), secondWon);
     }
 
     private static long elapsedNanos(Attempt attempt) {
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
@@ -143,11 +143,11 @@
                 .write();
     }
 
-    void hedgeDecided(TargetHandle winner, TargetHandle cancelled, boolean secondWon) {
+    void hedgeDecided(TargetHandle winner, Optional<TargetHandle> cancelled, boolean secondWon) {
         mLog.info("hedge decided")
                 .text("request", mMetadata.requestId())
                 .text("target", winner.id())
-                .text("cancelledTarget", cancelled.id())
+                .text("cancelledTarget", cancelled.map(TargetHandle::id).orElse(""))
                 .flag("secondWon", secondWon)
                 .write();
     }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/HedgedCallTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/HedgedCallTest.java
@@ -23,6 +23,7 @@
 final class HedgedCallTest {
 
     private static final String LATE = "late";
+    private static final String DEADLY = "deadly";
     private static final String CALL = "/lookup/x";
     private static final String STREAM = "/relay/x";
     private static final int WARM_UP_REQUESTS = 60;
@@ -181,14 +182,41 @@
         awaitClosedSends(mLateSends.get());
     }
 
-    /** Guards against a second send to a target that limits its rate. */
+    /** Guards against data of one send that hides the silence of the other one. */
     @Test
-    void targetsThatLimitTheirRateGetNoSecondSend() throws IOException {
+    void aStallOfTheFirstSendLeavesTheSecond() throws IOException {
+        start(
+                PERCENT,
+                STREAM,
+                HOLD,
+                (exchange, number) -> {
+                    exchange.startStream();
+                    for (int i = 0; i < 4; i++) {
+                        exchange.pauseMillis(300);
+                        exchange.chunk(": working\n\n");
+                    }
+                    exchange.chunk(event(1, "second"));
+                    exchange.endStream();
+                });
+        String answer = callLate(STREAM);
+        assertTrue(answer.contains("second"), answer);
+        assertEquals(2, mLateSends.get());
+        assertTrue(logs().contains("target stalled"), logs());
+        awaitClosedSends(1);
+    }
+
+    /** Guards against a request that crashes two targets at a time. */
+    @Test
+    void aRequestThatMayCrashTargetsIsNotHedged() throws IOException {
         start(PERCENT, CALL, answerAfter(300, 200, "first"));
-        warmUp("/safe/x", "Limited: 1\r\n", UNHEDGED_REQUESTS);
-        assertTrue(callLate(CALL).endsWith("first"));
+        try (TestClient client = mGateway.client()) {
+            client.send("POST", "/unsafe/x", DEADLY, "", "x");
+            client.readAnswer();
+        }
+        Awaitility.await().until(() -> logs().contains("\"target down\""));
+        assertTrue(callLate("/lookup/other").endsWith("first"));
         assertEquals(1, mLateSends.get());
-        assertTrue(logs().contains("no target"), logs());
+        assertTrue(logs().contains("crash suspect"), logs());
     }
 
     // Helpers
@@ -226,9 +254,9 @@
                         percent,
                         path.equals(STREAM) ? "engine" : "tool",
                         mTargets.toArray(ScriptedTarget[]::new));
-        warmUp(path, "", WARM_UP_REQUESTS);
+        warmUp(path, WARM_UP_REQUESTS);
         // Requests with a single attempt restore the allowance that the others may have used.
-        warmUp(path.equals(STREAM) ? "/turn/x" : "/safe/x", "", UNHEDGED_REQUESTS);
+        warmUp(path.equals(STREAM) ? "/turn/x" : "/safe/x", UNHEDGED_REQUESTS);
     }
 
     private void handle(ScriptedTarget.Exchange exchange, ScriptedTarget.Script... lateSends)
@@ -236,19 +264,21 @@
         if (exchange.id().equals(LATE)) {
             int send = mLateSends.getAndIncrement();
             lateSends[Math.min(send, lateSends.length - 1)].handle(exchange, send);
+        } else if (exchange.id().equals(DEADLY)) {
+            exchange.target().close();
+            exchange.socket().close();
         } else if (exchange.head().contains(STREAM) || exchange.head().contains("/turn/")) {
             exchange.startStream(event(1, "quick"));
             exchange.endStream();
         } else {
-            boolean limited = !ScriptedTarget.header(exchange.head(), "Limited").isEmpty();
-            exchange.answer(200, limited ? "Rate: 1000\r\n" : "", "quick");
+            exchange.answer(200, "", "quick");
         }
     }
 
-    private void warmUp(String path, String headers, int requests) throws IOException {
+    private void warmUp(String path, int requests) throws IOException {
         try (TestClient client = mGateway.client()) {
             for (int i = 0; i < requests; i++) {
-                client.send("POST", path, "w" + i, headers, "x");
+                client.send("POST", path, "w" + i, "", "x");
                 assertTrue(client.readAnswer().contains("quick"));
             }
         }
--- a/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
@@ -39,8 +39,8 @@
             "oleandertrack_hedges_total",
             MetricKind.COUNTER,
             "sends",
-            "Second sends of late requests, by event: sent, won (it was answered first) or"
-                    + " cancelled (one of the two sends was).",
+            "Second sends of late requests, by event: sent, won (its response was used) or"
+                    + " cancelled (one of the two sends was, because the other was answered first).",
             "event"),
     HEDGES_DENIED(
             "oleandertrack_hedges_denied_total",
