State in the log when a hedged send was due

The lines of hedged and denied requests gave the time since the first send only, so the learned delay behind a decision could not be seen.

--- a/core/src/main/java/org/oleandertrack/core/health/LatenessQuantile.java
+++ b/core/src/main/java/org/oleandertrack/core/health/LatenessQuantile.java
@@ -31,7 +31,7 @@
     void record(long latenessNanos) {
         mSamplesNanos[mSampleCount % WINDOW_SAMPLES] = latenessNanos;
         mSampleCount++;
-        // Keeps the index and the refresh in step after many samples.
+        // Prevents an overflow; the index and the next refresh stay the same.
         if (mSampleCount == 2 * WINDOW_SAMPLES) {
             mSampleCount = WINDOW_SAMPLES;
         }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallHedge.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallHedge.java
@@ -130,7 +130,7 @@
             return;
         }
         mHedging.metrics().recordSent(schedule.extraPercent());
-        mCall.log().hedged(first.handle(), second.get().handle(), elapsedNanos(first));
+        mCall.log().hedged(first.handle(), second.get().handle(), mDelayNanos, elapsedNanos(first));
         mTurn.ifPresent(turn -> mTargets.recordPrefill(second.get().handle(), turn));
         mSecond = Optional.of(mDispatcher.sendSecond(second.get()));
     }
@@ -146,7 +146,12 @@
     private void deny(Attempt first, HedgeDenial denial) {
         mHedging.metrics().recordDenied(denial);
         mCall.log()
-                .hedgeDenied(first.handle(), denial, elapsedNanos(first), mCall.remainingMillis());
+                .hedgeDenied(
+                        first.handle(),
+                        denial,
+                        mDelayNanos,
+                        elapsedNanos(first),
+                        mCall.remainingMillis());
     }
 
     private void recordRace(Attempt winner, Optional<Attempt> loser, boolean secondWon) {
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
@@ -121,24 +121,30 @@
                         });
     }
 
-    void hedged(TargetHandle first, TargetHandle second, long elapsedNanos) {
+    void hedged(TargetHandle first, TargetHandle second, long delayNanos, long elapsedNanos) {
         mLog.info("hedged")
                 .text("request", mMetadata.requestId())
                 .text("route", mRoute.name())
                 .text("target", second.id())
                 .text("lateTarget", first.id())
-                .number("lateMs", TimeUnit.NANOSECONDS.toMillis(elapsedNanos))
+                .number("dueMs", TimeUnit.NANOSECONDS.toMillis(delayNanos))
+                .number("elapsedMs", TimeUnit.NANOSECONDS.toMillis(elapsedNanos))
                 .write();
     }
 
     void hedgeDenied(
-            TargetHandle first, HedgeDenial denial, long elapsedNanos, long remainingMillis) {
+            TargetHandle first,
+            HedgeDenial denial,
+            long delayNanos,
+            long elapsedNanos,
+            long remainingMillis) {
         mLog.info("hedge denied")
                 .text("request", mMetadata.requestId())
                 .text("route", mRoute.name())
                 .text("lateTarget", first.id())
                 .text("reason", denial.text())
-                .number("lateMs", TimeUnit.NANOSECONDS.toMillis(elapsedNanos))
+                .number("dueMs", TimeUnit.NANOSECONDS.toMillis(delayNanos))
+                .number("elapsedMs", TimeUnit.NANOSECONDS.toMillis(elapsedNanos))
                 .number("remainingMs", remainingMillis)
                 .write();
     }
