--- a/coordination/src/main/java/org/oleandertrack/coordination/feed/TableFollower.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/feed/TableFollower.java
@@ -16,9 +16,12 @@
  */
 public final class TableFollower {
 
-    // Longest wait for changes, short enough that a connection that no longer delivers data is
-    // noticed within two seconds.
-    private static final long MAX_WAIT_MILLIS = 1_500;
+    /**
+     * Longest useful wait for changes, short enough that a connection that no longer delivers data
+     * is noticed within two seconds.
+     */
+    public static final long MAX_WAIT_MILLIS = 1_500;
+
     // Keeps the retries of all hosts together far below the rate that the store can take: at the
     // largest delay, 30 hosts that follow two tables make 120 calls a second.
     private static final long MIN_RETRY_DELAY_MILLIS = 50;
@@ -28,8 +31,10 @@
 
     private final RowStore mStore;
     private final String mTable;
+    private final long mMaxWaitMillis;
     private final Scheduler mScheduler;
     private final LongSupplier mNanoClock;
+    private final LongSupplier mWallClockMillis;
     private final RandomGenerator mRandom;
     private final TableListener mListener;
     private volatile boolean mStopped;
@@ -40,18 +45,26 @@
 
     // Life-cycle
 
-    /** Creates a follower that does nothing until it is started. */
+    /**
+     * Creates a follower that does nothing until it is started.
+     *
+     * @param maxWaitMillis longest wait for changes before the store answers that there are none
+     */
     public TableFollower(
             RowStore store,
             String table,
+            long maxWaitMillis,
             Scheduler scheduler,
             LongSupplier nanoClock,
+            LongSupplier wallClockMillis,
             RandomGenerator random,
             TableListener listener) {
         mStore = store;
         mTable = table;
+        mMaxWaitMillis = maxWaitMillis;
         mScheduler = scheduler;
         mNanoClock = nanoClock;
+        mWallClockMillis = wallClockMillis;
         mRandom = random;
         mListener = listener;
     }
@@ -72,35 +85,50 @@
         if (mStopped) {
             return;
         }
-        CompletableFuture<Void> step = mTableRead ? awaitChanges() : readAll();
-        var _ = step.whenComplete((done, failure) -> onStepEnded(failure));
+        long begunNanos = mNanoClock.getAsLong();
+        long begunWallMillis = mWallClockMillis.getAsLong();
+        CompletableFuture<Boolean> step = mTableRead ? awaitChanges() : readAll();
+        var _ =
+                step.thenAccept(
+                                complete -> {
+                                    if (complete) {
+                                        mListener.onConfirmed(begunNanos, begunWallMillis);
+                                    }
+                                })
+                        .whenComplete((done, failure) -> onStepEnded(failure));
     }
 
-    private CompletableFuture<Void> readAll() {
+    // The results of both steps state whether all rows are known as of the start of the step.
+    private CompletableFuture<Boolean> readAll() {
         return RowReads.all(mStore, mTable, ONLY_PART)
-                .thenAccept(
+                .thenApply(
                         page -> {
                             onStoreAnswered();
                             mVersion = page.storeVersion();
                             mTableRead = true;
                             mListener.onTableRead(page.rows());
+                            return true;
                         });
     }
 
-    private CompletableFuture<Void> awaitChanges() {
-        return mStore.awaitChanges(mTable, mVersion, MAX_WAIT_MILLIS)
-                .thenAccept(
+    private CompletableFuture<Boolean> awaitChanges() {
+        return mStore.awaitChanges(mTable, mVersion, mMaxWaitMillis)
+                .thenApply(
                         answer -> {
                             onStoreAnswered();
-                            switch (answer) {
+                            return switch (answer) {
                                 case RowChanges.Changed changed -> {
                                     mVersion = Math.max(mVersion, changed.storeVersion());
                                     if (!changed.changes().isEmpty()) {
                                         mListener.onRowsChanged(changed.changes());
                                     }
+                                    yield true;
+                                }
+                                case RowChanges.HistoryLost lost -> {
+                                    mTableRead = false;
+                                    yield false;
                                 }
-                                case RowChanges.HistoryLost lost -> mTableRead = false;
-                            }
+                            };
                         });
     }
 
--- a/core/src/main/java/org/oleandertrack/core/health/HedgeDenial.java
+++ b/core/src/main/java/org/oleandertrack/core/health/HedgeDenial.java
@@ -16,6 +16,8 @@
     ATTEMPTS_USED_UP,
     /** Requests like this one may be the cause of known crashes of targets. */
     CRASH_SUSPECT,
+    /** The caller's key may have been revoked since the call was admitted. */
+    CALLER_REFUSED,
     /** The process is stopping. */
     STOPPING,
     /** The deadline is too near. */
--- a/core/src/main/java/org/oleandertrack/core/health/HedgeRequest.java
+++ b/core/src/main/java/org/oleandertrack/core/health/HedgeRequest.java
@@ -12,6 +12,7 @@
  * @param sendCount number of sends so far
  * @param maxAttempts number of targets to which the route allows the request to be sent
  * @param suspect whether requests like this one may be the cause of known crashes of targets
+ * @param callerRefused whether the caller's key may have been revoked since the call was admitted
  * @param stopping whether the process is stopping
  * @param remainingMillis time until the deadline, in milliseconds
  * @param serviceFull whether the targets of the service have too few free slots
@@ -24,6 +25,7 @@
         int sendCount,
         int maxAttempts,
         boolean suspect,
+        boolean callerRefused,
         boolean stopping,
         long remainingMillis,
         boolean serviceFull) {
@@ -61,6 +63,9 @@
         if (suspect) {
             return Optional.of(HedgeDenial.CRASH_SUSPECT);
         }
+        if (callerRefused) {
+            return Optional.of(HedgeDenial.CALLER_REFUSED);
+        }
         if (stopping) {
             return Optional.of(HedgeDenial.STOPPING);
         }
--- a/core/src/test/java/org/oleandertrack/core/health/HedgeScheduleTest.java
+++ b/core/src/test/java/org/oleandertrack/core/health/HedgeScheduleTest.java
@@ -65,16 +65,17 @@
     /** Guards against a second send of a request for which one is forbidden. */
     @ParameterizedTest
     @CsvSource({
-        "NOT_REPEATABLE, false, false, false, false, 1, false, false, 500, false",
-        "STORED_CONVERSATION, true, true, false, false, 1, false, false, 500, false",
-        "RESPONSE_STARTED, true, false, true, false, 1, false, false, 500, false",
-        "EARLIER_FAILURE, true, false, false, true, 1, false, false, 500, false",
-        "ATTEMPTS_USED_UP, true, false, false, false, 3, false, false, 500, false",
-        "CRASH_SUSPECT, true, false, false, false, 1, true, false, 500, false",
-        "STOPPING, true, false, false, false, 1, false, true, 500, false",
-        "DEADLINE_NEAR, true, false, false, false, 1, false, false, 49, false",
-        "SERVICE_FULL, true, false, false, false, 1, false, false, 500, true",
-        ", true, false, false, false, 2, false, false, 50, false"
+        "NOT_REPEATABLE, false, false, false, false, 1, false, false, false, 500, false",
+        "STORED_CONVERSATION, true, true, false, false, 1, false, false, false, 500, false",
+        "RESPONSE_STARTED, true, false, true, false, 1, false, false, false, 500, false",
+        "EARLIER_FAILURE, true, false, false, true, 1, false, false, false, 500, false",
+        "ATTEMPTS_USED_UP, true, false, false, false, 3, false, false, false, 500, false",
+        "CRASH_SUSPECT, true, false, false, false, 1, true, false, false, 500, false",
+        "CALLER_REFUSED, true, false, false, false, 1, false, true, false, 500, false",
+        "STOPPING, true, false, false, false, 1, false, false, true, 500, false",
+        "DEADLINE_NEAR, true, false, false, false, 1, false, false, false, 49, false",
+        "SERVICE_FULL, true, false, false, false, 1, false, false, false, 500, true",
+        ", true, false, false, false, 2, false, false, false, 50, false"
     })
     void eachConditionDenies(
             HedgeDenial expected,
@@ -84,6 +85,7 @@
             boolean mayHaveRun,
             int sendCount,
             boolean suspect,
+            boolean callerRefused,
             boolean stopping,
             long remainingMillis,
             boolean serviceFull) {
@@ -96,6 +98,7 @@
                         sendCount,
                         3,
                         suspect,
+                        callerRefused,
                         stopping,
                         remainingMillis,
                         serviceFull);
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -28,6 +28,7 @@
     private final TrafficConfig mConfig;
     private final Route mRoute;
     private final CallMetadata mMetadata;
+    private final AdmittedCaller mCaller;
     private final InboundRequest mRequest;
     private final ResponseWriter mWriter;
     private final CallBudget mBudget;
@@ -45,12 +46,14 @@
             TrafficConfig config,
             Route route,
             CallMetadata metadata,
+            AdmittedCaller caller,
             InboundRequest request,
             ResponseWriter writer) {
         mContext = context;
         mConfig = config;
         mRoute = route;
         mMetadata = metadata;
+        mCaller = caller;
         mRequest = request;
         mWriter = writer;
         String service = route.serviceFor(metadata.routingKey());
@@ -58,7 +61,7 @@
                 Optional.ofNullable(config.services().get(service)).flatMap(ServiceSpec::engine);
         Optional<TurnRequest> turn =
                 engine.flatMap(spec -> metadata.turn())
-                        .map(stated -> stated.toTurnRequest(metadata.program()));
+                        .map(stated -> stated.toTurnRequest(metadata.program(), metadata.scope()));
         mBudget =
                 new CallBudget(
                         context.spending(),
@@ -77,14 +80,12 @@
                                         writer.eventLoop(),
                                         mLog))
                         : Optional.empty();
-        mCrashGuard =
-                new CrashGuard(
-                        context, request, metadata.previousTurnId(), writer.eventLoop(), mLog);
+        mCrashGuard = new CrashGuard(context, request, metadata, writer.eventLoop(), mLog);
         mContinuation =
                 new StreamContinuation(context, route, metadata, service, writer.eventLoop(), mLog);
         mDispatcher =
                 new CallDispatcher(
-                        this, request, service, turn, mHistory, mCrashGuard, mContinuation);
+                        this, caller, request, service, turn, mHistory, mCrashGuard, mContinuation);
     }
 
     // Life-cycle
@@ -260,6 +261,7 @@
             return;
         }
         end(failure.code().name(), failure.getMessage());
+        mCaller.onFailure(failure);
         mWriter.respond(
                 mContext.gatewayResponses().makeErrorResponse(failure, mMetadata.requestId()));
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallDispatcher.java
@@ -35,6 +35,7 @@
     private static final long MIN_REMAINING_TO_RETRY_MILLIS = 50;
 
     private final Call mCall;
+    private final AdmittedCaller mCaller;
     private final InboundRequest mRequest;
     private final String mService;
     private final Optional<TurnRequest> mTurn;
@@ -61,6 +62,7 @@
      */
     CallDispatcher(
             Call call,
+            AdmittedCaller caller,
             InboundRequest request,
             String service,
             Optional<TurnRequest> turn,
@@ -68,6 +70,7 @@
             CrashGuard crashGuard,
             StreamContinuation continuation) {
         mCall = call;
+        mCaller = caller;
         mRequest = request;
         mService = service;
         mTurn = turn;
@@ -89,6 +92,7 @@
                                 call.context()
                                         .stopAdmission()
                                         .maySend(call.route(), call.remainingMillis()),
+                        caller.refusal(),
                         call.log());
         mHedge = makeHedge();
     }
@@ -126,6 +130,7 @@
                 mSends.sendCount(),
                 mCall.route().maxAttempts(),
                 mCrashGuard.isSuspect(),
+                mCaller.refusal().get().isPresent(),
                 context.stopAdmission().isStopping(),
                 mCall.remainingMillis(),
                 context.targets().isNearlyFull(mService, System.nanoTime()));
@@ -198,9 +203,10 @@
             case TargetSelection.Result.Selected selected -> send(selected, sameTarget);
             case TargetSelection.Result.NoTarget noTarget -> failWithoutTarget();
             case TargetSelection.Result.RateLimited limited ->
-                    failWithoutPermit(limited.waitMillis());
-            case TargetSelection.Result.Stopping stopping ->
-                    mCall.fail(CallFailures.shuttingDown());
+                    failBeforeSend(
+                            CallFailures.rateLimited(
+                                    mService, limited.waitMillis(), mCall.remainingMillis()));
+            case TargetSelection.Result.Refused refused -> failBeforeSend(refused.refusal());
         }
     }
 
@@ -250,7 +256,8 @@
                         handle.id(),
                         Math.max(1, mCall.remainingMillis()),
                         OptionalInt.empty(),
-                        mContinuation.resumeAfter(mCall.progress().lastEventId())));
+                        mContinuation.resumeAfter(mCall.progress().lastEventId()),
+                        mCaller.identity()));
     }
 
     private void failWithoutTarget() {
@@ -269,12 +276,12 @@
                                                 mSends.excludedTargetIds().size())));
     }
 
-    private void failWithoutPermit(long waitMillis) {
+    private void failBeforeSend(ResultException refusal) {
         if (mSends.mayHaveRun() || mCall.progress().isStarted()) {
-            failAfterStart("no other target can be tried");
+            failAfterStart(refusal.getMessage());
             return;
         }
-        mCall.fail(CallFailures.rateLimited(mService, waitMillis, mCall.remainingMillis()));
+        mCall.fail(refusal);
     }
 
     private void failAfterStart(String reason) {
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/TurnMetadata.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/TurnMetadata.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.oleandertrack.core.organisation.IdScope;
 import org.oleandertrack.core.turn.PromptPart;
 import org.oleandertrack.core.turn.TurnRequest;
 
@@ -26,13 +27,18 @@
 
     private static final int DEFAULT_EXPECTED_OUTPUT_TOKENS = 35;
 
-    /** Returns the turn as placement needs it. */
-    TurnRequest toTurnRequest(Optional<ProgramMetadata> program) {
+    /**
+     * Returns the turn as placement needs it.
+     *
+     * @param scope scope of the program's id. The ids of prompt parts have none, because engines
+     *     share cached parts among organisations.
+     */
+    TurnRequest toTurnRequest(Optional<ProgramMetadata> program, IdScope scope) {
         long expected = expectedTokens.orElse(DEFAULT_EXPECTED_OUTPUT_TOKENS);
         return new TurnRequest(
                 promptTokens,
                 promptParts,
                 Math.clamp(expected, 1, Math.max(1, maxTokens)),
-                program.map(ProgramMetadata::programId).orElse(""));
+                program.map(ProgramMetadata::programId).map(scope::memoryId).orElse(""));
     }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
 import org.oleandertrack.coordination.conversation.ConversationLimits;
 import org.oleandertrack.coordination.conversation.ConversationService;
 import org.oleandertrack.coordination.feed.TableFollower;
@@ -34,6 +35,10 @@
 import org.oleandertrack.coordination.stream.StreamOriginService;
 import org.oleandertrack.core.discovery.TargetDirectory;
 import org.oleandertrack.core.health.HedgeSchedule;
+import org.oleandertrack.core.organisation.ConfigFreshness;
+import org.oleandertrack.core.organisation.ForwardWallClock;
+import org.oleandertrack.core.organisation.KeyAdmission;
+import org.oleandertrack.core.organisation.RevocationBound;
 import org.oleandertrack.core.quarantine.AnsweredPaths;
 import org.oleandertrack.core.rate.TargetPacers;
 import org.oleandertrack.core.result.ResultCode;
@@ -46,13 +51,18 @@
 import org.oleandertrack.gateway.call.CallContext;
 import org.oleandertrack.gateway.call.CallHandler;
 import org.oleandertrack.gateway.call.CallMetrics;
+import org.oleandertrack.gateway.call.CallerAdmission;
 import org.oleandertrack.gateway.call.GatewayResponses;
 import org.oleandertrack.gateway.call.HeaderCodec;
 import org.oleandertrack.gateway.call.HedgeMetrics;
 import org.oleandertrack.gateway.call.Hedging;
+import org.oleandertrack.gateway.call.OrganisationLimiter;
 import org.oleandertrack.gateway.call.ResponseMemory;
 import org.oleandertrack.gateway.call.StopAdmission;
+import org.oleandertrack.gateway.peer.FilteredRowStore;
 import org.oleandertrack.gateway.peer.PeerAllowanceIssuer;
+import org.oleandertrack.gateway.peer.PeerConfiguration;
+import org.oleandertrack.gateway.peer.PeerConfirmations;
 import org.oleandertrack.gateway.peer.PeerConversations;
 import org.oleandertrack.gateway.peer.PeerCrashReports;
 import org.oleandertrack.gateway.peer.PeerDirectory;
@@ -73,6 +83,7 @@
 /** Builds the components of a gateway process, and starts and stops them. */
 public final class GatewayHost {
 
+    private static final double MILLIS_PER_SECOND = 1_000;
     private static final long MAINTENANCE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
     private static final long ANNOUNCE_RETRY_DELAY_NANOS = TimeUnit.SECONDS.toNanos(1);
     // Number of answered paths that are remembered; a path takes about 100 bytes.
@@ -100,6 +111,12 @@
     private final StreamOriginService mStreamOrigins;
     private final ConversationService mConversations;
     private final Gauge mHeldTurns;
+    private final LongSupplier mWallClock =
+            new ForwardWallClock(System::nanoTime, System::currentTimeMillis);
+    private final ConfigFreshness mFreshness = new ConfigFreshness(System::nanoTime, mWallClock);
+    private final Optional<PeerConfirmations> mConfirmations;
+    private final Gauge mConfigVersion;
+    private final Gauge mConfigAge;
     private final StopAdmission mStopAdmission = new StopAdmission(System::nanoTime);
     private final CallHandler mCallHandler;
     private final TargetFeed mTargetFeed;
@@ -170,34 +187,30 @@
         mConversations = makeConversations(random);
         mHeldTurns = metrics.gauge(Metric.TURNS_HELD);
         GatewayResponses gatewayResponses = new GatewayResponses(headerCodec);
-        mCallHandler =
-                new CallHandler(
-                        new CallContext(
-                                headerCodec,
-                                gatewayResponses,
-                                mTargetDirectory,
-                                mTargets,
-                                mPermits,
-                                mSpending,
-                                mQuarantine,
-                                new AnsweredPaths(ANSWERED_PATHS),
-                                mStreamOrigins,
-                                mConversations,
-                                mStopAdmission,
-                                new ResponseMemory(settings.responseMemoryBytes()),
-                                makeHedging(settings, metrics),
-                                log,
-                                new CallMetrics(metrics)));
+        mCallHandler = makeCallHandler(headerCodec, gatewayResponses);
         mTargetFeed = new TargetFeed(tables, mTargetDirectory, System::nanoTime, log);
+        ConfigFeed configFeed = new ConfigFeed(tables, mCallHandler, mTargets, mFreshness, log);
+        Optional<RevocationBound> bound = settings.revocationBound();
         mConfigFollower =
                 follow(
                         tables.configTable(),
-                        new ConfigFeed(tables, mCallHandler, mTargets, log),
+                        bound.map(RevocationBound::answerIntervalMillis)
+                                .orElse(TableFollower.MAX_WAIT_MILLIS),
+                        configFeed,
                         random);
+        mConfirmations =
+                bound.map(
+                        value ->
+                                new PeerConfirmations(
+                                        value, mPeers, mFreshness, configFeed, random, log));
+        mConfigVersion = metrics.gauge(Metric.CONFIGURATION_VERSION);
+        mConfigAge = metrics.gauge(Metric.CONFIGURATION_AGE);
         mTargetFollower = follow(tables.targetTable(), mTargetFeed, random);
         mPeerFollower = follow(PeerDirectory.TABLE, mPeers, random);
         mQuarantineFollower = follow(QuarantineService.TABLE, mQuarantine, random);
-        mPeerServer = makePeerServer(loops, store);
+        mPeerServer =
+                makePeerServer(
+                        loops, new FilteredRowStore(store, tables::withoutSecrets), configFeed);
         mCallerServer = makeCallerServer(loops, gatewayResponses);
         mReadinessServer =
                 new HttpServer(
@@ -317,7 +330,46 @@
     // Helpers
 
     private TableFollower follow(String table, TableListener listener, Random random) {
-        return new TableFollower(mStore, table, mScheduler, System::nanoTime, random, listener);
+        return follow(table, TableFollower.MAX_WAIT_MILLIS, listener, random);
+    }
+
+    private TableFollower follow(
+            String table, long maxWaitMillis, TableListener listener, Random random) {
+        return new TableFollower(
+                mStore,
+                table,
+                maxWaitMillis,
+                mScheduler,
+                System::nanoTime,
+                mWallClock,
+                random,
+                listener);
+    }
+
+    private CallHandler makeCallHandler(
+            HeaderCodec headerCodec, GatewayResponses gatewayResponses) {
+        return new CallHandler(
+                new CallContext(
+                        headerCodec,
+                        gatewayResponses,
+                        mTargetDirectory,
+                        mTargets,
+                        mPermits,
+                        mSpending,
+                        mQuarantine,
+                        new AnsweredPaths(ANSWERED_PATHS),
+                        mStreamOrigins,
+                        mConversations,
+                        mStopAdmission,
+                        new ResponseMemory(mSettings.responseMemoryBytes()),
+                        makeHedging(mSettings, mMetrics),
+                        mLog,
+                        new CallMetrics(mMetrics)),
+                new CallerAdmission(
+                        headerCodec,
+                        new KeyAdmission(mSettings.revocationBound()),
+                        mFreshness,
+                        OrganisationLimiter.UNLIMITED));
     }
 
     private HttpServer makeCallerServer(EventLoopGroup loops, GatewayResponses gatewayResponses) {
@@ -328,7 +380,8 @@
                 status -> makeRejection(gatewayResponses, status));
     }
 
-    private HttpServer makePeerServer(EventLoopGroup loops, RowStore directStore) {
+    private HttpServer makePeerServer(
+            EventLoopGroup loops, RowStore directStore, PeerConfiguration configuration) {
         return new HttpServer(
                 loops,
                 () -> PEER_LIMITS,
@@ -339,7 +392,9 @@
                         mConversations,
                         mOwnPacers,
                         mQuarantine,
-                        mStreamOrigins),
+                        mStreamOrigins,
+                        mFreshness,
+                        configuration),
                 HttpResponses::empty);
     }
 
@@ -408,6 +463,9 @@
 
     private void runMaintenance() {
         mStore.probe();
+        mConfirmations.ifPresent(PeerConfirmations::runMaintenance);
+        mCallHandler.config().ifPresent(config -> mConfigVersion.set((double) config.version()));
+        mFreshness.ageMillis().ifPresent(millis -> mConfigAge.set(millis / MILLIS_PER_SECOND));
         mTargets.setHostCount(1 + mPeers.peerCount());
         mTargetDirectory.dropExpired(System.nanoTime());
         mSpending.runMaintenance();
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
@@ -2,6 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.oleandertrack.core.organisation.RevocationBound;
 
 /**
  * Settings of a gateway process. Immutable.
@@ -21,6 +24,8 @@
  * @param responseMemoryBytes bytes of responses that are held until they are complete
  * @param hedgePercent number of late requests per hundred repeatable requests that may be sent to a
  *     second target; 0 for none
+ * @param revocationMillis time after which a revoked access key must have no effect at any host, in
+ *     milliseconds; empty if it is not bounded
  */
 public record GatewaySettings(
         String nodeName,
@@ -34,7 +39,15 @@
         long entryRenewalMillis,
         int maxLogLinesPerSecond,
         long responseMemoryBytes,
-        int hedgePercent) {
+        int hedgePercent,
+        OptionalLong revocationMillis) {
+
+    /** Returns the bound on the time until a revoked access key has no effect, if there is one. */
+    Optional<RevocationBound> revocationBound() {
+        return revocationMillis.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new RevocationBound(revocationMillis.getAsLong()));
+    }
 
     /** Returns these settings with the given values for those that may change at run time. */
     GatewaySettings withReloadable(GatewaySettings other) {
@@ -50,7 +63,8 @@
                 entryRenewalMillis,
                 maxLogLinesPerSecond,
                 responseMemoryBytes,
-                hedgePercent);
+                hedgePercent,
+                revocationMillis);
     }
 
     /** Returns these settings with another number of hedged requests. */
@@ -67,6 +81,7 @@
                 entryRenewalMillis,
                 maxLogLinesPerSecond,
                 responseMemoryBytes,
-                percent);
+                percent,
+                revocationMillis);
     }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
@@ -22,7 +22,7 @@
 import org.oleandertrack.http.ReceivedResponse;
 
 /** Client of one peer, which relays calls to the store. Thread-safe. */
-final class PeerClient implements RowStore {
+final class PeerClient implements RowStore, ConfirmationPeer {
 
     // The store answers the peer within several milliseconds; otherwise the peer reports a failure.
     private static final long CALL_TIMEOUT_MILLIS = 800;
@@ -164,6 +164,26 @@
                 .thenApply(found -> Optional.ofNullable(found.origin()));
     }
 
+    @Override
+    public CompletableFuture<PeerMessages.ConfigurationAge> configurationAge(
+            PeerMessages.AskConfigurationAge message) {
+        return call(
+                PeerMessages.CONFIGURATION_AGE_PATH,
+                message,
+                PeerMessages.ConfigurationAge.class,
+                CALL_TIMEOUT_MILLIS);
+    }
+
+    @Override
+    public CompletableFuture<PeerMessages.ConfigurationRow> readConfiguration(
+            PeerMessages.ReadConfiguration message) {
+        return call(
+                PeerMessages.READ_CONFIGURATION_PATH,
+                message,
+                PeerMessages.ConfigurationRow.class,
+                CALL_TIMEOUT_MILLIS);
+    }
+
     /** Takes a permit for a request to a target that the peer paces. */
     CompletableFuture<PermitResult> takePermit(PeerMessages.TakePermit message) {
         byte[] body = RowJson.encode(message).getBytes(StandardCharsets.UTF_8);
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
@@ -16,6 +16,7 @@
 import org.oleandertrack.coordination.store.StoreException;
 import org.oleandertrack.coordination.store.StoreFailures;
 import org.oleandertrack.coordination.stream.StreamOriginService;
+import org.oleandertrack.core.organisation.ConfigFreshness;
 import org.oleandertrack.core.rate.TargetPacers;
 import org.oleandertrack.core.result.Execution;
 import org.oleandertrack.http.HttpResponses;
@@ -39,6 +40,8 @@
     private final TargetPacers mOwnPacers;
     private final QuarantineService mQuarantine;
     private final StreamOriginService mStreamOrigins;
+    private final ConfigFreshness mFreshness;
+    private final PeerConfiguration mConfiguration;
 
     /**
      * Creates a handler.
@@ -55,7 +58,9 @@
             ConversationService conversations,
             TargetPacers ownPacers,
             QuarantineService quarantine,
-            StreamOriginService streamOrigins) {
+            StreamOriginService streamOrigins,
+            ConfigFreshness freshness,
+            PeerConfiguration configuration) {
         mDirectStore = directStore;
         mDirectStoreFails = directStoreFails;
         mOwnAllowances = ownAllowances;
@@ -63,6 +68,8 @@
         mOwnPacers = ownPacers;
         mQuarantine = quarantine;
         mStreamOrigins = streamOrigins;
+        mFreshness = freshness;
+        mConfiguration = configuration;
     }
 
     @Override
@@ -145,6 +152,12 @@
                         new PeerMessages.FoundOrigin(
                                 mStreamOrigins.findLocally(find.requestId()).orElse(null)));
             }
+            case PeerMessages.CONFIGURATION_AGE_PATH ->
+                    CompletableFuture.completedFuture(
+                            PeerMessages.ConfigurationAge.of(mFreshness, mConfiguration));
+            case PeerMessages.READ_CONFIGURATION_PATH ->
+                    CompletableFuture.completedFuture(
+                            new PeerMessages.ConfigurationRow(mConfiguration.row().orElse(null)));
             default -> callStore(path, body);
         };
     }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayReloadTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayReloadTest.java
@@ -52,6 +52,7 @@
                 current.entryRenewalMillis(),
                 current.maxLogLinesPerSecond(),
                 current.responseMemoryBytes(),
-                current.hedgePercent());
+                current.hedgePercent(),
+                current.revocationMillis());
     }
 }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/HedgedCallTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/HedgedCallTest.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
@@ -219,6 +221,34 @@
         assertTrue(logs().contains("crash suspect"), logs());
     }
 
+    /** Guards against a second send with a key that may have been revoked since the first one. */
+    @Test
+    void aCallWhoseKeyMayHaveBeenRevokedIsNotHedged() throws IOException {
+        CountDownLatch denied = new CountDownLatch(1);
+        // One per hundred of the requests so far is less than one second send, so the late call
+        // waits for it until the confirmation of the configuration is too old. That is after at
+        // most 700 ms; after 900 ms, the first send counts as stalled.
+        start(
+                1,
+                OptionalLong.of(800),
+                CALL,
+                (exchange, number) -> {
+                    TestGateway.awaitLatch(denied);
+                    exchange.answer(200, "", "first");
+                });
+        mGateway.configure(2, " alpha key-a");
+        try (TestClient client = mGateway.client()) {
+            client.send("POST", CALL, LATE, "Key: key-a\r\n", "x");
+            Awaitility.await().until(() -> mLateSends.get() == 1);
+            mGateway.store().setUnavailable(true);
+            Awaitility.await().until(() -> logs().contains("\"reason\":\"caller refused\""));
+            denied.countDown();
+            String answer = client.readAnswer();
+            assertTrue(answer.endsWith("first"), answer + logs());
+        }
+        assertEquals(1, mLateSends.get());
+    }
+
     // Helpers
 
     private static String event(int id, String data) {
@@ -246,12 +276,22 @@
 
     private void start(int percent, String path, ScriptedTarget.Script... lateSends)
             throws IOException {
+        start(percent, OptionalLong.empty(), path, lateSends);
+    }
+
+    private void start(
+            int percent,
+            OptionalLong revocationMillis,
+            String path,
+            ScriptedTarget.Script... lateSends)
+            throws IOException {
         for (int i = 0; i < 3; i++) {
             mTargets.add(new ScriptedTarget((exchange, number) -> handle(exchange, lateSends)));
         }
         mGateway =
                 TestGateway.hedging(
                         percent,
+                        revocationMillis,
                         path.equals(STREAM) ? "engine" : "tool",
                         mTargets.toArray(ScriptedTarget[]::new));
         warmUp(path, WARM_UP_REQUESTS);
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
@@ -10,6 +10,7 @@
 import java.time.Clock;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -33,31 +34,54 @@
     private final InetSocketAddress mAddress;
 
     TestGateway(long graceMillis) {
-        this(graceMillis, Optional.empty(), 0);
+        this(graceMillis, Optional.empty(), 0, OptionalLong.empty(), 0, List.of());
+    }
+
+    /** Creates a gateway on which keys count only while the configuration is known to be new. */
+    TestGateway(OptionalLong revocationMillis) {
+        this(1_000, Optional.empty(), 0, revocationMillis, 0, List.of());
+    }
+
+    /** Creates such a gateway with a store of its own and with a peer. */
+    TestGateway(MemoryRowStore store, OptionalLong revocationMillis, int peerPort, int portOfPeer) {
+        this(
+                1_000,
+                Optional.of(store),
+                0,
+                revocationMillis,
+                peerPort,
+                List.of(new InetSocketAddress(InetAddress.getLoopbackAddress(), portOfPeer)));
     }
 
     /** Creates a gateway that shares the store of another one. */
     TestGateway(MemoryRowStore store) {
-        this(1_000, Optional.of(store), 0);
+        this(1_000, Optional.of(store), 0, OptionalLong.empty(), 0, List.of());
     }
 
-    private TestGateway(long graceMillis, Optional<MemoryRowStore> store, int hedgePercent) {
+    private TestGateway(
+            long graceMillis,
+            Optional<MemoryRowStore> store,
+            int hedgePercent,
+            OptionalLong revocationMillis,
+            int peerPort,
+            List<InetSocketAddress> seeds) {
         mStore = store.orElseGet(() -> new MemoryRowStore(mExecutor));
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         mSettings =
                 new GatewaySettings(
-                        "node",
+                        peerPort == 0 ? "node" : "node-" + peerPort,
                         "zone",
                         any,
                         any,
-                        any,
-                        List.of(),
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), peerPort),
+                        seeds,
                         any,
                         graceMillis,
                         2_000,
                         MAX_LOG_LINES,
                         RESPONSE_MEMORY_BYTES,
-                        hedgePercent);
+                        hedgePercent,
+                        revocationMillis);
         mHost =
                 new GatewayHost(
                         mSettings,
@@ -81,8 +105,16 @@
     }
 
     /** Returns a configured gateway that hedges requests to the given targets. */
-    static TestGateway hedging(int hedgePercent, String service, ScriptedTarget... targets) {
-        return with(new TestGateway(1_000, Optional.empty(), hedgePercent), service, targets);
+    static TestGateway hedging(
+            int hedgePercent,
+            OptionalLong revocationMillis,
+            String service,
+            ScriptedTarget... targets) {
+        return with(
+                new TestGateway(
+                        1_000, Optional.empty(), hedgePercent, revocationMillis, 0, List.of()),
+                service,
+                targets);
     }
 
     private static TestGateway with(
@@ -108,7 +140,12 @@
     }
 
     void configure(long version) {
-        mStore.put(TestTables.CONFIG, "config", Long.toString(version));
+        configure(version, "");
+    }
+
+    /** Publishes a configuration with organisations, each with a space before its name and key. */
+    void configure(long version, String organisations) {
+        mStore.put(TestTables.CONFIG, "config", version + organisations);
         Awaitility.await().until(() -> logs().contains("\"configVersion\":" + version + ","));
     }
 
--- a/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/peer/PeerCallsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -19,10 +20,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -52,6 +56,7 @@
 import org.oleandertrack.coordination.stream.StreamOrigin;
 import org.oleandertrack.coordination.stream.StreamOriginListener;
 import org.oleandertrack.coordination.stream.StreamOriginService;
+import org.oleandertrack.core.organisation.ConfigFreshness;
 import org.oleandertrack.core.rate.PermitRequest;
 import org.oleandertrack.core.rate.PermitResult;
 import org.oleandertrack.core.rate.TargetPacers;
@@ -149,6 +154,10 @@
                     new Random(1),
                     mStreamOriginListener);
 
+    private final AtomicLong mNanos = new AtomicLong();
+    private final ConfigFreshness mFreshness = new ConfigFreshness(mNanos::get, () -> 0);
+    private final FakePeerConfiguration mConfiguration = new FakePeerConfiguration();
+
     private final HttpServer mServer =
             new HttpServer(
                     mLoops,
@@ -160,7 +169,9 @@
                             conversations(),
                             mPacers,
                             mQuarantine,
-                            mStreamOrigins),
+                            mStreamOrigins,
+                            mFreshness,
+                            mConfiguration),
                     HttpResponses::empty);
     private final InetSocketAddress mAddress =
             mServer.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -463,4 +474,42 @@
                 List.of(peers),
                 new EventLog(line -> {}, Clock.systemUTC(), 1));
     }
+
+    /** Guards against a peer without a configuration that confirms one. */
+    @Test
+    void aPeerStatesItsConfigurationAndItsAge() {
+        PeerMessages.AskConfigurationAge question = new PeerMessages.AskConfigurationAge(3);
+        assertFalse(mPeer.configurationAge(question).join().known());
+        mConfiguration.mVersion = OptionalLong.of(4);
+        assertFalse(mPeer.configurationAge(question).join().known());
+        mFreshness.confirm(mFreshness.now());
+        mNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(1_200));
+        assertEquals(
+                new PeerMessages.ConfigurationAge(true, 4, 1_200),
+                mPeer.configurationAge(question).join());
+    }
+
+    @Test
+    void aPeerPassesItsConfigurationOn() {
+        PeerMessages.ReadConfiguration request = new PeerMessages.ReadConfiguration(4);
+        assertNull(mPeer.readConfiguration(request).join().row());
+        mConfiguration.mVersion = OptionalLong.of(4);
+        assertEquals(FakePeerConfiguration.row(4), mPeer.readConfiguration(request).join().row());
+    }
+
+    /** Guards against rows that reach a peer with the secrets that the store has. */
+    @Test
+    void aFilteredStoreChangesRowsThatAreReadAndThatHaveChanged() {
+        StoredRow filteredRow = new StoredRow(ID, "filtered", 3);
+        RowStore filtered = new FilteredRowStore(mStore, row -> filteredRow);
+        assertEquals(
+                List.of(filteredRow), filtered.read("t", "p", Optional.empty(), 10).join().rows());
+        mChanges =
+                new RowChanges.Changed(
+                        List.of(new RowChange.Removed(ID), new RowChange.Written(ROW)), 9);
+        assertEquals(
+                new RowChanges.Changed(
+                        List.of(new RowChange.Removed(ID), new RowChange.Written(filteredRow)), 9),
+                filtered.awaitChanges("t", 0, 10).join());
+    }
 }
