--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -34,6 +34,7 @@
 import org.oleandertrack.coordination.stream.SoftwareVersions;
 import org.oleandertrack.coordination.stream.StreamOriginService;
 import org.oleandertrack.core.discovery.TargetDirectory;
+import org.oleandertrack.core.health.HedgeSchedule;
 import org.oleandertrack.core.organisation.ConfigFreshness;
 import org.oleandertrack.core.organisation.ForwardWallClock;
 import org.oleandertrack.core.organisation.KeyAdmission;
@@ -53,6 +54,8 @@
 import org.oleandertrack.gateway.call.CallerAdmission;
 import org.oleandertrack.gateway.call.GatewayResponses;
 import org.oleandertrack.gateway.call.HeaderCodec;
+import org.oleandertrack.gateway.call.HedgeMetrics;
+import org.oleandertrack.gateway.call.Hedging;
 import org.oleandertrack.gateway.call.ResponseMemory;
 import org.oleandertrack.gateway.call.StopAdmission;
 import org.oleandertrack.gateway.peer.FilteredRowStore;
@@ -367,6 +370,7 @@
                         mConversations,
                         mStopAdmission,
                         new ResponseMemory(mSettings.responseMemoryBytes()),
+                        makeHedging(mSettings, mMetrics),
                         mLog,
                         new CallMetrics(mMetrics)),
                 new CallerAdmission(
@@ -413,6 +417,16 @@
                 mPacing.store(), mPeers::relayStores, random, new StoreCallLog(mLog, mMetrics));
     }
 
+    private static Optional<Hedging> makeHedging(
+            GatewaySettings settings, MetricsRegistry metrics) {
+        return settings.hedgePercent() == 0
+                ? Optional.empty()
+                : Optional.of(
+                        new Hedging(
+                                new HedgeSchedule(settings.hedgePercent()),
+                                new HedgeMetrics(metrics)));
+    }
+
     private SpendingService makeSpending(Random random) {
         return new SpendingService(
                 mStore,
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewaySettings.java
@@ -23,6 +23,8 @@
  * @param maxLogLinesPerSecond number of log lines per second beyond which lines about routine work
  *     are dropped
  * @param responseMemoryBytes bytes of responses that are held until they are complete
+ * @param hedgePercent number of late requests per hundred repeatable requests that may be sent to a
+ *     second target; 0 for none
  * @param revocationMillis time after which a revoked access key must have no effect at any host, in
  *     milliseconds; empty if it is not bounded
  * @param storeLimits rates of the store, by which this host paces its writes; empty if it does not
@@ -39,6 +41,7 @@
         long entryRenewalMillis,
         int maxLogLinesPerSecond,
         long responseMemoryBytes,
+        int hedgePercent,
         OptionalLong revocationMillis,
         Optional<StoreLimits> storeLimits) {
 
@@ -63,6 +66,26 @@
                 entryRenewalMillis,
                 maxLogLinesPerSecond,
                 responseMemoryBytes,
+                hedgePercent,
+                revocationMillis,
+                storeLimits);
+    }
+
+    /** Returns these settings with another number of hedged requests. */
+    public GatewaySettings withHedgePercent(int percent) {
+        return new GatewaySettings(
+                nodeName,
+                zone,
+                callerAddress,
+                readinessAddress,
+                peerAddress,
+                seedAddresses,
+                metricsAddress,
+                graceMillis,
+                entryRenewalMillis,
+                maxLogLinesPerSecond,
+                responseMemoryBytes,
+                percent,
                 revocationMillis,
                 storeLimits);
     }
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestGateway.java
@@ -34,12 +34,12 @@
     private final InetSocketAddress mAddress;
 
     TestGateway(long graceMillis) {
-        this(graceMillis, Optional.empty(), OptionalLong.empty(), 0, List.of());
+        this(graceMillis, Optional.empty(), 0, OptionalLong.empty(), 0, List.of());
     }
 
     /** Creates a gateway on which keys count only while the configuration is known to be new. */
     TestGateway(OptionalLong revocationMillis) {
-        this(1_000, Optional.empty(), revocationMillis, 0, List.of());
+        this(1_000, Optional.empty(), 0, revocationMillis, 0, List.of());
     }
 
     /** Creates such a gateway with a store of its own and with a peer. */
@@ -47,6 +47,7 @@
         this(
                 1_000,
                 Optional.of(store),
+                0,
                 revocationMillis,
                 peerPort,
                 List.of(new InetSocketAddress(InetAddress.getLoopbackAddress(), portOfPeer)));
@@ -54,17 +55,18 @@
 
     /** Creates a gateway that shares the store of another one. */
     TestGateway(MemoryRowStore store) {
-        this(1_000, Optional.of(store), OptionalLong.empty(), 0, List.of());
+        this(1_000, Optional.of(store), 0, OptionalLong.empty(), 0, List.of());
     }
 
     /** Creates a gateway that shares the store of another one and can be reached by its peers. */
     TestGateway(MemoryRowStore store, int peerPort) {
-        this(10, Optional.of(store), OptionalLong.empty(), peerPort, List.of());
+        this(10, Optional.of(store), 0, OptionalLong.empty(), peerPort, List.of());
     }
 
     private TestGateway(
             long graceMillis,
             Optional<MemoryRowStore> store,
+            int hedgePercent,
             OptionalLong revocationMillis,
             int peerPort,
             List<InetSocketAddress> seeds) {
@@ -83,6 +85,7 @@
                         2_000,
                         MAX_LOG_LINES,
                         RESPONSE_MEMORY_BYTES,
+                        hedgePercent,
                         revocationMillis,
                         Optional.empty());
         mHost =
@@ -104,7 +107,24 @@
 
     /** Returns a configured gateway that knows the given targets and has the given grace period. */
     static TestGateway with(long graceMillis, String service, ScriptedTarget... targets) {
-        TestGateway gateway = new TestGateway(graceMillis);
+        return with(new TestGateway(graceMillis), service, targets);
+    }
+
+    /** Returns a configured gateway that hedges requests to the given targets. */
+    static TestGateway hedging(
+            int hedgePercent,
+            OptionalLong revocationMillis,
+            String service,
+            ScriptedTarget... targets) {
+        return with(
+                new TestGateway(
+                        1_000, Optional.empty(), hedgePercent, revocationMillis, 0, List.of()),
+                service,
+                targets);
+    }
+
+    private static TestGateway with(
+            TestGateway gateway, String service, ScriptedTarget... targets) {
         gateway.configure(1);
         for (int i = 0; i < targets.length; i++) {
             gateway.register("t" + i, service, targets[i].port(), false);
