Require more certainty of learned factors, and widen the calls' window

A factor now requires 3.5 standard errors, calls have a window of 64 observations, a full target no longer counts as fast, and a target's own mean load is used only where it or a fifth of the targets differ.

--- a/core/src/main/java/org/oleandertrack/core/turn/LearnedTimes.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/LearnedTimes.java
@@ -11,11 +11,11 @@
  */
 public final class LearnedTimes {
 
-    // Observations for each target: nine steps' times, whose deviation is about 10%, or 25 response
+    // Observations for each target: nine steps' times, whose deviation is about 10%, or 64 response
     // times of a plain service, which depend on what was asked.
     private static final int STEP_WINDOW = 9;
     private static final int FIRST_EVENT_WINDOW = 9;
-    private static final int CALL_WINDOW = 25;
+    private static final int CALL_WINDOW = 64;
     private static final double STEP_DEVIATION = 0.1;
     private static final double FIRST_EVENT_DEVIATION = 0.25;
     private static final double CALL_DEVIATION = 0.5;
@@ -74,11 +74,6 @@
         return mRouteTimes.meanMillis(route);
     }
 
-    /** Returns whether a target has times that differ from those of its service. */
-    public boolean targetsDiffer() {
-        return mStepFactors.areDifferent() || mCallFactors.areDifferent();
-    }
-
     EngineTimes engineTimes(TargetTimes target, long nowNanos) {
         double stepFactor = mStepFactors.factor(target.steps(), nowNanos);
         double firstEventFactor =
@@ -96,6 +91,10 @@
         return mCallFactors.factor(target.calls(), nowNanos);
     }
 
+    boolean differs(TargetTimes target) {
+        return mStepFactors.differs(target.steps()) || mCallFactors.differs(target.calls());
+    }
+
     // Operations
 
     /** Adds a target, which has the service's times until it is observed. */
@@ -161,20 +160,33 @@
             ReportedLoad load,
             int slots,
             long nowNanos) {
-        boolean full = load.waiting() > 0 || load.running() >= slots;
-        if (load.slowness() > MAX_SLOWNESS || full || millis <= 0) {
+        if (load.slowness() > MAX_SLOWNESS || millis <= 0) {
             return;
         }
+        boolean full = load.waiting() > 0 || load.running() >= slots;
         double observed = millis / Math.max(MIN_SLOWNESS, load.slowness());
         OptionalDouble mean = mRouteTimes.meanMillis(route);
         if (mean.isPresent()) {
-            mCallFactors.record(target.calls(), logRatio(observed, mean.getAsDouble()), nowNanos);
+            recordCallRatio(target, logRatio(observed, mean.getAsDouble()), full, nowNanos);
+        }
+        if (full) {
+            return;
         }
         mRouteTimes.record(route, observed / callFactor(target, nowNanos));
     }
 
     // Helpers
 
+    // The time that a call has waited at a full target does not make the target slow. But it must
+    // count against a target that is taken for fast, or the target would stay full.
+    private void recordCallRatio(TargetTimes target, double logRatio, boolean full, long nowNanos) {
+        if (!full) {
+            mCallFactors.record(target.calls(), logRatio, nowNanos);
+        } else if (callFactor(target, nowNanos) < 1) {
+            mCallFactors.record(target.calls(), Math.min(logRatio, mCallFactors.level()), nowNanos);
+        }
+    }
+
     private void recordStep(
             TargetTimes target, double stepMillis, int batch, boolean complete, long nowNanos) {
         double logRatio = logRatio(stepMillis, mPrior.stepMillis(batch));
--- a/core/src/main/java/org/oleandertrack/core/turn/LoadEstimate.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/LoadEstimate.java
@@ -23,6 +23,7 @@
     private static final double MAX_SLOWNESS = 20;
 
     private final ServiceLoad mService;
+    private final TargetTimes mTimes;
     private final int mSlots;
     private int mOwnRequests;
     private double mOtherRequests;
@@ -41,10 +42,12 @@
      * Creates an estimate for a target that has not been observed yet.
      *
      * @param service load of all targets of the service
+     * @param times learned times of the target
      * @param slots number of requests that the target runs at once
      */
-    public LoadEstimate(ServiceLoad service, int slots) {
+    public LoadEstimate(ServiceLoad service, TargetTimes times, int slots) {
         mService = service;
+        mTimes = times;
         mSlots = slots;
     }
 
@@ -115,7 +118,7 @@
     // of them would send to the fastest targets, and these would be overloaded.
     private double typicalRequests() {
         double serviceRequests = mService.requestsPerSlot() * mSlots;
-        return mService.targetsDiffer()
+        return mTimes.differs()
                 ? mMeanRequests * mMeanRequestsConfidence
                         + serviceRequests * (1 - mMeanRequestsConfidence)
                 : serviceRequests;
--- a/core/src/main/java/org/oleandertrack/core/turn/RatioWindow.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/RatioWindow.java
@@ -21,6 +21,7 @@
     private double mMedian;
     private double mWeight;
     private long mLastNanos;
+    private boolean mDifferent;
 
     /** Creates an empty window of the given number of observations. */
     RatioWindow(int size) {
@@ -42,6 +43,15 @@
         return mMedian;
     }
 
+    /** Returns whether the target is known to be faster or slower than its service. */
+    boolean isDifferent() {
+        return mDifferent;
+    }
+
+    void setDifferent(boolean different) {
+        mDifferent = different;
+    }
+
     /** Records an observation. */
     void record(double logRatio, long nowNanos) {
         mLogRatios[mNext] = logRatio;
--- a/core/src/main/java/org/oleandertrack/core/turn/ServiceLoad.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/ServiceLoad.java
@@ -15,7 +15,6 @@
 
     private double mRequestsPerSlot;
     private double mSlowness = 1;
-    private boolean mTargetsDiffer;
 
     /** Returns the mean number of requests per slot. */
     public double requestsPerSlot() {
@@ -27,16 +26,6 @@
         return mSlowness;
     }
 
-    /** Returns whether targets are known to be lastingly faster or slower than others. */
-    public boolean targetsDiffer() {
-        return mTargetsDiffer;
-    }
-
-    /** Sets whether targets are known to be lastingly faster or slower than others. */
-    public void setTargetsDiffer(boolean targetsDiffer) {
-        mTargetsDiffer = targetsDiffer;
-    }
-
     /**
      * Records the load that a target's response reports.
      *
--- a/core/src/main/java/org/oleandertrack/core/turn/TargetFactors.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/TargetFactors.java
@@ -19,7 +19,10 @@
     // Ratio of the standard error of a median to the mean absolute deviation divided by the square
     // root of the number of observations, for a normal distribution (1.25 times 1.25).
     private static final double MEDIAN_ERROR = 1.57;
-    private static final double MIN_STANDARD_ERRORS = 2.5;
+    private static final double MIN_STANDARD_ERRORS = 3.5;
+    // With a larger fraction of the targets known to be faster or slower, the load of the others
+    // differs from the mean of the service too.
+    private static final double MANY_DIFFERENT_FRACTION = 0.2;
     // Weight of the newest observation in the mean deviation.
     private static final double DEVIATION_WEIGHT = 0.02;
     // Larger deviations, which are outliers, count as this much.
@@ -33,7 +36,7 @@
     private final List<RatioWindow> mWindows = new ArrayList<>();
     private double mDeviation;
     private double mLevel;
-    private boolean mDifferent;
+    private int mDifferentTargets;
     private int mRecorded;
 
     /**
@@ -72,9 +75,18 @@
                 : Math.exp(Math.clamp(logFactor, -MAX_LOG_FACTOR, MAX_LOG_FACTOR));
     }
 
-    /** Returns whether a target had another factor than 1 after the last observation. */
-    boolean areDifferent() {
-        return mDifferent;
+    /**
+     * Returns whether a target has had another factor than 1 after the last observation, or many
+     * targets of the service have.
+     */
+    boolean differs(RatioWindow window) {
+        return window.isDifferent()
+                || mDifferentTargets > mWindows.size() * MANY_DIFFERENT_FRACTION;
+    }
+
+    /** Returns the mean logarithm of the ratios of the service. */
+    double level() {
+        return mLevel;
     }
 
     /** Returns whether a ratio is above the present one of its target. */
@@ -97,7 +109,15 @@
         mRecorded++;
         if (mWindows.size() <= MANY_TARGETS || mRecorded % MANY_TARGETS_INTERVAL == 0) {
             updateLevel();
-            mDifferent = mWindows.stream().anyMatch(other -> factor(other, nowNanos) != 1);
+            countDifferent(nowNanos);
+        }
+    }
+
+    private void countDifferent(long nowNanos) {
+        mDifferentTargets = 0;
+        for (RatioWindow window : mWindows) {
+            window.setDifferent(factor(window, nowNanos) != 1);
+            mDifferentTargets += window.isDifferent() ? 1 : 0;
         }
     }
 
--- a/core/src/main/java/org/oleandertrack/core/turn/TargetState.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/TargetState.java
@@ -42,7 +42,7 @@
         mId = id;
         mZone = zone;
         mSlots = slots;
-        mLoad = new LoadEstimate(service, slots);
+        mLoad = new LoadEstimate(service, times, slots);
         mTimes = times;
         mHealth = health;
         mPrefixCache = new PrefixCacheModel(memoryTokens);
--- a/core/src/main/java/org/oleandertrack/core/turn/TargetTimes.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/TargetTimes.java
@@ -33,6 +33,14 @@
         return mService.callFactor(this, nowNanos);
     }
 
+    /**
+     * Returns whether the target's load is expected to differ from that of the others, because it
+     * or many of the service's targets are faster or slower than the service.
+     */
+    boolean differs() {
+        return mService.differs(this);
+    }
+
     RatioWindow steps() {
         return mSteps;
     }
--- a/core/src/test/java/org/oleandertrack/core/turn/TurnLoadModel.java
+++ b/core/src/test/java/org/oleandertrack/core/turn/TurnLoadModel.java
@@ -122,7 +122,6 @@
                     state.load().ownRequests(),
                     EngineModel.TOKENS_PER_EVENT,
                     mNowNanos);
-            mLoad.setTargetsDiffer(mTimes.targetsDiffer());
         }
     }
 
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
@@ -240,14 +240,12 @@
                 state.load().ownRequests(),
                 tokensPerEvent,
                 nowNanos);
-        mLoad.setTargetsDiffer(mTimes.targetsDiffer());
     }
 
     synchronized void recordCallTime(
             TargetHandle handle, String route, double millis, ReportedLoad load, long nowNanos) {
         mTimes.recordCall(
                 handle.state().times(), route, millis, load, handle.state().slots(), nowNanos);
-        mLoad.setTargetsDiffer(mTimes.targetsDiffer());
     }
 
     synchronized OptionalDouble predictCallMillis(
