Rank turns for the engines' queues by priority and slack

Engines admit more urgent requests first, but the gateway never stated an urgency, so turns of programs that could no longer end in time ran before others.

UrgencyPolicy ranks by priority, then programs under way with little slack, other programs under way, and new ones; programs that cannot end in time come last. After sixteen turns of better rank, one turn of a rank is ranked first.

No turn is ranked yet, because the configuration has no organisations; TurnUrgency takes the condition as a parameter.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -6,7 +6,6 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.oleandertrack.coordination.conversation.KeepOutcome;
 import org.oleandertrack.coordination.conversation.TurnLookup;
@@ -55,6 +54,7 @@
     private final StreamContinuation mContinuation;
     private final SendHistory mSends;
     private final TargetReports mReports;
+    private final CallUrgency mUrgency;
     private ScheduledFuture<?> mTimeoutTimer;
     private Optional<Attempt> mCurrentAttempt = Optional.empty();
     private boolean mEnded;
@@ -78,6 +78,7 @@
         mWriter = writer;
         mSends = new SendHistory(route.maxAttempts());
         mReports = new TargetReports(context.targets());
+        mUrgency = context.urgency().forCall(config, route, metadata, request.firstByteNanos());
         mService = route.serviceFor(metadata.routingKey());
         Optional<EngineSpec> engine =
                 Optional.ofNullable(config.services().get(mService)).flatMap(ServiceSpec::engine);
@@ -322,7 +323,7 @@
                         new TargetInstructions(
                                 handle.id(),
                                 Math.max(1, remainingMillis()),
-                                OptionalInt.empty(),
+                                mUrgency.rankOf(mPredictedMillis),
                                 mContinuation.resumeAfter(mProgress.lastEventId()))),
                 mBody.retainedDuplicate());
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
@@ -24,6 +24,7 @@
  * @param streamOrigins knows which software version began a stream
  * @param conversations keeps and finds the turns of routes that keep history
  * @param stopAdmission decides which calls are taken and sent while the process stops
+ * @param urgency ranks turns for the engines' queues
  * @param responseMemory bounds the parts of responses that are held
  * @param log receives one line for each decision
  * @param metrics counts calls and decisions
@@ -40,6 +41,7 @@
         StreamOriginService streamOrigins,
         ConversationService conversations,
         StopAdmission stopAdmission,
+        TurnUrgency urgency,
         ResponseMemory responseMemory,
         EventLog log,
         CallMetrics metrics) {}
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -47,6 +47,7 @@
 import org.oleandertrack.gateway.call.HeaderCodec;
 import org.oleandertrack.gateway.call.ResponseMemory;
 import org.oleandertrack.gateway.call.StopAdmission;
+import org.oleandertrack.gateway.call.TurnUrgency;
 import org.oleandertrack.gateway.peer.PeerAllowanceIssuer;
 import org.oleandertrack.gateway.peer.PeerConversations;
 import org.oleandertrack.gateway.peer.PeerCrashReports;
@@ -165,6 +166,7 @@
         mConversations = makeConversations(random);
         mHeldTurns = metrics.gauge(Metric.TURNS_HELD);
         GatewayResponses gatewayResponses = new GatewayResponses(headerCodec);
+        CallMetrics callMetrics = new CallMetrics(metrics);
         mCallHandler =
                 new CallHandler(
                         new CallContext(
@@ -179,9 +181,11 @@
                                 mStreamOrigins,
                                 mConversations,
                                 mStopAdmission,
+                                // The configuration has no organisations yet.
+                                new TurnUrgency(config -> false, log, callMetrics),
                                 new ResponseMemory(settings.responseMemoryBytes()),
                                 log,
-                                new CallMetrics(metrics)));
+                                callMetrics));
         mTargetFeed = new TargetFeed(tables, mTargetDirectory, System::nanoTime, log);
         mConfigFollower =
                 follow(
