--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestHeaderCodec.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestHeaderCodec.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import org.oleandertrack.core.turn.ReportedLoad;
 import org.oleandertrack.gateway.call.CallMetadata;
 import org.oleandertrack.gateway.call.HeaderCodec;
 import org.oleandertrack.gateway.call.ProgramMetadata;
@@ -55,7 +56,8 @@
         return new ResponseMetadata(
                 Optional.ofNullable(headers.get("Id")),
                 headers.contains("Not-Executed"),
-                Optional.empty(),
+                Optional.ofNullable(headers.get("Running"))
+                        .map(running -> new ReportedLoad(Integer.parseInt(running), 0, 4, 1)),
                 headers.contains("Rate")
                         ? OptionalDouble.of(Double.parseDouble(headers.get("Rate")))
                         : OptionalDouble.empty(),
