Learn prefill only from turns whose uncached tokens this host knows

At a program's home engine the number of uncached tokens is assumed, since other hosts have sent earlier turns there. With wrong numbers the learned time depended on the tokens too little: in the model, 7 of 27 hosts left the constants at half of the capacity although the engines had them, and 41 tokens per ms were learned as 118.

PlacementChoice says whether the number is an assumption, and such turns teach nothing about the prefill. All 27 hosts keep the constants at 0.5, 0.7 and 0.9 of the capacity.

--- a/core/src/main/java/org/oleandertrack/core/turn/CallPlacement.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/CallPlacement.java
@@ -91,6 +91,7 @@
                 target.load().slowness(nowNanos),
                 target.times().callFactor(nowNanos),
                 0,
+                false,
                 TimeUnit.NANOSECONDS.toMillis(target.load().slownessAgeNanos(nowNanos)));
     }
 }
--- a/core/src/main/java/org/oleandertrack/core/turn/LearnedTimes.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/LearnedTimes.java
@@ -140,7 +140,10 @@
         if (turn.firstEventMillis().isPresent() && !full) {
             double firstEventMillis = turn.firstEventMillis().getAsDouble() / slowness;
             recordFirstEvent(target, turn, firstEventMillis, batch, tokensPerEvent, nowNanos);
-            if (batch <= slots * MAX_PREFILL_LOAD_FRACTION && turn.complete()) {
+            // With wrong numbers of tokens, the learned time would depend on them too little.
+            if (batch <= slots * MAX_PREFILL_LOAD_FRACTION
+                    && turn.complete()
+                    && !turn.missingTokensAssumed()) {
                 learnFirstEvent(target, turn, firstEventMillis, batch, tokensPerEvent, nowNanos);
             }
         }
--- a/core/src/main/java/org/oleandertrack/core/turn/PlacementChoice.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/PlacementChoice.java
@@ -12,6 +12,8 @@
  *     LearnedTimes}
  * @param missingTokens prompt tokens that the target has to prefill because it has not cached them;
  *     0 if the target is not a model engine
+ * @param missingTokensAssumed whether the missing tokens rest on the assumption that other hosts
+ *     have sent earlier turns of the program to the target
  * @param slownessAgeMillis age of the last slowness observation of the target, in milliseconds
  */
 public record PlacementChoice(
@@ -21,4 +23,5 @@
         double slowness,
         double factor,
         int missingTokens,
+        boolean missingTokensAssumed,
         long slownessAgeMillis) {}
--- a/core/src/main/java/org/oleandertrack/core/turn/TurnPlacement.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/TurnPlacement.java
@@ -62,7 +62,8 @@
         if (best == null) {
             return Optional.empty();
         }
-        return Optional.of(describe(best, turn, bestMissingTokens, nowNanos));
+        return Optional.of(
+                describe(best, turn, bestMissingTokens, prefillEstimate.isHome(best), nowNanos));
     }
 
     // Helpers
@@ -100,7 +101,11 @@
     }
 
     private PlacementChoice describe(
-            TargetState engine, TurnRequest turn, int missingTokens, long nowNanos) {
+            TargetState engine,
+            TurnRequest turn,
+            int missingTokens,
+            boolean missingTokensAssumed,
+            long nowNanos) {
         return new PlacementChoice(
                 engine.id(),
                 predictedMillis(engine, turn, missingTokens, nowNanos),
@@ -108,6 +113,7 @@
                 engine.load().slowness(nowNanos),
                 engine.times().engineFactor(nowNanos),
                 missingTokens,
+                missingTokensAssumed,
                 TimeUnit.NANOSECONDS.toMillis(engine.load().slownessAgeNanos(nowNanos)));
     }
 }
--- a/core/src/test/java/org/oleandertrack/core/turn/LearnedTimesLoadTest.java
+++ b/core/src/test/java/org/oleandertrack/core/turn/LearnedTimesLoadTest.java
@@ -5,6 +5,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -41,17 +42,18 @@
     }
 
     @ParameterizedTest
-    @ValueSource(doubles = {0.7, 0.9})
-    void turnsAtEnginesOfDifferentSpeedAreShorter(double load) {
+    @CsvSource({"0.5, 0.6", "0.7, 0.4", "0.9, 0.2"})
+    void turnsAtEnginesOfDifferentSpeedAreShorter(double load, double largestP99Ratio) {
         TurnLoadModel without = run(MIXED, load, false);
         TurnLoadModel with = run(MIXED, load, true);
         System.out.println("load " + load + ": " + figures(without, with));
         assertTrue(with.meanMillis() < without.meanMillis(), figures(without, with));
-        assertTrue(with.p99Millis() < 0.5 * without.p99Millis(), figures(without, with));
+        assertTrue(
+                with.p99Millis() < largestP99Ratio * without.p99Millis(), figures(without, with));
     }
 
     @ParameterizedTest
-    @ValueSource(doubles = {0.7, 0.9})
+    @ValueSource(doubles = {0.5, 0.7, 0.9})
     void theConstantsStayInForceAtEqualEnginesThatHaveThem(double load) {
         TurnLoadModel without = run(EQUAL, load, false);
         TurnLoadModel with = run(EQUAL, load, true);
--- a/core/src/test/java/org/oleandertrack/core/turn/TurnLoadModel.java
+++ b/core/src/test/java/org/oleandertrack/core/turn/TurnLoadModel.java
@@ -112,6 +112,7 @@
                             load,
                             choice.requests(),
                             choice.missingTokens(),
+                            choice.missingTokensAssumed(),
                             firstEventMillis,
                             job.usualGapMillis(),
                             true);
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/AttemptTimes.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/AttemptTimes.java
@@ -99,6 +99,7 @@
                         mLoad.get(),
                         mChoice.requests(),
                         mChoice.missingTokens(),
+                        mChoice.missingTokensAssumed(),
                         firstEventMillis,
                         mGaps.usualMillis(),
                         complete),
