State the predicted time to the first event with a placement

The line of a placement had the predicted end only, so a late first event could not be compared with what was expected of it. PlacementChoice carries the prediction, with the learned times of the chosen engine. Programs under way are remembered under the call's routing key.

--- a/core/src/main/java/org/oleandertrack/core/turn/CallPlacement.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/CallPlacement.java
@@ -87,6 +87,7 @@
         return new PlacementChoice(
                 target.id(),
                 cost,
+                0,
                 target.load().requests(nowNanos),
                 target.load().slowness(nowNanos),
                 target.times().callFactor(nowNanos),
--- a/core/src/main/java/org/oleandertrack/core/turn/PlacementChoice.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/PlacementChoice.java
@@ -6,6 +6,8 @@
  * @param targetId id of the target
  * @param predictedCost predicted time to completion at the target: for a turn in milliseconds, for
  *     a call as a multiple of its duration on an idle target
+ * @param firstEventMillis predicted time from the send of a turn to its first event, in
+ *     milliseconds; 0 for a call
  * @param requests estimated number of requests at the target
  * @param slowness estimated slowness of the target's host, see {@link LoadEstimate}
  * @param factor learned lasting factor of the target's times relative to its service, see {@link
@@ -19,6 +21,7 @@
 public record PlacementChoice(
         String targetId,
         double predictedCost,
+        double firstEventMillis,
         double requests,
         double slowness,
         double factor,
--- a/core/src/main/java/org/oleandertrack/core/turn/TurnPlacement.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/TurnPlacement.java
@@ -106,9 +106,14 @@
             int missingTokens,
             boolean missingTokensAssumed,
             long nowNanos) {
+        EngineTimes times = engine.times().engineTimes(nowNanos);
+        double firstEventMillis =
+                engine.load().slowness(nowNanos)
+                        * (times.startDelayMillis() + times.prefillMillis(missingTokens));
         return new PlacementChoice(
                 engine.id(),
                 predictedMillis(engine, turn, missingTokens, nowNanos),
+                firstEventMillis,
                 engine.load().requests(nowNanos),
                 engine.load().slowness(nowNanos),
                 engine.times().engineFactor(nowNanos),
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
@@ -81,6 +81,7 @@
                         .number("send", send)
                         .flag("sameTarget", sameTarget)
                         .decimal("cost", choice.predictedCost())
+                        .decimal("predictedFirstEventMs", choice.firstEventMillis())
                         .decimal("requests", choice.requests())
                         .decimal("slowness", choice.slowness())
                         .decimal("factor", choice.factor())
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/TargetSelection.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/TargetSelection.java
@@ -245,7 +245,7 @@
         private PlacedTarget placeAt(TargetHandle handle) {
             mTargets.recordResend(handle);
             return new PlacedTarget(
-                    handle, new PlacementChoice(handle.id(), 0, 0, 0, 1, 0, true, 0));
+                    handle, new PlacementChoice(handle.id(), 0, 0, 0, 0, 1, 0, true, 0));
         }
 
         private Optional<PlacedTarget> place() {
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/TurnUrgency.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/TurnUrgency.java
@@ -41,7 +41,7 @@
         boolean underWay =
                 ranked
                         && (metadata.program()
-                                        .map(program -> mPrograms.add(program.programId()))
+                                        .map(program -> mPrograms.add(metadata.routingKey()))
                                         .orElse(true)
                                 || metadata.previousTurnId().isPresent()
                                 || metadata.takeUp().isPresent());
