--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -14,10 +14,12 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.oleandertrack.core.attempt.ForwardedPart;
 import org.oleandertrack.core.traffic.RequestKind;
+import org.oleandertrack.gateway.targets.PlacedTarget;
 import org.oleandertrack.gateway.targets.TargetHandle;
 import org.oleandertrack.http.OutboundConnection;
 import org.oleandertrack.http.OutboundExchange;
@@ -69,16 +71,32 @@
     private int mRefusalBytes;
     private long mSentNanos;
     private long mLastActivityNanos;
-    private OptionalLong mFirstEventNanos = OptionalLong.empty();
+    private final AttemptTimes mTimes;
+    private final OptionalDouble mPredictedMillis;
 
-    Attempt(Call call, CallDispatcher dispatcher, TargetHandle handle) {
+    /**
+     * Creates an attempt whose request is sent with {@link #send}.
+     *
+     * @param wholeTurn whether the request is a turn that begins at its first event
+     */
+    Attempt(Call call, CallDispatcher dispatcher, PlacedTarget placed, boolean wholeTurn) {
         mCall = call;
         mDispatcher = dispatcher;
-        mHandle = handle;
+        mHandle = placed.handle();
+        long nowNanos = System.nanoTime();
+        mTimes =
+                new AttemptTimes(
+                        call.context().targets(),
+                        placed,
+                        call.route().name(),
+                        wholeTurn && !call.progress().isStarted(),
+                        nowNanos);
+        mPredictedMillis = mTimes.predictedMillis();
+        call.log().recordPrediction(mPredictedMillis, nowNanos);
         mLoop = call.writer().eventLoop();
         mOutput = new PartBuffer(call.writer());
         mMemory = call.context().responseMemory().share();
-        mConnection = handle.connections().acquire(mLoop, call.route().isRepeatable());
+        mConnection = mHandle.connections().acquire(mLoop, call.route().isRepeatable());
     }
 
     // Accessors
@@ -87,6 +105,11 @@
         return mHandle;
     }
 
+    /** Returns the predicted time to the end of the response, in milliseconds, if there is one. */
+    OptionalDouble predictedMillis() {
+        return mPredictedMillis;
+    }
+
     long sentNanos() {
         return mSentNanos;
     }
@@ -100,8 +123,9 @@
 
     /** Returns whether the target may have just begun to run the request at the given time. */
     boolean isBeginning(long nowNanos) {
-        return mFirstEventNanos.isEmpty()
-                || nowNanos - mFirstEventNanos.getAsLong() < BEGINNING_NANOS;
+        OptionalLong firstEventNanos = mTimes.firstEventNanos();
+        return firstEventNanos.isEmpty()
+                || nowNanos - firstEventNanos.getAsLong() < BEGINNING_NANOS;
     }
 
     // Operations
@@ -136,6 +160,9 @@
 
     void setReading(boolean reading) {
         mConnection.setReading(this, reading);
+        if (!reading) {
+            mTimes.recordPause();
+        }
         releaseForwarded();
     }
 
@@ -164,10 +191,10 @@
         mCall.log().targetAnswered(mHandle, status, mCall.progress());
         metadata.load()
                 .ifPresent(
-                        load ->
-                                mCall.context()
-                                        .targets()
-                                        .recordLoad(mHandle, load, System.nanoTime()));
+                        load -> {
+                            mTimes.recordLoad(load);
+                            mCall.context().targets().recordLoad(mHandle, load, System.nanoTime());
+                        });
         mCall.context()
                 .targets()
                 .recordRateLimit(mHandle, metadata.requestsPerSecond(), System.nanoTime());
@@ -228,8 +255,14 @@
                 mDispatcher.onRefused(this, status);
                 return;
             }
-            case BUFFER -> respondBuffered();
-            case FORWARD -> mCall.writer().end();
+            case BUFFER -> {
+                mTimes.recordResponseEnd(mHead.status(), System.nanoTime());
+                respondBuffered();
+            }
+            case FORWARD -> {
+                mTimes.recordResponseEnd(mHead.status(), System.nanoTime());
+                mCall.writer().end();
+            }
             case EVENTS -> {
                 if (mSplitter.hasPartialEvent()) {
                     mConnection.close();
@@ -238,6 +271,7 @@
                 }
                 mDispatcher.onResponseBegun(this, true);
                 startEvents();
+                mTimes.recordStreamEnd(true, System.nanoTime());
                 mDispatcher.onStreamComplete(this, status);
                 return;
             }
@@ -248,6 +282,7 @@
     @Override
     public void onFailure(OutboundFailure failure) {
         mOutput.flush();
+        mTimes.recordStreamEnd(false, System.nanoTime());
         mDispatcher.onFailed(this, failure);
     }
 
@@ -347,9 +382,7 @@
             }
             return;
         }
-        if (mFirstEventNanos.isEmpty()) {
-            mFirstEventNanos = OptionalLong.of(mLastActivityNanos);
-        }
+        mTimes.recordEvent(mLastActivityNanos);
         if (mDispatcher.recordEvent(event, this)) {
             startEvents();
             mOutput.add(event.bytes());
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallContext.java
@@ -25,6 +25,7 @@
  * @param streamOrigins knows which software version began a stream
  * @param conversations keeps and finds the turns of routes that keep history
  * @param stopAdmission decides which calls are taken and sent while the process stops
+ * @param urgency ranks turns for the engines' queues
  * @param responseMemory bounds the parts of responses that are held
  * @param hedging sends late requests to a second target; empty if the process does not
  * @param log receives one line for each decision
@@ -42,6 +43,7 @@
         StreamOriginService streamOrigins,
         ConversationService conversations,
         StopAdmission stopAdmission,
+        TurnUrgency urgency,
         ResponseMemory responseMemory,
         Optional<Hedging> hedging,
         EventLog log,
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayOrganisationTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayOrganisationTest.java
@@ -144,6 +144,24 @@
         }
     }
 
+    /** Guards against ranks of one organisation that depend on the program ids of another one. */
+    @Test
+    void turnsAreRankedOnlyWithOrganisationsAndForEachOneAlone() throws IOException {
+        try (ScriptedTarget target = new ScriptedTarget(STREAM);
+                TestGateway gateway = TestGateway.with("engine", target)) {
+            String program = "Program: p\r\nBudget: 300\r\n";
+            assertTrue(call(gateway, "/turn/x", "t1", program).startsWith("HTTP/1.1 200"));
+            assertFalse(gateway.logs().contains("\"ranked\""));
+            gateway.configure(2, " alpha key-a beta key-b");
+            call(gateway, "/turn/x", "t2", ALPHA + program);
+            call(gateway, "/turn/x", "t3", BETA + program);
+            assertFalse(gateway.logs().contains("\"programUnderWay\":true"));
+            call(gateway, "/turn/x", "t4", ALPHA + program);
+            assertEquals(4, gateway.logs().split("\"ranked\"", -1).length);
+            assertEquals(2, gateway.logs().split("\"programUnderWay\":true", -1).length);
+        }
+    }
+
     /** With two versions in service, a stream without a known origin is refused. */
     @Test
     void aStreamOfAnotherOrganisationCannotBeTakenUp() throws IOException {
