--- a/core/src/main/java/org/oleandertrack/core/turn/TurnPlacement.java
+++ b/core/src/main/java/org/oleandertrack/core/turn/TurnPlacement.java
@@ -24,17 +24,14 @@
     // over all programs.
     private static final double BATCH_DELAY_WEIGHT = 1;
 
-    private final EngineTimes mEngineTimes;
     private final String mZone;
 
     /**
      * Creates a placement.
      *
-     * @param engineTimes processing times of the engines
      * @param zone availability zone of this host
      */
-    public TurnPlacement(EngineTimes engineTimes, String zone) {
-        mEngineTimes = engineTimes;
+    public TurnPlacement(String zone) {
         mZone = zone;
     }
 
@@ -65,25 +62,20 @@
         if (best == null) {
             return Optional.empty();
         }
-        return Optional.of(describe(best, turn, bestMissingTokens, nowNanos));
-    }
-
-    /** Returns the predicted time from the send of a turn to its first event, in milliseconds. */
-    public double firstEventMillis(PlacementChoice choice) {
-        return choice.slowness()
-                * (mEngineTimes.startDelayMillis()
-                        + mEngineTimes.prefillMillis(choice.missingTokens()));
+        return Optional.of(
+                describe(best, turn, bestMissingTokens, prefillEstimate.isHome(best), nowNanos));
     }
 
     // Helpers
 
     private double predictedMillis(
             TargetState engine, TurnRequest turn, int missingTokens, long nowNanos) {
+        EngineTimes times = engine.times().engineTimes(nowNanos);
         double requests = engine.load().requests(nowNanos);
-        double stepMillis = mEngineTimes.stepMillis(Math.min(requests + 1, engine.slots()));
+        double stepMillis = times.stepMillis(Math.min(requests + 1, engine.slots()));
         double turnMillis =
-                mEngineTimes.startDelayMillis()
-                        + mEngineTimes.prefillMillis(missingTokens)
+                times.startDelayMillis()
+                        + times.prefillMillis(missingTokens)
                         + turn.expectedOutputTokens() * stepMillis;
         double waitingRequests = Math.max(0, requests + 1 - engine.slots());
         double waitMillis = turnMillis * waitingRequests / engine.slots();
@@ -92,13 +84,13 @@
 
     private double costMillis(
             TargetState engine, TurnRequest turn, int missingTokens, long nowNanos) {
+        EngineTimes times = engine.times().engineTimes(nowNanos);
         double batchSize = Math.min(engine.load().requests(nowNanos), engine.slots());
         double batchDelayMillis =
                 batchSize
                         * engine.load().slowness(nowNanos)
-                        * (mEngineTimes.prefillMillis(missingTokens)
-                                + turn.expectedOutputTokens()
-                                        * mEngineTimes.stepMillisPerRequest());
+                        * (times.prefillMillis(missingTokens)
+                                + turn.expectedOutputTokens() * times.stepMillisPerRequest());
         double zoneCostMillis = engine.zone().equals(mZone) ? 0 : OTHER_ZONE_COST_MILLIS;
         double avoidedCostMillis = engine.isAvoided(nowNanos) ? AVOIDED_COST_MILLIS : 0;
         return predictedMillis(engine, turn, missingTokens, nowNanos)
@@ -109,13 +101,24 @@
     }
 
     private PlacementChoice describe(
-            TargetState engine, TurnRequest turn, int missingTokens, long nowNanos) {
+            TargetState engine,
+            TurnRequest turn,
+            int missingTokens,
+            boolean missingTokensAssumed,
+            long nowNanos) {
+        EngineTimes times = engine.times().engineTimes(nowNanos);
+        double firstEventMillis =
+                engine.load().slowness(nowNanos)
+                        * (times.startDelayMillis() + times.prefillMillis(missingTokens));
         return new PlacementChoice(
                 engine.id(),
                 predictedMillis(engine, turn, missingTokens, nowNanos),
+                firstEventMillis,
                 engine.load().requests(nowNanos),
                 engine.load().slowness(nowNanos),
+                engine.times().engineFactor(nowNanos),
                 missingTokens,
+                missingTokensAssumed,
                 TimeUnit.NANOSECONDS.toMillis(engine.load().slownessAgeNanos(nowNanos)));
     }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -85,7 +85,16 @@
                 new StreamContinuation(context, route, metadata, service, writer.eventLoop(), mLog);
         mDispatcher =
                 new CallDispatcher(
-                        this, caller, request, service, turn, mHistory, mCrashGuard, mContinuation);
+                        this,
+                        caller,
+                        context.urgency()
+                                .forCall(config, route, metadata, request.firstByteNanos()),
+                        request,
+                        service,
+                        turn,
+                        mHistory,
+                        mCrashGuard,
+                        mContinuation);
     }
 
     // Life-cycle
@@ -157,6 +166,11 @@
         return mHistory.isPresent() && mMetadata.previousTurnId().isPresent();
     }
 
+    /** Returns whether the request takes up a stream of an earlier one. */
+    boolean takesUpStream() {
+        return mMetadata.takeUp().isPresent();
+    }
+
     boolean hasEnded() {
         return mEnded;
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallDispatcher.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.oleandertrack.core.attempt.AttemptEnd;
 import org.oleandertrack.core.attempt.CallProgress;
@@ -36,6 +35,7 @@
 
     private final Call mCall;
     private final AdmittedCaller mCaller;
+    private final CallUrgency mUrgency;
     private final InboundRequest mRequest;
     private final String mService;
     private final Optional<TurnRequest> mTurn;
@@ -63,6 +63,7 @@
     CallDispatcher(
             Call call,
             AdmittedCaller caller,
+            CallUrgency urgency,
             InboundRequest request,
             String service,
             Optional<TurnRequest> turn,
@@ -71,6 +72,7 @@
             StreamContinuation continuation) {
         mCall = call;
         mCaller = caller;
+        mUrgency = urgency;
         mRequest = request;
         mService = service;
         mTurn = turn;
@@ -237,7 +239,8 @@
                         mCall.remainingMillis(),
                         mTurn,
                         mCall.progress());
-        Attempt attempt = new Attempt(mCall, this, placed.handle());
+        Attempt attempt =
+                new Attempt(mCall, this, placed, mTurn.isPresent() && !mCall.takesUpStream());
         if (mTurn.isPresent() && !sameTarget) {
             mPredictedMillis = (long) placed.choice().predictedCost();
         }
@@ -255,7 +258,7 @@
                 new TargetInstructions(
                         handle.id(),
                         Math.max(1, mCall.remainingMillis()),
-                        OptionalInt.empty(),
+                        mUrgency.rankOf(mPredictedMillis),
                         mContinuation.resumeAfter(mCall.progress().lastEventId()),
                         mCaller.identity()));
     }
@@ -404,6 +407,7 @@
                 });
         mCurrentAttempt = Optional.of(winner);
         mSecondAttempt = Optional.empty();
+        mCall.log().recordPrediction(winner.predictedMillis(), winner.sentNanos());
         mHedge.get().onResponseBegun(winner, loser, succeeded);
     }
 
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.oleandertrack.coordination.conversation.KeepOutcome;
@@ -20,12 +21,16 @@
 final class CallLog {
 
     private static final long MAX_LOGGED_AGE_MILLIS = 1_000_000;
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final String OK = "OK";
 
     private final EventLog mLog;
     private final CallMetrics mMetrics;
     private final Route mRoute;
     private final CallMetadata mMetadata;
     private int mSend;
+    private OptionalDouble mPredictedMillis = OptionalDouble.empty();
+    private long mSentNanos;
     private Optional<ForwardedHead> mForwardedHead = Optional.empty();
 
     CallLog(EventLog log, CallMetrics metrics, Route route, CallMetadata metadata) {
@@ -77,8 +82,10 @@
                         .number("send", send)
                         .flag("sameTarget", sameTarget)
                         .decimal("cost", choice.predictedCost())
+                        .decimal("predictedFirstEventMs", choice.firstEventMillis())
                         .decimal("requests", choice.requests())
                         .decimal("slowness", choice.slowness())
+                        .decimal("factor", choice.factor())
                         .number("missingTokens", choice.missingTokens())
                         .number(
                                 "ageMs",
@@ -218,6 +225,15 @@
                 .write();
     }
 
+    /**
+     * Records the predicted time of a request that is about to be sent to a target, or of the one
+     * of two sends whose response is given to the caller.
+     */
+    void recordPrediction(OptionalDouble predictedMillis, long sentNanos) {
+        mPredictedMillis = predictedMillis;
+        mSentNanos = sentNanos;
+    }
+
     /** Records the head that is written to the caller. */
     void recordForwardedHead(TargetHandle handle, int status) {
         mForwardedHead = Optional.of(new ForwardedHead(status, handle.id()));
@@ -311,6 +327,8 @@
         if (!mMetadata.scope().name().isEmpty()) {
             line.text("organisation", mMetadata.scope().name());
         }
+        mPredictedMillis.ifPresent(
+                predictedMillis -> writePrediction(line, summary, predictedMillis));
         // For a call that was never placed, no other log line names the program.
         mMetadata.program().ifPresent(program -> line.text("program", program.programId()));
         if (mRoute.kind() == RequestKind.STREAMING) {
@@ -329,4 +347,13 @@
         }
         line.write();
     }
+
+    // Only a complete response shows the time that was predicted.
+    private void writePrediction(EventLog.Line line, Summary summary, double predictedMillis) {
+        double actualMillis = (System.nanoTime() - mSentNanos) / NANOS_PER_MILLI;
+        line.decimal("predictedMs", predictedMillis).decimal("actualMs", actualMillis);
+        if (summary.result().equals(OK)) {
+            mMetrics.recordPrediction(mRoute.kind(), predictedMillis, actualMillis);
+        }
+    }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -46,7 +46,6 @@
 import org.oleandertrack.core.traffic.CallerLimits;
 import org.oleandertrack.core.traffic.TrafficConfig;
 import org.oleandertrack.core.turn.CallPlacement;
-import org.oleandertrack.core.turn.EngineTimes;
 import org.oleandertrack.core.turn.TurnPlacement;
 import org.oleandertrack.gateway.call.CallContext;
 import org.oleandertrack.gateway.call.CallHandler;
@@ -58,6 +57,7 @@
 import org.oleandertrack.gateway.call.Hedging;
 import org.oleandertrack.gateway.call.ResponseMemory;
 import org.oleandertrack.gateway.call.StopAdmission;
+import org.oleandertrack.gateway.call.TurnUrgency;
 import org.oleandertrack.gateway.peer.FilteredRowStore;
 import org.oleandertrack.gateway.peer.PeerAllowanceIssuer;
 import org.oleandertrack.gateway.peer.PeerConfiguration;
@@ -168,7 +168,7 @@
         mStore = makeRelayingStore(random);
         mTargets =
                 new TargetRegistry(
-                        new TurnPlacement(EngineTimes.DEFAULT, settings.zone()),
+                        new TurnPlacement(settings.zone()),
                         new CallPlacement(settings.zone(), random),
                         log);
         SoftwareVersions versions =
@@ -356,6 +356,7 @@
 
     private CallHandler makeCallHandler(
             HeaderCodec headerCodec, GatewayResponses gatewayResponses) {
+        CallMetrics callMetrics = new CallMetrics(mMetrics);
         return new CallHandler(
                 new CallContext(
                         headerCodec,
@@ -369,10 +370,14 @@
                         mStreamOrigins,
                         mConversations,
                         mStopAdmission,
+                        new TurnUrgency(
+                                config -> config.organisations().isKeyRequired(),
+                                mLog,
+                                callMetrics),
                         new ResponseMemory(mSettings.responseMemoryBytes()),
                         makeHedging(mSettings, mMetrics),
                         mLog,
-                        new CallMetrics(mMetrics)),
+                        callMetrics),
                 new CallerAdmission(
                         headerCodec,
                         new KeyAdmission(mSettings.revocationBound()),
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/TestHeaderCodec.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/TestHeaderCodec.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import org.oleandertrack.core.organisation.CallerIdentity;
 import org.oleandertrack.core.organisation.KeyDigest;
+import org.oleandertrack.core.turn.ReportedLoad;
 import org.oleandertrack.gateway.call.CallMetadata;
 import org.oleandertrack.gateway.call.HeaderCodec;
 import org.oleandertrack.gateway.call.ProgramMetadata;
@@ -69,7 +70,8 @@
         return new ResponseMetadata(
                 Optional.ofNullable(headers.get("Id")),
                 headers.contains("Not-Executed"),
-                Optional.empty(),
+                Optional.ofNullable(headers.get("Running"))
+                        .map(running -> new ReportedLoad(Integer.parseInt(running), 0, 4, 1)),
                 headers.contains("Rate")
                         ? OptionalDouble.of(Double.parseDouble(headers.get("Rate")))
                         : OptionalDouble.empty(),
--- a/gateway/src/test/java/org/oleandertrack/gateway/targets/HedgeTargetTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/targets/HedgeTargetTest.java
@@ -15,7 +15,6 @@
 import org.oleandertrack.core.discovery.RemovalReason;
 import org.oleandertrack.core.discovery.TargetRecord;
 import org.oleandertrack.core.turn.CallPlacement;
-import org.oleandertrack.core.turn.EngineTimes;
 import org.oleandertrack.core.turn.ReportedLoad;
 import org.oleandertrack.core.turn.TurnPlacement;
 import org.oleandertrack.telemetry.logging.EventLog;
@@ -30,7 +29,7 @@
 
     private final TargetRegistry mTargets =
             new TargetRegistry(
-                    new TurnPlacement(EngineTimes.DEFAULT, "a"),
+                    new TurnPlacement("a"),
                     new CallPlacement("a", new Random(1)),
                     new EventLog(new ByteArrayOutputStream()::writeBytes, Clock.systemUTC(), 100));
 
