Let an organisation's idle bucket hold more of the slack of its window

Now the bucket holds 14 requests and 0.25 s of the rate above the burst; 6 requests, 10% of the burst and 0.25 s of the rate remain for two issuers at once.

--- a/core/src/main/java/org/oleandertrack/core/organisation/limit/OrganisationBucket.java
+++ b/core/src/main/java/org/oleandertrack/core/organisation/limit/OrganisationBucket.java
@@ -8,10 +8,12 @@
 final class OrganisationBucket {
 
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
-    // Requests that keep to the rate arrive up to 50 ms early or late and several at once. The
-    // slack of 20 requests and of 10% that the limit has in each window covers both figures.
-    private static final double JITTER_REQUESTS = 5;
-    private static final double JITTER_SECONDS = 0.05;
+    // A window of 5 s may have 20 requests and 10% more than the limit. This part of it lets the
+    // calls of a few programs arrive together: with 5 requests, organisations of 6 requests a
+    // second were refused although they kept to their limit in each window. The rest covers the
+    // time in which two hosts issue permits after a loss of contact.
+    private static final double JITTER_REQUESTS = 14;
+    private static final double JITTER_SECONDS = 0.25;
     // A host that is not the first in the order issues only while the first one does not respond.
     // If it was not asked for this time, the first one has probably issued permits meanwhile.
     private static final long SUBSTITUTE_IDLE_NANOS = TimeUnit.SECONDS.toNanos(1);
