Let requests wait for a permit of their organisation that accrues soon

Callers come back once only after a refusal, so that programs failed. A request now asks again after the time that the issuer stated, for 600 ms or a quarter of its caller's time at most. Refusals by the program gate stay immediate.

OrganisationLimitTest sends its requests at the same time now, because one request after the other only waits; its assertions are unchanged.

--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -162,8 +162,7 @@
                         log);
         mOwnPacers = new TargetPacers(random);
         mPermits = new PeerPermitIssuer(mPeers, mOwnPacers, random, log);
-        mOrganisationLimits =
-                OrganisationLimits.create(mPeers, settings.nodeName(), random, log, metrics);
+        mOrganisationLimits = makeOrganisationLimits(random);
         mPacing = makePacing(store);
         mStore = makeRelayingStore(random);
         mTargets =
@@ -412,6 +411,11 @@
                 HttpResponses::empty);
     }
 
+    private OrganisationLimits makeOrganisationLimits(Random random) {
+        return OrganisationLimits.create(
+                mPeers, mSettings.nodeName(), random, mScheduler, mLog, mMetrics);
+    }
+
     private StorePacing makePacing(RowStore store) {
         return new StorePacing(
                 store, mSettings.storeLimits(), mPeers::peerCount, mScheduler, mLog, mMetrics);
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/OrganisationLimits.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/OrganisationLimits.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Random;
+import org.oleandertrack.coordination.schedule.Scheduler;
 import org.oleandertrack.core.organisation.Organisation;
 import org.oleandertrack.core.organisation.limit.AskerState;
 import org.oleandertrack.core.organisation.limit.OwnShares;
@@ -19,6 +20,10 @@
 /** The components of a gateway process that limit the requests of organisations. Thread-safe. */
 final class OrganisationLimits {
 
+    // Several times the time in which a permit accrues at 5 requests a second, and below the time
+    // after which a plain request of the shortest kind, of 1.2 s, can no longer be served.
+    private static final long MAX_WAIT_MILLIS = 600;
+
     private final OrganisationPermitService mPermitService;
     private final SharedOrganisationLimiter mLimiter;
     private final LimitReports mReports;
@@ -36,6 +41,7 @@
             PeerDirectory peers,
             String nodeName,
             Random random,
+            Scheduler scheduler,
             EventLog log,
             MetricsRegistry metrics) {
         OrganisationIssuers issuers =
@@ -56,6 +62,8 @@
                         new AskerState(random),
                         new OwnShares(random),
                         System::nanoTime,
+                        scheduler,
+                        MAX_WAIT_MILLIS,
                         reports),
                 reports);
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/organisation/SharedOrganisationLimiter.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/organisation/SharedOrganisationLimiter.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.oleandertrack.coordination.schedule.Scheduler;
 import org.oleandertrack.core.organisation.RequestLimit;
 import org.oleandertrack.core.organisation.limit.AskerState;
 import org.oleandertrack.core.organisation.limit.DenialReason;
@@ -21,18 +23,24 @@
 
     // A permit delays a caller's request, so the next candidate is asked soon.
     private static final long ASK_TIMEOUT_MILLIS = 150;
+    // A wait uses up at most this part of the caller's time, so that it can still be served.
+    private static final long REMAINING_DIVISOR = 4;
 
     private final OrganisationIssuers mIssuers;
     private final OrganisationPermitService mOwnService;
     private final AskerState mState;
     private final OwnShares mOwnShares;
     private final LongSupplier mNanoClock;
+    private final Scheduler mScheduler;
+    private final long mMaxWaitMillis;
     private final LimitReports mReports;
 
     /**
      * Creates a limiter.
      *
      * @param ownService issues the permits for which this host is a candidate
+     * @param maxWaitMillis longest time that a request waits for a permit which accrues meanwhile,
+     *     in milliseconds
      */
     public SharedOrganisationLimiter(
             OrganisationIssuers issuers,
@@ -40,12 +48,16 @@
             AskerState state,
             OwnShares ownShares,
             LongSupplier nanoClock,
+            Scheduler scheduler,
+            long maxWaitMillis,
             LimitReports reports) {
         mIssuers = issuers;
         mOwnService = ownService;
         mState = state;
         mOwnShares = ownShares;
         mNanoClock = nanoClock;
+        mScheduler = scheduler;
+        mMaxWaitMillis = maxWaitMillis;
         mReports = reports;
     }
 
@@ -66,7 +78,7 @@
                                                 mIssuers.ownName(),
                                                 0,
                                                 request.configVersion())))
-                .orElseGet(() -> ask(request, program, mIssuers.issuersFor(organisation)))
+                .orElseGet(() -> askAndWait(request, program, waitEndNanos(request, nowNanos)))
                 .thenApply(answer -> toAdmission(request, program, answer));
     }
 
@@ -86,6 +98,35 @@
 
     // Helpers
 
+    private long waitEndNanos(Request request, long nowNanos) {
+        long waitMillis = Math.min(mMaxWaitMillis, request.remainingMillis() / REMAINING_DIVISOR);
+        return nowNanos + TimeUnit.MILLISECONDS.toNanos(waitMillis);
+    }
+
+    /**
+     * Asks for a permit, and asks again after the stated time if that is soon. The calls of a
+     * program's tools come several at a time, and a caller comes back once only after a refusal.
+     */
+    private CompletableFuture<PermitAnswer> askAndWait(
+            Request request, OptionalLong program, long endNanos) {
+        return ask(request, program, mIssuers.issuersFor(request.organisation().name()))
+                .thenCompose(
+                        answer -> {
+                            if (!(answer.result() instanceof IssueResult.Denied denied)
+                                    || denied.reason() != DenialReason.RATE) {
+                                return CompletableFuture.completedFuture(answer);
+                            }
+                            long waitNanos = TimeUnit.MILLISECONDS.toNanos(denied.retryMillis());
+                            if (mNanoClock.getAsLong() + waitNanos - endNanos > 0) {
+                                return CompletableFuture.completedFuture(answer);
+                            }
+                            CompletableFuture<PermitAnswer> later = new CompletableFuture<>();
+                            mScheduler.schedule(waitNanos, () -> later.complete(answer));
+                            return later.thenCompose(
+                                    ignored -> askAndWait(request, program, endNanos));
+                        });
+    }
+
     private CompletableFuture<PermitAnswer> ask(
             Request request, OptionalLong program, List<String> candidates) {
         if (candidates.isEmpty()) {
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/OrganisationLimitTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/OrganisationLimitTest.java
@@ -23,6 +23,8 @@
 
     private static final double RATE = 20;
     private static final double BURST = 10;
+    // More than the requests that can wait for permits: these accrue for 12 requests in 600 ms.
+    private static final int CLIENTS = 30;
     private static final String LIMITED = " birch:20:10 key-1";
     private static final Pattern ISSUER = Pattern.compile("\"issuer\":\"(node-\\d+)\",\"rank\":1");
 
@@ -81,11 +83,18 @@
     @Test
     void aRefusalStatesItsCauseAndTheTimeToReturn() throws IOException {
         String refusal = "";
-        try (TestClient client = mGateways.getFirst().client()) {
-            for (int i = 0; i < 200 && !refusal.startsWith("HTTP/1.1 429"); i++) {
-                refusal = call(client);
+        List<TestClient> clients = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            clients.add(mGateways.getFirst().client());
+        }
+        for (int i = 0; i < 10 && !refusal.startsWith("HTTP/1.1 429"); i++) {
+            for (String answer : callAll(clients)) {
+                refusal = answer.startsWith("HTTP/1.1 429") ? answer : refusal;
             }
         }
+        for (TestClient client : clients) {
+            client.close();
+        }
         assertTrue(refusal.startsWith("HTTP/1.1 429"), refusal);
         assertTrue(refusal.contains("\"code\":3008"), refusal);
         assertTrue(refusal.contains("\"execution\":\"not run\""), refusal);
@@ -110,13 +119,12 @@
     private int flood(long millis) throws IOException {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
         List<TestClient> clients = new ArrayList<>();
-        for (TestGateway gateway : mGateways) {
-            clients.add(gateway.client());
+        for (int i = 0; i < CLIENTS; i++) {
+            clients.add(mGateways.get(i % mGateways.size()).client());
         }
         int served = 0;
         while (System.nanoTime() - endNanos < 0) {
-            for (TestClient client : clients) {
-                String answer = call(client);
+            for (String answer : callAll(clients)) {
                 boolean ok = answer.startsWith("HTTP/1.1 200");
                 assertTrue(ok || answer.startsWith("HTTP/1.1 429"), answer);
                 served += ok ? 1 : 0;
@@ -128,8 +136,15 @@
         return served;
     }
 
-    private static String call(TestClient client) throws IOException {
-        client.send("GET", "/safe/x", "r", "Key: key-1\r\n", "");
-        return client.readAnswer();
+    /** Sends a request of each client at the same time. */
+    private static List<String> callAll(List<TestClient> clients) throws IOException {
+        for (TestClient client : clients) {
+            client.send("GET", "/safe/x", "r", "Key: key-1\r\n", "");
+        }
+        List<String> answers = new ArrayList<>();
+        for (TestClient client : clients) {
+            answers.add(client.readAnswer());
+        }
+        return answers;
     }
 }
--- a/gateway/src/test/java/org/oleandertrack/gateway/organisation/FleetModel.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/organisation/FleetModel.java
@@ -190,6 +190,10 @@
                             new AskerState(mRandom),
                             new OwnShares(mRandom),
                             this::nanos,
+                            (delayNanos, task) -> {
+                                throw new IllegalStateException("nothing waits in this model");
+                            },
+                            0,
                             new LimitReports(
                                     new EventLog(line -> {}, Clock.systemUTC(), 0),
                                     new MetricsRegistry()));
