--- a/gateway/src/main/java/org/oleandertrack/gateway/host/OrganisationLimits.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/OrganisationLimits.java
@@ -20,9 +20,9 @@
 /** The components of a gateway process that limit the requests of organisations. Thread-safe. */
 final class OrganisationLimits {
 
-    // Several times the time in which a permit accrues at 5 requests a second, and below the time
-    // after which a plain request of the shortest kind, of 1.2 s, can no longer be served.
-    private static final long MAX_WAIT_MILLIS = 600;
+    // Long enough for a wave within the limit of a window of 5 s that comes in its first seconds. A
+    // program that is late is served; one whose request is refused twice has failed.
+    private static final long MAX_WAIT_MILLIS = 1_500;
 
     private final OrganisationPermitService mPermitService;
     private final SharedOrganisationLimiter mLimiter;
--- a/gateway/src/main/java/org/oleandertrack/gateway/organisation/SharedOrganisationLimiter.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/organisation/SharedOrganisationLimiter.java
@@ -24,7 +24,7 @@
     // A permit delays a caller's request, so the next candidate is asked soon.
     private static final long ASK_TIMEOUT_MILLIS = 150;
     // A wait uses up at most this part of the caller's time, so that it can still be served.
-    private static final long REMAINING_DIVISOR = 4;
+    private static final long REMAINING_DIVISOR = 2;
 
     private final OrganisationIssuers mIssuers;
     private final OrganisationPermitService mOwnService;
