Pass calls to peers if the store refuses all calls of this host for its rate

The store may turn single hosts away with 429 while it serves the others. Five refusals in a row, with no call answered in 100 ms and more, now count as a store that this host cannot reach.

--- a/coordination/src/test/java/org/oleandertrack/coordination/relay/RelayingRowStoreTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/relay/RelayingRowStoreTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.oleandertrack.coordination.spending.FakeRowStore;
@@ -67,6 +68,48 @@
         assertInstanceOf(TransactionResult.Committed.class, mStore.apply(WRITE).join());
     }
 
+    /**
+     * Guards against a host that waits for the store's rate although the store refuses its calls
+     * alone: a day on which some hosts got 429 for all calls lost a tenth of its worth.
+     */
+    @Test
+    void aHostWhoseCallsAreAllRefusedForTheRateUsesAPeer() {
+        long[] nowNanos = {0};
+        RelayingRowStore store =
+                new RelayingRowStore(
+                        new HostRefusalRowStore(mDirect, () -> nowNanos[0]),
+                        () -> List.<RowStore>of(mPeer),
+                        new Random(1),
+                        mFailures);
+        for (int i = 0; i < 5; i++) {
+            mDirect.setNextFates(Fate.OVER_RATE);
+        }
+        for (int i = 0; i < 4; i++) {
+            assertThrows(CompletionException.class, () -> store.apply(WRITE).join());
+            nowNanos[0] += TimeUnit.MILLISECONDS.toNanos(50);
+        }
+        assertEquals(0, mPeer.transactions());
+        assertInstanceOf(TransactionResult.Committed.class, store.apply(WRITE).join());
+        assertEquals(1, mPeer.transactions());
+        assertTrue(store.isDirectFailing());
+    }
+
+    /** Guards against calls that are doubled while the store is over its rate for all hosts. */
+    @Test
+    void aStoreThatTakesSomeCallsOfAHostIsNotPassedBy() {
+        long[] nowNanos = {0};
+        HostRefusalRowStore store = new HostRefusalRowStore(mDirect, () -> nowNanos[0]);
+        for (int i = 0; i < 40; i++) {
+            mDirect.setNextFates(i % 4 == 3 ? Fate.ANSWERED : Fate.OVER_RATE);
+            nowNanos[0] += TimeUnit.MILLISECONDS.toNanos(50);
+            boolean overRate =
+                    store.apply(WRITE)
+                            .handle((result, e) -> e == null || StoreFailures.isOverRate(e))
+                            .join();
+            assertTrue(overRate);
+        }
+    }
+
     /** Guards against writes that fail while the store turns most hosts away. */
     @Test
     void aSinglePeerThatReachesTheStoreIsFound() {
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/StorePacing.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/StorePacing.java
@@ -7,6 +7,7 @@
 import org.oleandertrack.coordination.pacing.PacingListener;
 import org.oleandertrack.coordination.pacing.PacingRowStore;
 import org.oleandertrack.coordination.pacing.StoreLimits;
+import org.oleandertrack.coordination.relay.HostRefusalRowStore;
 import org.oleandertrack.coordination.schedule.Scheduler;
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.StoreRate;
@@ -41,17 +42,18 @@
         mWriteLimit = metrics.gauge(Metric.STORE_WRITE_LIMIT);
         mQueuedWrites = metrics.gauge(Metric.STORE_WRITES_QUEUED);
         mPacedWrites = metrics.counter(Metric.STORE_WRITES_PACED);
+        RowStore direct = new HostRefusalRowStore(store, System::nanoTime);
         mPaced =
                 limits.map(
                         rates ->
                                 new PacingRowStore(
-                                        store,
+                                        direct,
                                         rates,
                                         () -> 1 + peerCount.getAsInt(),
                                         scheduler,
                                         System::nanoTime,
                                         this));
-        mStore = mPaced.<RowStore>map(paced -> paced).orElse(store);
+        mStore = mPaced.<RowStore>map(paced -> paced).orElse(direct);
     }
 
     // Accessors
