--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
@@ -37,8 +37,7 @@
     // The store answers in 10 to 20 ms. A call whose answer is lost stays open until its timeout;
     // after this time it is made again, and both may be executed.
     private static final long REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
-    // Later repetitions of a write. A store that lost answers held back seven writes in a hundred
-    // through the first four calls, because calls on one connection are lost together.
+    // Later repetitions of a write. They try each part of a turn before hosts alone hold it.
     private static final List<Long> LATER_REPEAT_NANOS =
             Stream.of(240, 400, 560, 720, 900, 1_100, 1_300)
                     .map(TimeUnit.MILLISECONDS::toNanos)
--- a/core/src/main/java/org/oleandertrack/core/organisation/limit/OrganisationBucket.java
+++ b/core/src/main/java/org/oleandertrack/core/organisation/limit/OrganisationBucket.java
@@ -9,9 +9,8 @@
 
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
     // A window of 5 s may have 20 requests and 10% more than the limit. This part of it lets the
-    // calls of a few programs arrive together: with 5 requests, organisations of 6 requests a
-    // second were refused although they kept to their limit in each window. The rest covers the
-    // time in which two hosts issue permits after a loss of contact.
+    // calls of a few programs arrive together, which matters to organisations of 5 or 6 requests a
+    // second. The rest covers the time in which two hosts issue permits after a loss of contact.
     private static final double JITTER_REQUESTS = 12;
     private static final double JITTER_SECONDS = 0.1;
     // A host that is not the first in the order issues only while the first one does not respond.
--- a/core/src/main/java/org/oleandertrack/core/organisation/limit/ProgramGate.java
+++ b/core/src/main/java/org/oleandertrack/core/organisation/limit/ProgramGate.java
@@ -31,9 +31,8 @@
     private static final double UNCONTENDED_REQUESTS = 20;
     // Leaves tokens for programs that are longer than the mean.
     private static final double RATE_FACTOR = 0.95;
-    // Programs start at random times: with 0.25 s, a third of those of an organisation at two
-    // thirds
-    // of its limit were refused. The count of the window bounds a longer burst.
+    // Programs start at random times, several of them together. The count of the window bounds a
+    // longer burst.
     private static final double BURST_SECONDS = 1.5;
     // Part of the bucket that is kept for admitted programs while requests are refused.
     private static final double RESERVE = 0.2;
