Fail a response without length that is reset while its request is written

Callers could get the first part of a response as a whole one: a target that answers before it has read a long request, states no length and then resets its connection. A write that fails closes the channel without an exception event, and the decoder ends a response without length whenever its channel closes. An exchange whose request could not be written is now failed as reset, which is what a reset that is read has always done.

ResetBehindPartTest expected "failed" and got "complete" before the change, and passes with it. A response that has a length or chunks ends before the channel closes and is not affected.

--- a/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
+++ b/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
@@ -319,10 +319,20 @@
             mExchange.onContent(part.content());
         }
         if (last && mExchange != null) {
+            // The decoder ends a response without length when the connection closes, for whatever
+            // reason. After a failed write the server has not ended it.
+            if (hasWriteFailed()) {
+                failAndClose(OutboundFailure.RESET);
+                return;
+            }
             finish();
         }
     }
 
+    private boolean hasWriteFailed() {
+        return mRequestWritten.isDone() && !mRequestWritten.isSuccess();
+    }
+
     private void finish() {
         OutboundExchange exchange = mExchange;
         mExchange = null;
