--- a/http/src/main/java/org/oleandertrack/http/PooledHttpClient.java
+++ b/http/src/main/java/org/oleandertrack/http/PooledHttpClient.java
@@ -135,7 +135,9 @@
         private void onTimeout() {
             mConnection.close();
             mResponse.completeExceptionally(
-                    new HttpCallException(mDescription + " was not answered in time", true));
+                    new HttpCallException(
+                            mDescription + " to " + mHostHeader + " was not answered in time",
+                            true));
         }
 
         @Override
--- a/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
@@ -28,6 +28,11 @@
             MetricKind.GAUGE,
             "bytes",
             "Bytes of bodies held by the process."),
+    EVENT_LOOP_DELAY(
+            "oleandertrack_event_loop_delay_seconds",
+            MetricKind.HISTOGRAM,
+            "seconds",
+            "Time by which the event loop ran a task of every 250 ms too late."),
     // Placement.
     DECISIONS(
             "oleandertrack_decisions_total",
