--- a/http/src/main/java/org/oleandertrack/http/HttpServer.java
+++ b/http/src/main/java/org/oleandertrack/http/HttpServer.java
@@ -76,7 +76,8 @@
                         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childOption(ChannelOption.RECVBUF_ALLOCATOR, ReadLimits.allocator())
+                        .childOption(
+                                ChannelOption.RECVBUF_ALLOCATOR, ReadLimits.SINGLE_READ.allocator())
                         .childHandler(new Initializer())
                         .bind(address)
                         .syncUninterruptibly()
--- a/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
+++ b/http/src/main/java/org/oleandertrack/http/OutboundConnection.java
@@ -73,13 +73,23 @@
      */
     public static OutboundConnection open(
             EventLoop loop, InetSocketAddress remote, int connectTimeoutMillis, Runnable onClosed) {
+        return open(loop, remote, connectTimeoutMillis, ReadLimits.SINGLE_READ, onClosed);
+    }
+
+    /** Starts to open a connection with the given limits on what is read from it in one turn. */
+    static OutboundConnection open(
+            EventLoop loop,
+            InetSocketAddress remote,
+            int connectTimeoutMillis,
+            ReadLimits limits,
+            Runnable onClosed) {
         OutboundConnection connection = new OutboundConnection(onClosed);
         ChannelFuture connected =
                 new Bootstrap()
                         .group(loop)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
-                        .option(ChannelOption.RECVBUF_ALLOCATOR, ReadLimits.allocator())
+                        .option(ChannelOption.RECVBUF_ALLOCATOR, limits.allocator())
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
                         .handler(
                                 new ChannelInitializer<SocketChannel>() {
--- a/http/src/main/java/org/oleandertrack/http/PooledHttpClient.java
+++ b/http/src/main/java/org/oleandertrack/http/PooledHttpClient.java
@@ -102,7 +102,8 @@
             }
             connection.close();
         }
-        return OutboundConnection.open(mLoop, mRemote, CONNECT_TIMEOUT_MILLIS, () -> {});
+        return OutboundConnection.open(
+                mLoop, mRemote, CONNECT_TIMEOUT_MILLIS, ReadLimits.BULK, () -> {});
     }
 
     // A connection is reused only within half of the announced idle timeout, so that the server
