Start the time limit of a call again with each large part of its response

A host that received a large row of the store slowly gave the call up after its time limit and began again from the first byte, so that a busy host could fetch the same configuration several times, or for ever. The limit of a call to the store or a peer now covers the next 64 KB: a response that arrives faster than that goes on, one that stops or trickles ends as before.

LargeResponseTest.aResponseThatKeepsArrivingIsNotGivenUp failed before the change ("was not answered in time") and passes with it; aResponseThatTricklesIsGivenUp passed before and after.

--- a/http/src/main/java/org/oleandertrack/http/PooledHttpClient.java
+++ b/http/src/main/java/org/oleandertrack/http/PooledHttpClient.java
@@ -16,8 +16,9 @@
 
 /**
  * HTTP client for one server, with a pool of persistent connections. Requests and responses are
- * held in memory as a whole. A call that exceeds its timeout closes its connection. Thread-safe;
- * futures complete on the event loop.
+ * held in memory as a whole. A call that exceeds its timeout closes its connection; the timeout
+ * starts again with each large part of the response. Thread-safe; futures complete on the event
+ * loop.
  */
 public final class PooledHttpClient {
 
@@ -29,6 +30,10 @@
     // The largest response is a page of 1 MB of rows, encoded as Base64 in JSON, or a turn of a
     // peer.
     private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+    // A response that arrives more slowly than this within its timeout is given up; one that does
+    // not would be cut off and begin anew, for ever if the link or this host is busy. The slowest
+    // links deliver it in 40 ms.
+    private static final int MIN_PROGRESS_BYTES = 64 * 1024;
 
     private final EventLoop mLoop;
     private final InetSocketAddress mRemote;
@@ -48,6 +53,7 @@
      *
      * @param uri path and query of the request
      * @param contentType media type of the body; ignored if the body is empty
+     * @param timeoutMillis longest time to a complete response, or to the next 64 KB of it
      */
     public CompletableFuture<ReceivedResponse> call(
             HttpMethod method, String uri, String contentType, byte[] body, long timeoutMillis) {
@@ -87,8 +93,10 @@
             long timeoutMillis,
             CompletableFuture<ReceivedResponse> response) {
         OutboundConnection connection = takeConnection();
-        PendingCall call = new PendingCall(head.method() + " " + head.uri(), connection, response);
-        call.mTimer = mLoop.schedule(call::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
+        PendingCall call =
+                new PendingCall(
+                        head.method() + " " + head.uri(), connection, timeoutMillis, response);
+        call.startTimer();
         connection.send(head, Unpooled.wrappedBuffer(body), call);
     }
 
@@ -119,20 +127,29 @@
     private final class PendingCall implements OutboundExchange {
         private final String mDescription;
         private final OutboundConnection mConnection;
+        private final long mTimeoutMillis;
         private final CompletableFuture<ReceivedResponse> mResponse;
         private final ByteBuf mBody = Unpooled.buffer();
         private HttpResponse mHead;
         private ScheduledFuture<?> mTimer;
+        // Length of the body when the timer was started.
+        private int mTimedBytes;
 
         private PendingCall(
                 String description,
                 OutboundConnection connection,
+                long timeoutMillis,
                 CompletableFuture<ReceivedResponse> response) {
             mDescription = description;
             mConnection = connection;
+            mTimeoutMillis = timeoutMillis;
             mResponse = response;
         }
 
+        private void startTimer() {
+            mTimer = mLoop.schedule(this::onTimeout, mTimeoutMillis, TimeUnit.MILLISECONDS);
+        }
+
         private void onTimeout() {
             mConnection.close();
             mResponse.completeExceptionally(
@@ -155,6 +172,11 @@
                 return;
             }
             mBody.writeBytes(part);
+            if (mBody.readableBytes() - mTimedBytes >= MIN_PROGRESS_BYTES) {
+                mTimer.cancel(false);
+                mTimedBytes = mBody.readableBytes();
+                startTimer();
+            }
         }
 
         @Override
--- a/http/src/test/java/org/oleandertrack/http/LargeResponseTest.java
+++ b/http/src/test/java/org/oleandertrack/http/LargeResponseTest.java
@@ -1,6 +1,7 @@
 package org.oleandertrack.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
@@ -14,6 +15,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -83,4 +85,29 @@
             var _ = loops.shutdownGracefully();
         }
     }
+
+    @Test
+    void aResponseThatKeepsArrivingIsNotGivenUp() throws Exception {
+        var loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Thread.startVirtualThread(() -> serve(server, 12, 128 * 1024, 200));
+            var response = call(loops.next(), server, 1_500);
+            assertEquals(12 * 128 * 1024, response.get().body().readableBytes());
+        } finally {
+            var _ = loops.shutdownGracefully();
+        }
+    }
+
+    @Test
+    void aResponseThatTricklesIsGivenUp() throws Exception {
+        var loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Thread.startVirtualThread(() -> serve(server, 1_000, 1, 20));
+            var response = call(loops.next(), server, 300);
+            ExecutionException end = assertThrows(ExecutionException.class, response::get);
+            assertTrue(end.getMessage().endsWith("was not answered in time"), end.toString());
+        } finally {
+            var _ = loops.shutdownGracefully();
+        }
+    }
 }
