--- a/gateway/src/test/java/org/oleandertrack/gateway/host/CutHeadTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/CutHeadTest.java
@@ -11,6 +11,8 @@
 /** Guards against a success for the caller if the target closes within the head of its response. */
 final class CutHeadTest {
 
+    // All ids have the same length, so that all heads have.
+    private static final int FIRST_ID = 100;
     private static final String LENGTH = "Content-Length: 6\r\n";
     private static final String NO_LENGTH = "";
     private static final String STREAM =
@@ -29,7 +31,11 @@
     }
 
     private static String id(int number) {
-        return "r" + (100 + number);
+        return "r" + (FIRST_ID + number);
+    }
+
+    private static int numberOf(String id) {
+        return Integer.parseInt(id.substring(1)) - FIRST_ID;
     }
 
     /** Lets a target cut off its responses after each possible number of bytes, one by one. */
@@ -52,7 +58,7 @@
                         new ScriptedTarget(
                                 (exchange, number) -> {
                                     String head = head(exchange.id(), framing);
-                                    int cut = Integer.parseInt(exchange.id().substring(1)) - 100;
+                                    int cut = numberOf(exchange.id());
                                     exchange.write(head.substring(0, cut));
                                     exchange.socket().close();
                                 });
--- a/server/src/test/java/org/oleandertrack/server/sidecar/HostileTargetTest.java
+++ b/server/src/test/java/org/oleandertrack/server/sidecar/HostileTargetTest.java
@@ -172,6 +172,22 @@
         assertEquals(ResultCode.TARGET_FAILED, outcome.code());
     }
 
+    /** Guards against a success if the target closes within the head of its response. */
+    @Test
+    void aHeadThatIsCutOffFailsTheCall() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nServer: t\r\n\r\n";
+        serve(
+                (path, socket) -> {
+                    int cut = Integer.parseInt(path.substring(1));
+                    socket.getOutputStream()
+                            .write(head.substring(0, cut).getBytes(StandardCharsets.US_ASCII));
+                    socket.close();
+                });
+        for (int cut = 0; cut < head.length(); cut++) {
+            assertFalse(run(call("/" + cut)).isSuccess(), head.substring(0, cut));
+        }
+    }
+
     /** Guards against a report of an engine that is kept until memory runs out. */
     @Test
     void aLongReportOfAnEngineIsNotKept() throws Exception {
