--- /dev/null
+++ b/review/6/LongForeignChat.java
@@ -0,0 +1,17 @@
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Collections;
+
+/** A conversation of 590 KB in a script whose letters take three bytes, in three turns. */
+final class LongForeignChat {
+
+    private static final int TURNS = 3;
+    private static final int LETTERS_PER_TURN = 65_500;
+
+    private LongForeignChat() {}
+
+    public static void main(String[] args) {
+        byte[] input = "\u982d".repeat(LETTERS_PER_TURN).getBytes(StandardCharsets.UTF_8);
+        Lab.run(Path.of(args[0]), lab -> new Chat(lab).run(Collections.nCopies(TURNS, input)));
+    }
+}
