Review case 6: turns of the size that the sites play

Cause: the conversation was long because its turns were. Change: 20 turns of 29 KB instead of three of 197 KB.

--- a/review/6/LongForeignChat.java
+++ b/review/6/LongForeignChat.java
@@ -2,11 +2,11 @@
 import java.nio.file.Path;
 import java.util.Collections;
 
-/** A conversation of 590 KB in a script whose letters take three bytes, in three turns. */
+/** A conversation of 590 KB in a script whose letters take three bytes, in 20 turns. */
 final class LongForeignChat {
 
-    private static final int TURNS = 3;
-    private static final int LETTERS_PER_TURN = 65_500;
+    private static final int TURNS = 20;
+    private static final int LETTERS_PER_TURN = 9_830;
 
     private LongForeignChat() {}
 
