--- a/review/harness-2/Lab.java
+++ b/review/harness-2/Lab.java
@@ -67,7 +67,7 @@
         }
 
         void signal(String signal) throws Exception {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(mProcess.pid()))
+            new ProcessBuilder("bash", "-c", "kill -" + signal + " " + mProcess.pid())
                     .start()
                     .waitFor();
             record("%s gets SIG%s", mName, signal);
