Review case 8: turns held in memory alone are lost with all gateways

Cause: a turn's response ends once some hosts hold it, while the store is silent; the copies end with their processes.

--- a/review/harness-2/Chat.java
+++ b/review/harness-2/Chat.java
@@ -107,6 +107,136 @@
         mLab.finish(longServed == 0);
     }
 
+    /**
+     * Runs the case with planned work alone: the gateways are stopped and started in turn.
+     *
+     * @param inputs bodies of the turns of the long conversation
+     */
+    void runWithPlannedRestarts(List<byte[]> inputs) throws Exception {
+        mLab.mStore.put("op", "config", config());
+        for (int i = 1; i <= 3; i++) {
+            startServer(i);
+        }
+        mLab.startGateways(GATEWAYS, Map.of());
+        Turn last = new Turn("", new byte[0]);
+        for (byte[] input : inputs) {
+            last = require(turn("long", 0, last, input));
+        }
+        double answeredSeconds = mLab.seconds();
+        mLab.record(
+                "the long conversation has %d bytes, its last turn %s was answered whole",
+                last.conversation().length, last.id());
+        for (Lab.Gateway gateway : mLab.mTrouble ? mLab.mGateways : List.<Lab.Gateway>of()) {
+            gateway.signal("TERM");
+            gateway.mProcess.waitFor();
+            mLab.record("%s has ended with code %d", gateway.mName, gateway.mProcess.exitValue());
+            gateway.start();
+            gateway.awaitReady();
+            Thread.sleep(2_000);
+        }
+        // From now on all gateways have been in touch for the stable window.
+        Thread.sleep(4_000);
+        int served = 0;
+        int firstServed = 0;
+        int tries = 0;
+        while (tries < 12) {
+            served += isServed("long-next", tries % GATEWAYS, last) ? 1 : 0;
+            firstServed += isServed("first", tries % GATEWAYS, new Turn("", new byte[0])) ? 1 : 0;
+            tries++;
+            Thread.sleep(200);
+        }
+        mTraffic.writeRecord();
+        double ageSeconds = mLab.seconds() - answeredSeconds;
+        mLab.record(
+                "next turns of the long conversation: %d of %d served, %.0f s after it was answered;"
+                        + " first turns: %d of %d",
+                served, tries, ageSeconds, firstServed, tries);
+        System.out.printf(
+                "long: %d of %d served after %.0f s; first turns: %d of %d%n",
+                served, tries, ageSeconds, firstServed, tries);
+        if (10 * firstServed < 9 * tries || ageSeconds > 60) {
+            throw new Lab.CannotRun("too few first turns were served, or it took too long");
+        }
+        mLab.finish(served == 0);
+    }
+
+    /** Runs the case in which the last turns before the fault end while the store is silent. */
+    void runInOutage() throws Exception {
+        mLab.mStore.put("op", "config", config());
+        for (int i = 1; i <= 3; i++) {
+            startServer(i);
+        }
+        mLab.startGateways(GATEWAYS, Map.of());
+        List<Turn> others = new ArrayList<>();
+        List<Turn> last = new ArrayList<>();
+        Turn first = new Turn("", new byte[0]);
+        for (int i = 0; i < SHORT_CONVERSATIONS; i++) {
+            others.add(require(turn("before", i % GATEWAYS, first, ("question " + i).getBytes())));
+            last.add(require(turn("before", i % GATEWAYS, first, ("request " + i).getBytes())));
+        }
+        boolean[] away = {mLab.mTrouble};
+        mLab.mStore.mFault = table -> away[0];
+        mLab.record(mLab.mTrouble ? "the store is silent" : "the store stays up");
+        Thread.sleep(500);
+        for (int i = 0; i < 2; i++) {
+            last.set(i, require(turn("during", i % GATEWAYS, last.get(i), "more".getBytes())));
+            mLab.record("turn %s was answered whole", last.get(i).id());
+        }
+        if (mLab.mTrouble) {
+            killAllAndStart();
+        }
+        double backSeconds = mLab.seconds();
+        Thread.sleep(500);
+        away[0] = false;
+        mLab.record("the store answers");
+        int served = 0;
+        int tries = 0;
+        int lastOthers = 0;
+        int lastOthersServed = 0;
+        for (int i = 0; mLab.seconds() < backSeconds + RECOVERY_SECONDS; i++) {
+            boolean isLate = mLab.seconds() - backSeconds > RECOVERY_SECONDS - LAST_SECONDS;
+            boolean isHeld = i % 3 == 0;
+            Turn previous = isHeld ? last.get(i / 3 % 2) : others.get(i % others.size());
+            boolean ok = isServed(isHeld ? "next" : "other-next", i % GATEWAYS, previous);
+            tries += isHeld ? 1 : 0;
+            served += isHeld && ok ? 1 : 0;
+            lastOthers += !isHeld && isLate ? 1 : 0;
+            lastOthersServed += !isHeld && isLate && ok ? 1 : 0;
+            Thread.sleep(150);
+        }
+        mTraffic.writeRecord();
+        mLab.record(
+                "next turns: %d of %d served; of others in the last 4 s: %d of %d",
+                served, tries, lastOthersServed, lastOthers);
+        System.out.printf(
+                "next turns: %d of %d served; others in the last 4 s: %d of %d%n",
+                served, tries, lastOthersServed, lastOthers);
+        if (5 * lastOthersServed < 4 * lastOthers) {
+            throw new Lab.CannotRun("too few of the other turns were served");
+        }
+        mLab.finish(served == 0);
+    }
+
+    private void killAllAndStart() throws Exception {
+        mLab.record("all gateways are killed");
+        for (Lab.Gateway gateway : mLab.mGateways) {
+            gateway.signal("KILL");
+        }
+        Thread.sleep(500);
+        for (Lab.Gateway gateway : mLab.mGateways) {
+            gateway.start();
+        }
+    }
+
+    private boolean isServed(String label, int gateway, Turn previous) throws Exception {
+        try {
+            return turn(label, gateway, previous, "go on".getBytes()) != null;
+        } catch (IOException e) {
+            // The gateway has not started yet.
+            return false;
+        }
+    }
+
     private Turn require(Turn turn) {
         if (turn == null) {
             throw new Lab.CannotRun("a turn before the fault was not answered whole");
