Review cases 6 and 7: the same loss with planned restarts alone

Cause: the copies in memory, on which both depend, also end with a planned stop; nothing hands them on. Change: PLANNED=1 stops and starts the gateways in turn.

--- a/review/6/LongForeignChat.java
+++ b/review/6/LongForeignChat.java
@@ -1,6 +1,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Collections;
+import java.util.List;
 
 /** A conversation of 590 KB in a script whose letters take three bytes, in 20 turns. */
 final class LongForeignChat {
@@ -12,6 +13,16 @@
 
     public static void main(String[] args) {
         byte[] input = "\u982d".repeat(LETTERS_PER_TURN).getBytes(StandardCharsets.UTF_8);
-        Lab.run(Path.of(args[0]), lab -> new Chat(lab).run(Collections.nCopies(TURNS, input)));
+        List<byte[]> inputs = Collections.nCopies(TURNS, input);
+        boolean planned = "1".equals(System.getenv("PLANNED"));
+        Lab.run(
+                Path.of(args[0]),
+                lab -> {
+                    if (planned) {
+                        new Chat(lab).runWithPlannedRestarts(inputs);
+                    } else {
+                        new Chat(lab).run(inputs);
+                    }
+                });
     }
 }
