Keep a hedge from being due before the first event in HedgedCallTest

Cause: the test allowed second sends at any time, and its stream was hedged before its first event, because that came later than the 95th percentile of the warm-up (0 to 2 ms). The product may do that, so the test was wrong.

Change: the limit on second sends (1 in 100) allows none until the caller has the first event. Then 40 requests make one available, the stream stays silent for 400 ms as before, and the number of sends must still be 1. As strict as before: the same silence and the same count, and afterwards a stream without an event has to be hedged, so the limit cannot hide a fault. With the three checks that prevent such a second send taken out (CallHedge.stop, the denial in HedgeRequest, StreamContinuation.targetsExcept) the test fails with "expected: <1> but was: <2>".

--- a/gateway/src/test/java/org/oleandertrack/gateway/host/HedgedCallTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/HedgedCallTest.java
@@ -125,17 +125,37 @@
     /** Guards against a further send of a stream after the caller has events of it. */
     @Test
     void aStreamIsNotHedgedAfterItsFirstEvent() throws IOException {
+        CountDownLatch hedgeAvailable = new CountDownLatch(1);
+        // One per hundred of the requests so far is less than one second send, so none can be made
+        // before the first event, however late that is.
         start(
-                PERCENT,
+                1,
                 STREAM,
                 (exchange, number) -> {
                     exchange.startStream(event(1, "first"));
+                    TestGateway.awaitLatch(hedgeAvailable);
                     exchange.pauseMillis(400);
                     exchange.chunk(event(2, "first"));
                     exchange.endStream();
+                },
+                HOLD,
+                (exchange, number) -> {
+                    exchange.startStream(event(1, "second"));
+                    exchange.endStream();
                 });
-        assertEquals(3, callLate(STREAM).split("first", -1).length);
+        try (TestClient client = mGateway.client()) {
+            sendLate(client, STREAM);
+            assertFalse(client.readUntil("first").contains("<closed>"));
+            warmUp("/turn/x", 2 * UNHEDGED_REQUESTS);
+            hedgeAvailable.countDown();
+            String rest = client.readUntil("\r\n0\r\n\r\n");
+            assertTrue(rest.contains("first"), rest);
+        }
         assertEquals(1, mLateSends.get());
+        assertFalse(logs().contains("\"hedged\""), logs());
+        // A stream without an event is hedged now, so the limit did not prevent it above.
+        assertTrue(callLate(STREAM).contains("second"));
+        assertTrue(logs().contains("\"hedged\""), logs());
     }
 
     /** Guards against a second send where none is allowed, and with hedging switched off. */
