Fail all calls to a target that hangs, not only the one examined last

Callers of a target that accepts requests and never responds: of two silent requests, the one examined second failed with 502 after 1 s, the one examined first only with 504 at its timeout, 1.5 s.

Cause: CallDispatcher.onStalled asks whether the target is already failing before it records its own stall. The first of two requests finds nothing, is sent to the same target again, and waits out its timeout although the second one shows a few milliseconds later that the target hangs.

Change: a target's handle counts the requests that have stalled since its last response. A request that was sent to its target again after a stall is checked every 100 ms and given up as soon as a second request is unanswered, unless the target has sent data for it (StallPolicy.isRepeatStalled). A single stall still leaves the second send its time, because one response may be lost.

--- a/core/src/main/java/org/oleandertrack/core/health/StallPolicy.java
+++ b/core/src/main/java/org/oleandertrack/core/health/StallPolicy.java
@@ -15,6 +15,8 @@
     private static final long HEALTHY_FACTOR = 4;
     // A target that is known to be slow may take at least this multiple of the predicted time.
     private static final double SLOW_TARGET_FACTOR = 1.5;
+    // The response to a single request may be lost although its target does not hang.
+    private static final int MIN_UNANSWERED_REQUESTS = 2;
 
     private StallPolicy() {}
 
@@ -53,4 +55,16 @@
         // them.
         return hasFreeSlots || (!hasRespondedSince && silentMillis >= MAX_LIMIT_MILLIS);
     }
+
+    /**
+     * Returns whether a stalled request that was sent to its target again has to be given up before
+     * {@link #maxSilenceMillis}, because other requests show that the target hangs.
+     *
+     * @param hasData whether the target has sent data for the request since it was sent again
+     * @param unansweredRequests stalled requests of the target since its last response, this one
+     *     included
+     */
+    public static boolean isRepeatStalled(boolean hasData, int unansweredRequests) {
+        return !hasData && unansweredRequests >= MIN_UNANSWERED_REQUESTS;
+    }
 }
--- a/core/src/test/java/org/oleandertrack/core/health/StallPolicyTest.java
+++ b/core/src/test/java/org/oleandertrack/core/health/StallPolicyTest.java
@@ -35,4 +35,12 @@
         assertFalse(StallPolicy.isStalled(2_300, 1_600, true, false));
         assertTrue(StallPolicy.isStalled(2_400, 1_600, true, false));
     }
+
+    /** Guards against a second wait for a target that other requests show to hang. */
+    @Test
+    void aRepeatedRequestIsGivenUpOnlyIfAnotherOneIsUnanswered() {
+        assertFalse(StallPolicy.isRepeatStalled(false, 1));
+        assertTrue(StallPolicy.isRepeatStalled(false, 2));
+        assertFalse(StallPolicy.isRepeatStalled(true, 2));
+    }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Attempt.java
@@ -121,6 +121,11 @@
         return TimeUnit.NANOSECONDS.toMillis(nowNanos - mLastActivityNanos);
     }
 
+    /** Returns whether the target has sent data for the request. */
+    boolean hasData() {
+        return mLastActivityNanos != mSentNanos;
+    }
+
     /** Returns whether the target may have just begun to run the request at the given time. */
     boolean isBeginning(long nowNanos) {
         OptionalLong firstEventNanos = mTimes.firstEventNanos();
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallDispatcher.java
@@ -245,7 +245,8 @@
             mPredictedMillis = (long) placed.choice().predictedCost();
         }
         if (mCall.route().isRepeatable() && mSends.mayStall()) {
-            new StallDetector(mCall, this, attempt, mPredictedMillis).start();
+            boolean repeatsStalled = sameTarget && mSends.hasStalled();
+            new StallDetector(mCall, this, attempt, mPredictedMillis, repeatsStalled).start();
         }
         return attempt;
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/SendHistory.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/SendHistory.java
@@ -50,6 +50,10 @@
         return mStallCount < MAX_STALLS;
     }
 
+    boolean hasStalled() {
+        return mStallCount > 0;
+    }
+
     /** Returns whether a target may have run the request. */
     boolean mayHaveRun() {
         return !mMayHaveRunTargetIds.isEmpty();
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/StallDetector.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/StallDetector.java
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.TimeUnit;
 import org.oleandertrack.core.health.StallPolicy;
+import org.oleandertrack.gateway.targets.TargetHandle;
+import org.oleandertrack.gateway.targets.TargetRegistry;
 
 /**
  * Detects an attempt whose target has been silent for longer than its load explains: the response
@@ -9,27 +11,36 @@
  */
 final class StallDetector {
 
-    private static final long MIN_RECHECK_MILLIS = 100;
+    private static final long RECHECK_MILLIS = 100;
 
     private final Call mCall;
     private final CallDispatcher mDispatcher;
     private final Attempt mAttempt;
     private final long mPredictedMillis;
+    private final boolean mRepeatsStalled;
 
     /**
      * Creates a detector for one attempt.
      *
      * @param predictedMillis predicted duration of the request at the target; 0 if unknown
+     * @param repeatsStalled whether an earlier attempt of the call has stalled at the same target
      */
-    StallDetector(Call call, CallDispatcher dispatcher, Attempt attempt, long predictedMillis) {
+    StallDetector(
+            Call call,
+            CallDispatcher dispatcher,
+            Attempt attempt,
+            long predictedMillis,
+            boolean repeatsStalled) {
         mCall = call;
         mDispatcher = dispatcher;
         mAttempt = attempt;
         mPredictedMillis = predictedMillis;
+        mRepeatsStalled = repeatsStalled;
     }
 
     void start() {
-        checkAfter(StallPolicy.maxSilenceMillis(mPredictedMillis));
+        checkAfter(
+                mRepeatsStalled ? RECHECK_MILLIS : StallPolicy.maxSilenceMillis(mPredictedMillis));
     }
 
     private void checkAfter(long delayMillis) {
@@ -50,21 +61,29 @@
         }
         long nowNanos = System.nanoTime();
         long silentMillis = mAttempt.silentMillis(nowNanos);
-        boolean stalled =
-                StallPolicy.isStalled(
-                        silentMillis,
-                        mPredictedMillis,
-                        mCall.context().targets().hasRoom(mAttempt.handle(), nowNanos),
-                        mCall.context()
-                                .targets()
-                                .hasRespondedSince(mAttempt.handle(), mAttempt.sentNanos()));
-        if (!stalled) {
+        if (!isStalled(silentMillis, nowNanos)) {
+            long maxSilenceMillis = StallPolicy.maxSilenceMillis(mPredictedMillis);
             checkAfter(
-                    Math.max(
-                            MIN_RECHECK_MILLIS,
-                            StallPolicy.maxSilenceMillis(mPredictedMillis) - silentMillis));
+                    mRepeatsStalled
+                            ? RECHECK_MILLIS
+                            : Math.max(RECHECK_MILLIS, maxSilenceMillis - silentMillis));
             return;
         }
         mDispatcher.onStalled(mAttempt, silentMillis);
     }
+
+    private boolean isStalled(long silentMillis, long nowNanos) {
+        TargetRegistry targets = mCall.context().targets();
+        TargetHandle handle = mAttempt.handle();
+        boolean repeatStalled =
+                mRepeatsStalled
+                        && StallPolicy.isRepeatStalled(
+                                mAttempt.hasData(), targets.unansweredRequests(handle));
+        return repeatStalled
+                || StallPolicy.isStalled(
+                        silentMillis,
+                        mPredictedMillis,
+                        targets.hasRoom(handle, nowNanos),
+                        targets.hasRespondedSince(handle, mAttempt.sentNanos()));
+    }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/ServiceTargets.java
@@ -321,6 +321,7 @@
         if (noResponseSinceNanos.isPresent()
                 && !handle.hasRespondedSince(noResponseSinceNanos.getAsLong())) {
             mHealth.recordFailure(handle.id(), nowNanos);
+            handle.recordNoResponse();
         }
         return !wasFailing && mHealth.isFailing(handle.id());
     }
@@ -334,6 +335,10 @@
         return mHealth.isFailing(handle.id());
     }
 
+    synchronized int unansweredRequests(TargetHandle handle) {
+        return handle.unansweredRequests();
+    }
+
     synchronized boolean hasRespondedSince(TargetHandle handle, long sinceNanos) {
         return handle.hasRespondedSince(sinceNanos);
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetHandle.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetHandle.java
@@ -18,6 +18,7 @@
     private volatile boolean mLost;
     private boolean mHasResponded;
     private long mLastResponseNanos;
+    private int mUnansweredRequests;
 
     TargetHandle(TargetRecord record, TargetState state, TargetConnections connections) {
         mRecord = record;
@@ -73,9 +74,19 @@
         return mHasResponded && mLastResponseNanos - sinceNanos >= 0;
     }
 
+    /** Returns the number of requests that have stalled since the target last responded. */
+    int unansweredRequests() {
+        return mUnansweredRequests;
+    }
+
     void recordResponse(long nowNanos) {
         mHasResponded = true;
         mLastResponseNanos = nowNanos;
+        mUnansweredRequests = 0;
+    }
+
+    void recordNoResponse() {
+        mUnansweredRequests++;
     }
 
     void markRemoved(boolean announced) {
--- a/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/targets/TargetRegistry.java
@@ -278,6 +278,11 @@
         return targetsOf(handle.record().service()).isFailing(handle);
     }
 
+    /** Returns the number of requests of this host that have stalled since the last response. */
+    public int unansweredRequests(TargetHandle handle) {
+        return targetsOf(handle.record().service()).unansweredRequests(handle);
+    }
+
     /** Returns whether a target has responded to any request of this host since the given time. */
     public boolean hasRespondedSince(TargetHandle handle, long sinceNanos) {
         return targetsOf(handle.record().service()).hasRespondedSince(handle, sinceNanos);
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayStreamTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayStreamTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
@@ -290,4 +291,22 @@
             assertTrue(answer.contains("does not answer"), answer);
         }
     }
+
+    /** Guards against a failure that depends on which of two silent requests is examined first. */
+    @Test
+    void bothCallsToATargetThatHangsFailBeforeTheirTimeout() throws IOException {
+        try (ScriptedTarget hanging =
+                        new ScriptedTarget((exchange, number) -> exchange.awaitPeerClose());
+                TestGateway gateway = TestGateway.with("engine", hanging);
+                TestClient first = gateway.client();
+                TestClient second = gateway.client()) {
+            first.send("POST", "/turn/x", "r1", "", "prompt");
+            second.send("POST", "/turn/x", "r2", "", "prompt");
+            for (TestClient client : List.of(first, second)) {
+                String answer = client.readAnswer();
+                assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+                assertTrue(answer.contains("does not answer"), answer);
+            }
+        }
+    }
 }
