End the response of a kept turn only when the store has confirmed it

Cause: ConversationService ended a response when the memory of this host and of a peer or two had the turn (KeepOutcome.HELD). These copies end with their processes, however many there are. The rule has no exception for an outage.

Change: memory of hosts is a cache only. KeepOperation writes a turn until the store confirms it, for at most 1.8 s, because callers give up a stream after two seconds without an event; then the stream is broken off (TURN_NOT_KEPT) and the turn does not count. A host that the store does not answer, or refuses, has a peer write the turn, and the peer answers only after the store has confirmed it. The end of a response requires a StoreReceipt, which only the code that receives such an answer can make. HeldTurns, the hand-over after an outage, its messages and the metric turns_held are gone: nothing is left to hand over.

Tests that stated the old promise are replaced by stricter ones: - GatewayConversationTest.theResponseEndsOnlyWhenTheTurnIsKept now lets the store answer before it expects the end. It passed before because hosts alone held the turn. - aTurnThatEndedDuringAnOutageContinues... became aResponseInAnOutageThatOutlastsItIsBrokenOff, with a store that is silent and one that refuses. - duringAnOutageATurnSurvivesItsHost... and aHandOverWithoutAnAnswer... became aTurnIsNotKeptBeforeTheStoreHasConfirmedIt, aTurnThatTheStoreDoesNotConfirm- InTimeIsNotKept and aPeerWritesTheTurnsOfAHostThatTheStoreDoesNotAnswer. - ConversationPropertyTest kills one or all hosts at any moment; before, it left out kills that lost turns held in memory. A turn that did not end may be found after a late write, but must be unchanged.

All tests of the modules up to platform pass.

--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationLimits.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationLimits.java
@@ -4,26 +4,17 @@
  * Limits of a {@link ConversationService}. Immutable.
  *
  * @param cacheBytes bytes of recently used conversations that a host keeps in memory
- * @param heldBytes bytes of turns that a host holds for itself and its peers while the store is
- *     away
  */
-public record ConversationLimits(long cacheBytes, long heldBytes) {
+public record ConversationLimits(long cacheBytes) {
 
     // A host of the platform has a heap of 64 MB, most of it for calls in progress.
     private static final long DEFAULT_CACHE_BYTES = 6 * 1024 * 1024;
-    private static final long DEFAULT_HELD_BYTES = 12 * 1024 * 1024;
 
     /** Limits for a host with a heap of 64 MB. */
-    public static final ConversationLimits DEFAULT =
-            new ConversationLimits(DEFAULT_CACHE_BYTES, DEFAULT_HELD_BYTES);
+    public static final ConversationLimits DEFAULT = new ConversationLimits(DEFAULT_CACHE_BYTES);
 
     /** Returns these limits with another size of the cache. */
     public ConversationLimits withCacheBytes(long bytes) {
-        return new ConversationLimits(bytes, heldBytes);
-    }
-
-    /** Returns these limits with another size of the memory for held turns. */
-    public ConversationLimits withHeldBytes(long bytes) {
-        return new ConversationLimits(cacheBytes, bytes);
+        return new ConversationLimits(bytes);
     }
 }
--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationStore.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationStore.java
@@ -42,14 +42,15 @@
     // Operations
 
     /**
-     * Writes a turn. May be repeated after a failure. If the store has another conversation under
-     * the same id, from an earlier try of the turn, it is replaced.
+     * Writes a turn, and returns the proof that the store has confirmed it. May be repeated after a
+     * failure. If the store has another conversation under the same id, from an earlier try of the
+     * turn, it is replaced.
      *
      * @param choice number of the part to which the turn is written
      * @param keptMillis time of day at which the turn was first written, in milliseconds since the
      *     epoch. Repetitions state the same time, so that their transactions are equal.
      */
-    CompletableFuture<Void> write(KeptTurn turn, int choice, long keptMillis) {
+    CompletableFuture<StoreReceipt> write(KeptTurn turn, int choice, long keptMillis) {
         List<String> values = ConversationCodec.encode(turn.conversation());
         List<RowTransaction.Write> writes = new ArrayList<>();
         for (int piece = 1; piece < values.size(); piece++) {
@@ -67,7 +68,8 @@
         RowTransaction.Write first =
                 new RowTransaction.Write(
                         ConversationRows.turnRow(turn.turnId(), choice, 0), values.getFirst());
-        return writeAll(writes, first);
+        return writeAll(writes, first)
+                .thenApply(done -> new StoreReceipt(turn.turnId(), StoreReceipt.Writer.THIS_HOST));
     }
 
     /**
--- /dev/null
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/KeepOperation.java
@@ -0,0 +1,190 @@
+package org.oleandertrack.coordination.conversation;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+import org.oleandertrack.coordination.schedule.Scheduler;
+import org.oleandertrack.coordination.store.RateRetry;
+import org.oleandertrack.coordination.store.StoreFailures;
+import org.oleandertrack.coordination.store.StoreRate;
+import org.oleandertrack.core.result.Execution;
+
+/**
+ * The attempts to have one turn confirmed by the store: writes of this host and, if the store does
+ * not answer them, writes of peers that may reach it. Ends with {@link KeepResult.NotKept} if the
+ * store confirms none of them in time. Thread-safe.
+ */
+final class KeepOperation {
+
+    /** Callers give up a stream after two seconds without an event. */
+    static final long LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
+
+    // The store answers in 10 to 20 ms. A call whose answer is lost stays open until its timeout;
+    // after this time it is made again, and both may be executed.
+    private static final long FIRST_REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
+    // They try each part of a turn, and reach a store that is back shortly before the limit.
+    private static final List<Long> LATER_REPEAT_NANOS =
+            Stream.of(240, 400, 560, 720, 900, 1_100, 1_300, 1_500, 1_650)
+                    .map(TimeUnit.MILLISECONDS::toNanos)
+                    .toList();
+    // A slow store answers within 500 ms. After this time, peers write the turn as well.
+    private static final long PEER_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+    private static final long PEER_REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+    private static final long WRITE_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    // Writes to a turn's usual part, before its other parts are tried in turn.
+    private static final int USUAL_PART_WRITES = 2;
+    private static final int MAX_PEER_ROUNDS = 2;
+
+    private final KeptTurn mTurn;
+    private final ConversationStore mStore;
+    private final StoreRate mRate;
+    private final ConversationPeers mPeers;
+    private final Scheduler mScheduler;
+    private final LongSupplier mNanoClock;
+    private final RandomGenerator mRandom;
+    private final long mKeptMillis;
+    private final CompletableFuture<KeepResult> mResult = new CompletableFuture<>();
+    private final AtomicInteger mWrites = new AtomicInteger();
+    private final AtomicInteger mRefusedWrites = new AtomicInteger();
+    private final AtomicInteger mRateRefusals = new AtomicInteger();
+    private final AtomicInteger mPeerRounds = new AtomicInteger();
+    private volatile long mLastRateRefusalNanos;
+    private volatile boolean mPausing;
+    private volatile String mLastFailure = "the store has not answered";
+
+    /**
+     * Creates an operation.
+     *
+     * @param keptMillis time of day at which the turn ended, in milliseconds since the epoch
+     */
+    KeepOperation(
+            KeptTurn turn,
+            ConversationStore store,
+            StoreRate rate,
+            ConversationPeers peers,
+            Scheduler scheduler,
+            LongSupplier nanoClock,
+            RandomGenerator random,
+            long keptMillis) {
+        mTurn = turn;
+        mStore = store;
+        mRate = rate;
+        mPeers = peers;
+        mScheduler = scheduler;
+        mNanoClock = nanoClock;
+        mRandom = random;
+        mKeptMillis = keptMillis;
+    }
+
+    /** Starts the attempts. The future never fails. */
+    CompletableFuture<KeepResult> start() {
+        mScheduler.schedule(FIRST_REPEAT_NANOS, this::repeatWrite);
+        LATER_REPEAT_NANOS.forEach(
+                delayNanos -> mScheduler.schedule(delayNanos, this::repeatWrite));
+        mScheduler.schedule(PEER_DELAY_NANOS, this::askPeersUnlessOverRate);
+        mScheduler.schedule(LIMIT_NANOS, this::giveUp);
+        write();
+        return mResult;
+    }
+
+    // Writes of this host
+
+    private void write() {
+        mPausing = false;
+        var _ =
+                mStore.write(mTurn, partChoice(), mKeptMillis)
+                        .whenComplete(
+                                (receipt, failure) -> {
+                                    if (failure == null) {
+                                        mResult.complete(new KeepResult.Kept(receipt));
+                                    } else {
+                                        onWriteFailed(failure);
+                                    }
+                                });
+    }
+
+    // The part may be the only one that is unavailable, and an answer may have been lost. A write
+    // that waits for the store's rate stays in its part, so that it is written once.
+    private int partChoice() {
+        if (mRate.isShort()) {
+            return 0;
+        }
+        int write = mWrites.getAndIncrement();
+        return write < USUAL_PART_WRITES
+                ? 0
+                : (write - USUAL_PART_WRITES + 1) % ConversationRows.PART_CHOICES;
+    }
+
+    // A write of unknown outcome may be repeated. Peers may reach a store that refuses this host,
+    // but would be refused as well if all hosts together are over the rate.
+    private void onWriteFailed(Throwable failure) {
+        mLastFailure = StoreFailures.asStoreException(failure).getMessage();
+        if (StoreFailures.isOverRate(failure)) {
+            mPausing = true;
+            mLastRateRefusalNanos = mNanoClock.getAsLong();
+            mScheduler.schedule(
+                    RateRetry.pauseNanos(mRateRefusals.getAndIncrement(), mRandom),
+                    this::writeUnlessEnded);
+            return;
+        }
+        boolean refused = StoreFailures.executionOf(failure) == Execution.NOT_RUN;
+        if (refused && mRefusedWrites.incrementAndGet() == 2) {
+            askPeers();
+        }
+        mScheduler.schedule(WRITE_RETRY_NANOS, this::writeUnlessEnded);
+    }
+
+    // A write that was refused for the rate is made again after its own pause.
+    private void repeatWrite() {
+        if (!mPausing) {
+            writeUnlessEnded();
+        }
+    }
+
+    private void writeUnlessEnded() {
+        if (!mResult.isDone()) {
+            write();
+        }
+    }
+
+    private void giveUp() {
+        mResult.complete(new KeepResult.NotKept(mLastFailure));
+    }
+
+    // Writes of peers
+
+    private void askPeersUnlessOverRate() {
+        long sinceRefusalNanos = mNanoClock.getAsLong() - mLastRateRefusalNanos;
+        boolean refused =
+                mRateRefusals.get() > 0 && sinceRefusalNanos < RateRetry.ANSWERED_AGAIN_NANOS;
+        if (refused || mRate.delaysWrites()) {
+            mScheduler.schedule(RateRetry.ANSWERED_AGAIN_NANOS, this::askPeersUnlessOverRate);
+            return;
+        }
+        askPeers();
+    }
+
+    private void askPeers() {
+        if (mResult.isDone()) {
+            return;
+        }
+        int round = mPeerRounds.getAndIncrement();
+        if (round >= MAX_PEER_ROUNDS) {
+            return;
+        }
+        mScheduler.schedule(PEER_REPEAT_NANOS, this::askPeers);
+        var _ = mPeers.write(mTurn, round, mKeptMillis).thenAccept(this::onPeersAnswered);
+    }
+
+    private void onPeersAnswered(boolean confirmed) {
+        if (confirmed) {
+            mResult.complete(
+                    new KeepResult.Kept(
+                            new StoreReceipt(mTurn.turnId(), StoreReceipt.Writer.PEER)));
+        }
+    }
+}
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/Call.java
@@ -5,7 +5,8 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.oleandertrack.coordination.conversation.KeepOutcome;
+import org.oleandertrack.coordination.conversation.KeepResult;
+import org.oleandertrack.coordination.conversation.StoreReceipt;
 import org.oleandertrack.coordination.conversation.TurnLookup;
 import org.oleandertrack.core.result.ResultCode;
 import org.oleandertrack.core.result.ResultException;
@@ -215,21 +216,26 @@
     /** Keeps a turn whose last event was forwarded, and ends its response afterwards. */
     void keepTurn(CallHistory history, int status) {
         // A turn counts for the caller from the end of its response, so it is kept before.
-        history.keep(outcome -> onKept(outcome, status));
+        history.keep(result -> onKeepEnded(result, status));
     }
 
-    private void onKept(KeepOutcome outcome, int status) {
+    private void onKeepEnded(KeepResult result, int status) {
         if (mEnded) {
             mHistory.get().forget();
             return;
         }
-        if (outcome == KeepOutcome.NOT_KEPT) {
-            end(ResultCode.TURN_NOT_KEPT.name(), "neither the store nor a peer answered");
-            mWriter.abort();
-            return;
+        switch (result) {
+            case KeepResult.Kept kept -> endKept(kept.receipt(), status);
+            case KeepResult.NotKept notKept -> {
+                end(ResultCode.TURN_NOT_KEPT.name(), notKept.reason());
+                mWriter.abort();
+            }
         }
+    }
+
+    private void endKept(StoreReceipt receipt, int status) {
         mWriter.end();
-        complete(status);
+        end("OK", "status " + status + ", turn " + receipt.turnId() + " stored");
     }
 
     // Budget
--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallLog.java
@@ -5,7 +5,8 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import org.oleandertrack.coordination.conversation.KeepOutcome;
+import org.oleandertrack.coordination.conversation.KeepResult;
+import org.oleandertrack.coordination.conversation.StoreReceipt;
 import org.oleandertrack.coordination.conversation.TurnLookup;
 import org.oleandertrack.coordination.spending.SpendingResult;
 import org.oleandertrack.coordination.stream.OriginLookup;
@@ -299,14 +300,25 @@
                 .write();
     }
 
-    void turnKept(KeepOutcome outcome, long durationNanos) {
-        String result = outcome.name().toLowerCase(Locale.ROOT);
-        mMetrics.recordKept(result, durationNanos);
-        mLog.info("turn kept")
-                .text("turn", mMetadata.requestId())
-                .text("outcome", result)
-                .number("durationMs", TimeUnit.NANOSECONDS.toMillis(durationNanos))
-                .write();
+    void turnKept(KeepResult result, long durationNanos) {
+        String outcome =
+                switch (result) {
+                    case KeepResult.Kept kept ->
+                            kept.receipt().writer() == StoreReceipt.Writer.PEER
+                                    ? "stored by a peer"
+                                    : "stored";
+                    case KeepResult.NotKept notKept -> "not kept";
+                };
+        mMetrics.recordKept(outcome, durationNanos);
+        var line =
+                mLog.info("turn kept")
+                        .text("turn", mMetadata.requestId())
+                        .text("outcome", outcome)
+                        .number("durationMs", TimeUnit.NANOSECONDS.toMillis(durationNanos));
+        if (result instanceof KeepResult.NotKept notKept) {
+            line.text("reason", notKept.reason());
+        }
+        line.write();
     }
 
     void answered(Summary summary) {
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/ConversationLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/ConversationLog.java
@@ -12,11 +12,6 @@
         mLog = log;
     }
 
-    @Override
-    public void onHandedOver(String turnId) {
-        mLog.info("turn handed over to the store").text("turn", turnId).write();
-    }
-
     @Override
     public void onUnreadable(String turnId, String reason) {
         mLog.warn("turn unreadable").text("turn", turnId).text("reason", reason).write();
@@ -34,9 +29,4 @@
                 .text("reason", reason)
                 .write();
     }
-
-    @Override
-    public void onHeldTurnExpired(String turnId) {
-        mLog.warn("held turn has expired").text("turn", turnId).write();
-    }
 }
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -110,7 +110,6 @@
     private final SpendingService mSpending;
     private final StreamOriginService mStreamOrigins;
     private final ConversationService mConversations;
-    private final Gauge mHeldTurns;
     private final LongSupplier mWallClock =
             new ForwardWallClock(System::nanoTime, System::currentTimeMillis);
     private final ConfigFreshness mFreshness = new ConfigFreshness(System::nanoTime, mWallClock);
@@ -188,7 +187,6 @@
         mSpending = makeSpending(random);
         mStreamOrigins = makeStreamOrigins(versions, random);
         mConversations = makeConversations(random);
-        mHeldTurns = metrics.gauge(Metric.TURNS_HELD);
         GatewayResponses gatewayResponses = new GatewayResponses(headerCodec);
         mCallHandler = makeCallHandler(headerCodec, gatewayResponses);
         mTargetFeed = new TargetFeed(tables, mTargetDirectory, System::nanoTime, log);
@@ -510,7 +508,6 @@
         mQuarantinedRequests.set(mQuarantine.quarantinedCount());
         mStreamOrigins.runMaintenance();
         mConversations.runMaintenance();
-        mHeldTurns.set(mConversations.heldCount());
         mScheduler.schedule(MAINTENANCE_INTERVAL_NANOS, this::runMaintenance);
     }
 
@@ -574,7 +571,7 @@
 
         @Override
         public boolean isBusy() {
-            return mCallerServer.busyConnectionCount() + mConversations.heldCount() > 0;
+            return mCallerServer.busyConnectionCount() > 0;
         }
 
         @Override
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
@@ -129,13 +129,13 @@
         return moveAllowance(PeerMessages.TAKE_ALLOWANCE_PATH, message);
     }
 
-    CompletableFuture<Boolean> holdTurn(PeerMessages.HoldTurn message) {
+    CompletableFuture<Boolean> writeTurn(PeerMessages.WriteTurn message) {
         return call(
-                        PeerMessages.HOLD_TURN_PATH,
+                        PeerMessages.WRITE_TURN_PATH,
                         message,
-                        PeerMessages.TurnHeld.class,
+                        PeerMessages.TurnWritten.class,
                         CALL_TIMEOUT_MILLIS)
-                .thenApply(PeerMessages.TurnHeld::held);
+                .thenApply(PeerMessages.TurnWritten::confirmed);
     }
 
     CompletableFuture<PeerMessages.FoundTurn> findTurn(PeerMessages.FindTurn message) {
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerConversations.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerConversations.java
@@ -9,13 +9,11 @@
 import org.oleandertrack.coordination.conversation.TurnLookup;
 import org.oleandertrack.telemetry.logging.EventLog;
 
-/** Keeps and finds turns at other gateways. Thread-safe. */
+/** Has turns written by other gateways, and finds turns there. Thread-safe. */
 public final class PeerConversations implements ConversationPeers {
 
-    // A turn survives the loss of two hosts during an outage of the store, besides its own host.
-    private static final int HOLDERS = 3;
-    // The response to the caller ends as soon as this many peers hold the turn.
-    private static final int SUFFICIENT_HOLDERS = 2;
+    // The store may refuse the first peer as well.
+    private static final int WRITERS = 2;
 
     private final PeerDirectory mPeers;
     private final EventLog mLog;
@@ -32,20 +30,20 @@
     }
 
     @Override
-    public CompletableFuture<Integer> hold(KeptTurn turn) {
-        List<PeerClient> holders = mPeers.selectedPeersFor(turn.turnId(), HOLDERS);
-        if (holders.isEmpty()) {
-            return CompletableFuture.completedFuture(0);
+    public CompletableFuture<Boolean> write(KeptTurn turn, int choice, long keptMillis) {
+        List<PeerClient> writers = mPeers.selectedPeersFor(turn.turnId(), WRITERS);
+        if (writers.isEmpty()) {
+            return CompletableFuture.completedFuture(false);
         }
-        Tally tally = new Tally(holders.size());
-        PeerMessages.HoldTurn message = PeerMessages.HoldTurn.of(turn);
-        for (PeerClient holder : holders) {
+        AnyConfirmation confirmation = new AnyConfirmation(writers.size());
+        PeerMessages.WriteTurn message = PeerMessages.WriteTurn.of(turn, choice, keptMillis);
+        for (PeerClient writer : writers) {
             var _ =
-                    holder.holdTurn(message)
-                            .exceptionally(failure -> logFailure(turn.turnId(), "hold", failure))
-                            .thenAccept(tally::add);
+                    writer.writeTurn(message)
+                            .exceptionally(failure -> logFailure(turn.turnId(), "write", failure))
+                            .thenAccept(confirmation::add);
         }
-        return tally.mHolders;
+        return confirmation.mResult;
     }
 
     @Override
@@ -78,21 +76,21 @@
         return false;
     }
 
-    /** Counts the peers that hold a turn. */
-    private static final class Tally {
-        private final CompletableFuture<Integer> mHolders = new CompletableFuture<>();
-        private int mOpenCalls;
-        private int mHolding;
+    /** Whether one of several peers has had a turn confirmed by the store. */
+    private static final class AnyConfirmation {
+        private final CompletableFuture<Boolean> mResult = new CompletableFuture<>();
+        private final AtomicInteger mOpenCalls;
 
-        private Tally(int calls) {
-            mOpenCalls = calls;
+        private AnyConfirmation(int calls) {
+            mOpenCalls = new AtomicInteger(calls);
         }
 
-        private synchronized void add(boolean held) {
-            mOpenCalls--;
-            mHolding += held ? 1 : 0;
-            if (mOpenCalls == 0 || mHolding >= SUFFICIENT_HOLDERS) {
-                mHolders.complete(mHolding);
+        private void add(boolean confirmed) {
+            if (confirmed) {
+                mResult.complete(true);
+            }
+            if (mOpenCalls.decrementAndGet() == 0) {
+                mResult.complete(false);
             }
         }
     }
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
@@ -139,11 +139,12 @@
                 mQuarantine.recordReported(report.requestKey(), Set.copyOf(report.targetIds()));
                 yield CompletableFuture.completedFuture(new PeerMessages.CrashesReported(true));
             }
-            case PeerMessages.HOLD_TURN_PATH -> {
-                PeerMessages.HoldTurn hold =
-                        RowJson.decode(path, body, PeerMessages.HoldTurn.class);
-                yield CompletableFuture.completedFuture(
-                        new PeerMessages.TurnHeld(mConversations.holdForPeer(hold.toKeptTurn())));
+            case PeerMessages.WRITE_TURN_PATH -> {
+                PeerMessages.WriteTurn write =
+                        RowJson.decode(path, body, PeerMessages.WriteTurn.class);
+                yield mConversations
+                        .writeForPeer(write.toKeptTurn(), write.choice(), write.keptMillis())
+                        .thenApply(receipt -> new PeerMessages.TurnWritten(true));
             }
             case PeerMessages.FIND_TURN_PATH -> {
                 PeerMessages.FindTurn find =
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerMessages.java
@@ -28,7 +28,7 @@
     static final String DEPOSIT_ALLOWANCE_PATH = "/peer/granted-allowance-deposit";
     static final String TAKE_ALLOWANCE_PATH = "/peer/granted-allowance-take";
 
-    static final String HOLD_TURN_PATH = "/peer/turn-hold";
+    static final String WRITE_TURN_PATH = "/peer/turn-write";
     static final String FIND_TURN_PATH = "/peer/turn-find";
 
     static final String TAKE_PERMIT_PATH = "/peer/permit-take";
@@ -162,20 +162,27 @@
     }
 
     /**
-     * Request to hold a turn until the store has it.
+     * Request to write a turn to the store.
      *
      * @param text the conversation, with one character for each byte
+     * @param choice number of the part to which the turn is written
+     * @param keptMillis time of day at which the turn ended, in milliseconds since the epoch
      */
-    record HoldTurn(String turnId, String text, long retentionMillis) {
+    record WriteTurn(
+            String turnId, String text, long retentionMillis, int choice, long keptMillis) {
 
-        HoldTurn {
+        WriteTurn {
             Objects.requireNonNull(turnId, "turnId is missing");
             Objects.requireNonNull(text, "text is missing");
         }
 
-        static HoldTurn of(KeptTurn turn) {
-            return new HoldTurn(
-                    turn.turnId(), turn.conversation().toCharacters(), turn.retentionMillis());
+        static WriteTurn of(KeptTurn turn, int choice, long keptMillis) {
+            return new WriteTurn(
+                    turn.turnId(),
+                    turn.conversation().toCharacters(),
+                    turn.retentionMillis(),
+                    choice,
+                    keptMillis);
         }
 
         KeptTurn toKeptTurn() {
@@ -183,8 +190,8 @@
         }
     }
 
-    /** Response to a {@link HoldTurn}. */
-    record TurnHeld(boolean held) {}
+    /** Response to a {@link WriteTurn}. Sent with true only after the store has confirmed it. */
+    record TurnWritten(boolean confirmed) {}
 
     /** Request for a turn that a peer has in memory. */
     record FindTurn(String turnId, long retentionMillis) {
--- a/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
@@ -101,11 +101,6 @@
             "seconds",
             "Time to keep a turn before its response ends, by outcome.",
             "outcome"),
-    TURNS_HELD(
-            "oleandertrack_turns_held",
-            MetricKind.GAUGE,
-            "turns",
-            "Turns that this host holds because the store does not have them yet."),
     // The platform's store.
     STORE_CALL_FAILURES(
             "oleandertrack_store_call_failures_total",
