Count the size of transactions in bytes as sent, and give up rejected ones

Cause: ConversationStore split a turn's rows into transactions by characters (600,000). A byte of 128 or more is a character that takes two bytes of UTF-8, so such a transaction had up to 1.2 MB, or 1.6 MB as Base64, and the store answers more than 1 MB with 400. That status counted as a failure of unknown outcome, so the same transaction was repeated, and peers were asked as if the store were away. WriteQueue joined writes by the same number of characters.

Change: StoreCallLimits has the limits of a call and the sizes of rows in the store's unit, bytes as sent. ConversationStore and WriteQueue use it, and SizedRowStore rejects a transaction above a limit before it is sent. Statuses 400, 403 and 413 are failures that repeat (StoreException.isRejected): the store counts as reachable, the call is not passed to peers, joined writes are made one by one, and a turn is not kept at once instead of after 1.8 s, with a log line and the cause "rejected" of store_call_failures_total. The row with a turn's due time is in its first transaction and goes last at removal, so that no rows stay when a host is killed between two transactions; removals of more than 100 rows take several transactions instead of leaving rows behind.

--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationStore.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationStore.java
@@ -9,6 +9,7 @@
 import org.oleandertrack.coordination.store.RowId;
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.RowTransaction;
+import org.oleandertrack.coordination.store.StoreCallLimits;
 import org.oleandertrack.coordination.store.StoredRow;
 import org.oleandertrack.coordination.store.TransactionResult;
 
@@ -18,12 +19,11 @@
  */
 final class ConversationStore {
 
-    // The platform accepts 1 MB and 100 entries in a transaction; values are sent as Base64.
-    private static final int MAX_TRANSACTION_CHARS = 600_000;
-    private static final int MAX_TRANSACTION_ROWS = 100;
     // Beyond the retention time: clocks of hosts differ, and a turn may be written late.
     private static final long REMOVAL_DELAY_MILLIS = 60_000;
     private static final int REMOVAL_BATCH_TURNS = 40;
+    // A conversation of 64 MB.
+    private static final int MAX_PIECES = 1_000;
     private static final int MAX_REPLACEMENTS = 3;
 
     private final RowStore mStore;
@@ -52,19 +52,19 @@
      */
     CompletableFuture<StoreReceipt> write(KeptTurn turn, int choice, long keptMillis) {
         List<String> values = ConversationCodec.encode(turn.conversation());
+        long dueMillis = keptMillis + turn.retentionMillis() + REMOVAL_DELAY_MILLIS;
         List<RowTransaction.Write> writes = new ArrayList<>();
+        writes.add(
+                new RowTransaction.Write(
+                        ConversationRows.dueRow(
+                                turn.turnId(), choice, TimeUnit.MILLISECONDS.toSeconds(dueMillis)),
+                        Integer.toString(values.size())));
         for (int piece = 1; piece < values.size(); piece++) {
             writes.add(
                     new RowTransaction.Write(
                             ConversationRows.turnRow(turn.turnId(), choice, piece),
                             values.get(piece)));
         }
-        long dueMillis = keptMillis + turn.retentionMillis() + REMOVAL_DELAY_MILLIS;
-        writes.add(
-                new RowTransaction.Write(
-                        ConversationRows.dueRow(
-                                turn.turnId(), choice, TimeUnit.MILLISECONDS.toSeconds(dueMillis)),
-                        Integer.toString(values.size())));
         RowTransaction.Write first =
                 new RowTransaction.Write(
                         ConversationRows.turnRow(turn.turnId(), choice, 0), values.getFirst());
@@ -148,23 +148,14 @@
                                         : Optional.of(ConversationCodec.decode(values)));
     }
 
-    // The first row is written last: without it, the other rows are not visible to readers.
+    // The due row is in the first transaction, so that the rows of a host that ends between two
+    // transactions are removed. The first row of the turn is in the last one: without it, the other
+    // rows are not visible to readers.
     private CompletableFuture<Void> writeAll(
             List<RowTransaction.Write> writes, RowTransaction.Write first) {
-        List<RowTransaction.Write> last = new ArrayList<>();
-        List<List<RowTransaction.Write>> earlier = new ArrayList<>();
-        int chars = first.value().length();
-        for (RowTransaction.Write write : writes) {
-            if (chars + write.value().length() > MAX_TRANSACTION_CHARS) {
-                earlier.add(last);
-                last = new ArrayList<>();
-                chars = first.value().length();
-            }
-            last.add(write);
-            chars += write.value().length();
-        }
+        List<List<RowTransaction.Write>> batches = batchesOf(writes, first);
         CompletableFuture<Void> done = CompletableFuture.completedFuture(null);
-        for (List<RowTransaction.Write> batch : earlier) {
+        for (List<RowTransaction.Write> batch : batches.subList(0, batches.size() - 1)) {
             done =
                     done.thenCompose(
                                     previous ->
@@ -173,9 +164,32 @@
                                                             List.of(), batch, List.of())))
                             .thenAccept(result -> {});
         }
+        List<RowTransaction.Write> last = new ArrayList<>(batches.getLast());
         last.add(first);
-        List<RowTransaction.Write> finalBatch = last;
-        return done.thenCompose(previous -> commit(finalBatch, first, 0, 0));
+        return done.thenCompose(previous -> commit(last, first, 0, 0));
+    }
+
+    // Each batch leaves room for the first row and its condition.
+    private static List<List<RowTransaction.Write>> batchesOf(
+            List<RowTransaction.Write> writes, RowTransaction.Write first) {
+        long reservedBytes = StoreCallLimits.bytesOf(first) + StoreCallLimits.bytesOf(first.id());
+        int maxWrites = StoreCallLimits.MAX_TRANSACTION_ENTRIES - 2;
+        List<List<RowTransaction.Write>> batches = new ArrayList<>();
+        batches.add(new ArrayList<>());
+        long bytes = reservedBytes;
+        for (RowTransaction.Write write : writes) {
+            long writeBytes = StoreCallLimits.bytesOf(write);
+            boolean fits =
+                    bytes + writeBytes <= StoreCallLimits.MAX_TRANSACTION_BYTES
+                            && batches.getLast().size() < maxWrites;
+            if (!fits) {
+                batches.add(new ArrayList<>());
+                bytes = reservedBytes;
+            }
+            batches.getLast().add(write);
+            bytes += writeBytes;
+        }
+        return batches;
     }
 
     private CompletableFuture<Void> commit(
@@ -236,32 +250,36 @@
                         });
     }
 
+    // The due row of a turn goes last, so that a removal that ends midway is taken up again.
     private CompletableFuture<Integer> remove(List<StoredRow> dueRows) {
-        if (dueRows.isEmpty()) {
-            return CompletableFuture.completedFuture(0);
-        }
         List<RowId> removals = new ArrayList<>();
-        int turns = 0;
         for (StoredRow row : dueRows) {
-            int pieces = pieceCount(row);
-            if (removals.size() + 1 + pieces > MAX_TRANSACTION_ROWS) {
-                break;
-            }
-            turns++;
-            removals.add(row.id());
-            for (int piece = 0; piece < pieces; piece++) {
+            for (int piece = 0; piece < pieceCount(row); piece++) {
                 removals.add(ConversationRows.turnRow(row.id(), piece));
             }
+            removals.add(row.id());
+        }
+        CompletableFuture<Void> done = CompletableFuture.completedFuture(null);
+        for (int start = 0;
+                start < removals.size();
+                start += StoreCallLimits.MAX_TRANSACTION_ENTRIES) {
+            int end = Math.min(removals.size(), start + StoreCallLimits.MAX_TRANSACTION_ENTRIES);
+            List<RowId> batch = removals.subList(start, end);
+            done =
+                    done.thenCompose(
+                                    previous ->
+                                            mStore.apply(
+                                                    new RowTransaction(
+                                                            List.of(), List.of(), batch)))
+                            .thenAccept(result -> {});
         }
-        int removedTurns = turns;
-        return mStore.apply(new RowTransaction(List.of(), List.of(), removals))
-                .thenApply(result -> removedTurns);
+        return done.thenApply(previous -> dueRows.size());
     }
 
     // A row of another writer may hold anything; it is removed with the first row of the turn.
     private static int pieceCount(StoredRow dueRow) {
         try {
-            return Math.clamp(Integer.parseInt(dueRow.value()), 1, MAX_TRANSACTION_ROWS - 1);
+            return Math.clamp(Integer.parseInt(dueRow.value()), 1, MAX_PIECES);
         } catch (NumberFormatException e) {
             return 1;
         }
--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/KeepOperation.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/KeepOperation.java
@@ -123,6 +123,10 @@
     // but would be refused as well if all hosts together are over the rate.
     private void onWriteFailed(Throwable failure) {
         mLastFailure = StoreFailures.asStoreException(failure).getMessage();
+        if (StoreFailures.isRejected(failure)) {
+            mResult.complete(new KeepResult.NotKept(mLastFailure));
+            return;
+        }
         if (StoreFailures.isOverRate(failure)) {
             mPausing = true;
             mLastRateRefusalNanos = mNanoClock.getAsLong();
--- a/coordination/src/main/java/org/oleandertrack/coordination/pacing/PacingRowStore.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/pacing/PacingRowStore.java
@@ -281,6 +281,9 @@
             addAgain(writes);
         } else if (result instanceof TransactionResult.Rejected rejected && writes.size() > 1) {
             separate(writes, rejected);
+        } else if (StoreFailures.isRejected(failure) && writes.size() > 1) {
+            // One of them may be the reason, and must not fail the others.
+            addAgain(writes.stream().map(QueuedWrite::alone).toList());
         } else {
             writes.forEach(write -> end(write, result, failure));
         }
--- a/coordination/src/main/java/org/oleandertrack/coordination/pacing/QueuedWrite.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/pacing/QueuedWrite.java
@@ -7,6 +7,7 @@
 import java.util.stream.Stream;
 import org.oleandertrack.coordination.store.RowId;
 import org.oleandertrack.coordination.store.RowTransaction;
+import org.oleandertrack.coordination.store.StoreCallLimits;
 import org.oleandertrack.coordination.store.TransactionResult;
 
 /**
@@ -40,13 +41,12 @@
     }
 
     int entries() {
-        return transaction.conditions().size()
-                + transaction.writes().size()
-                + transaction.removals().size();
+        return StoreCallLimits.entriesOf(transaction);
     }
 
-    int chars() {
-        return transaction.writes().stream().mapToInt(write -> write.value().length()).sum();
+    /** Returns the size of the transaction, in bytes as sent. */
+    long bytes() {
+        return StoreCallLimits.bytesOf(transaction);
     }
 
     private Stream<RowId> rowIds() {
--- a/coordination/src/main/java/org/oleandertrack/coordination/pacing/WriteQueue.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/pacing/WriteQueue.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.oleandertrack.coordination.store.RowId;
 import org.oleandertrack.coordination.store.RowTransaction;
+import org.oleandertrack.coordination.store.StoreCallLimits;
 
 /**
  * Writes that wait for the store's rate, by importance and then by age. Writes of one part are
@@ -20,9 +21,6 @@
  */
 final class WriteQueue {
 
-    // The platform accepts 1 MB and 100 entries in a transaction; values are sent as Base64.
-    private static final int MAX_ENTRIES = 100;
-    private static final int MAX_CHARS = 600_000;
     // Weight that a transaction keeps with each later one: the last 20 or so count.
     private static final double HISTORY_WEIGHT = 0.95;
     // Keeps a share that is known from a few transactions only from being close to 1.
@@ -153,7 +151,7 @@
         }
         Set<RowId> rows = first.rows();
         int entries = first.entries();
-        int chars = first.chars();
+        long bytes = first.bytes();
         for (Map<RowTransaction, QueuedWrite> writes : mWrites.values()) {
             Iterator<QueuedWrite> iterator = writes.values().iterator();
             while (iterator.hasNext()) {
@@ -161,15 +159,16 @@
                 boolean joins =
                         write.mayJoin()
                                 && write.part().equals(part)
-                                && entries + write.entries() <= MAX_ENTRIES
-                                && chars + write.chars() <= MAX_CHARS
+                                && entries + write.entries()
+                                        <= StoreCallLimits.MAX_TRANSACTION_ENTRIES
+                                && bytes + write.bytes() <= StoreCallLimits.MAX_TRANSACTION_BYTES
                                 && write.rows().stream().noneMatch(rows::contains);
                 if (joins) {
                     iterator.remove();
                     taken.add(write);
                     rows.addAll(write.rows());
                     entries += write.entries();
-                    chars += write.chars();
+                    bytes += write.bytes();
                 }
             }
         }
--- a/coordination/src/main/java/org/oleandertrack/coordination/relay/RelayingRowStore.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/relay/RelayingRowStore.java
@@ -66,7 +66,7 @@
 
     /**
      * Returns whether the direct call that ended last failed. A call that the store refused for its
-     * rate counts as answered.
+     * rate, or rejected, counts as answered.
      */
     public boolean isDirectFailing() {
         return mDirectFailing.get();
@@ -122,13 +122,16 @@
 
     private void onDirectCallEnded(Throwable failure) {
         boolean overRate = StoreFailures.isOverRate(failure);
-        mDirectFailing.set(failure != null && !overRate);
+        boolean rejected = StoreFailures.isRejected(failure);
+        mDirectFailing.set(failure != null && !overRate && !rejected);
         if (failure == null) {
             return;
         }
         String reason = StoreFailures.asStoreException(failure).getMessage();
         if (overRate) {
             mListener.onOverRate(reason);
+        } else if (rejected) {
+            mListener.onRejected(reason);
         } else {
             mListener.onUnavailable(reason);
         }
@@ -169,7 +172,9 @@
     }
 
     private static boolean mayTryAgain(Throwable failure, boolean repeatable) {
-        return !StoreFailures.isOverRate(failure) && (repeatable || isRefusal(failure));
+        return !StoreFailures.isOverRate(failure)
+                && !StoreFailures.isRejected(failure)
+                && (repeatable || isRefusal(failure));
     }
 
     private static boolean isRefusal(Throwable failure) {
--- a/coordination/src/main/java/org/oleandertrack/coordination/store/StoreException.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/store/StoreException.java
@@ -9,6 +9,7 @@
 
     private final Execution mExecution;
     private final boolean mOverRate;
+    private final boolean mRejected;
     private final long mRetryAfterMillis;
 
     /**
@@ -18,7 +19,7 @@
      *     it may have taken effect or may still do so
      */
     public StoreException(Execution execution, String message, Throwable cause) {
-        this(execution, message, cause, false, 0);
+        this(execution, message, cause, false, false, 0);
     }
 
     private StoreException(
@@ -26,10 +27,12 @@
             String message,
             Throwable cause,
             boolean overRate,
+            boolean rejected,
             long retryAfterMillis) {
         super(message, cause);
         mExecution = execution;
         mOverRate = overRate;
+        mRejected = rejected;
         mRetryAfterMillis = retryAfterMillis;
     }
 
@@ -41,7 +44,15 @@
      *     is not known
      */
     public static StoreException overRate(String message, long retryAfterMillis) {
-        return new StoreException(Execution.NOT_RUN, message, null, true, retryAfterMillis);
+        return new StoreException(Execution.NOT_RUN, message, null, true, false, retryAfterMillis);
+    }
+
+    /**
+     * Creates the failure of a request that the store does not accept, for example because it is
+     * too large. It has no effect, and would be rejected again.
+     */
+    public static StoreException rejected(String message) {
+        return new StoreException(Execution.NOT_RUN, message, null, false, true, 0);
     }
 
     public Execution execution() {
@@ -53,6 +64,11 @@
         return mOverRate;
     }
 
+    /** Returns whether the request would be rejected again if it were repeated. */
+    public boolean isRejected() {
+        return mRejected;
+    }
+
     /**
      * Returns the time after which a request over the rate would be taken, in milliseconds; 0 if it
      * is not known.
--- a/coordination/src/main/java/org/oleandertrack/coordination/store/StoreFailures.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/store/StoreFailures.java
@@ -43,6 +43,11 @@
         return unwrap(failure) instanceof StoreException store && store.isOverRate();
     }
 
+    /** Returns whether a request was rejected and would be rejected again if it were repeated. */
+    public static boolean isRejected(Throwable failure) {
+        return unwrap(failure) instanceof StoreException store && store.isRejected();
+    }
+
     /**
      * Returns a future of the same read that fails with {@link Execution#NOT_RUN}, whatever the
      * failure of the read; a refusal for the rate stays one. For operations that begin with a read:
--- a/coordination/src/test/java/org/oleandertrack/coordination/pacing/PacingRowStoreTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/pacing/PacingRowStoreTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletionException;
 import org.junit.jupiter.api.Test;
 import org.oleandertrack.coordination.sim.VirtualTime;
+import org.oleandertrack.coordination.spending.FakeRowStore;
 import org.oleandertrack.coordination.spending.SpendingService;
 import org.oleandertrack.coordination.store.RowId;
 import org.oleandertrack.coordination.store.RowTransaction;
@@ -202,4 +203,44 @@
         rate.nanosUntil(1, 2 * VirtualTime.SECOND);
         assertTrue(rate.writesPerSecond() > lowest);
     }
+
+    /** Guards against joined writes that the store refuses as too large, for ever. */
+    @Test
+    void writesAreJoinedByTheirSizeInBytes() {
+        WriteQueue queue = new WriteQueue();
+        for (int i = 0; i < 20; i++) {
+            RowTransaction transaction =
+                    RowTransaction.replace(
+                            new RowId(SpendingService.TABLE, "p", "k" + i),
+                            0,
+                            "\u00e9".repeat(30_000));
+            queue.addLast(
+                    new QueuedWrite(
+                            transaction,
+                            WriteImportance.of(transaction),
+                            VirtualTime.SECOND,
+                            true,
+                            new CompletableFuture<>()));
+        }
+        List<QueuedWrite> taken = queue.takeNext(0, 1);
+        FakeRowStore store = new FakeRowStore();
+        assertTrue(taken.size() > 1);
+        assertTrue(!store.apply(QueuedWrite.join(taken)).isCompletedExceptionally());
+    }
+
+    /** Guards against writes that fail because one of those joined with them is rejected. */
+    @Test
+    void aRejectedWriteDoesNotFailThoseJoinedWithIt() {
+        makeShort();
+        RowTransaction good = write(SpendingService.TABLE, 1);
+        RowTransaction bad =
+                RowTransaction.replace(
+                        new RowId(SpendingService.TABLE, "p1", "bad"), 0, "v".repeat(70_000));
+        CompletableFuture<TransactionResult> badResult = mStore.apply(bad);
+        CompletableFuture<TransactionResult> goodResult = mStore.apply(good);
+        mDirect.setWritesPerSecond(100);
+        mTime.runFor(VirtualTime.SECOND);
+        assertTrue(badResult.isCompletedExceptionally());
+        assertInstanceOf(TransactionResult.Committed.class, goodResult.getNow(null));
+    }
 }
--- a/coordination/src/test/java/org/oleandertrack/coordination/relay/RelayingRowStoreTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/relay/RelayingRowStoreTest.java
@@ -54,6 +54,16 @@
         assertTrue(mStore.isDirectFailing());
     }
 
+    /** Guards against one call that is too large and makes the store look unreachable. */
+    @Test
+    void aRejectedTransactionIsNotPassedOnAndTheStoreCountsAsReachable() {
+        mDirect.setNextFates(Fate.REJECTED);
+        assertThrows(CompletionException.class, () -> mStore.apply(WRITE).join());
+        assertEquals(0, peerTransactions());
+        assertFalse(mStore.isDirectFailing());
+        assertEquals(1, mFailures.mRejected);
+    }
+
     @Test
     void aTransactionOfUnknownOutcomeIsNotPassedOn() {
         mDirect.setNextFates(Fate.ANSWER_LOST);
@@ -163,6 +173,7 @@
 
     private static final class CountingListener implements StoreRefusalListener {
         private int mOverRate;
+        private int mRejected;
         private int mUnavailable;
 
         @Override
@@ -170,6 +181,11 @@
             mOverRate++;
         }
 
+        @Override
+        public void onRejected(String reason) {
+            mRejected++;
+        }
+
         @Override
         public void onUnavailable(String reason) {
             mUnavailable++;
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/GatewayHost.java
@@ -30,6 +30,7 @@
 import org.oleandertrack.coordination.spending.SpendingService;
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.RowTransaction;
+import org.oleandertrack.coordination.store.SizedRowStore;
 import org.oleandertrack.coordination.store.WriteIds;
 import org.oleandertrack.coordination.stream.SoftwareVersions;
 import org.oleandertrack.coordination.stream.StreamOriginService;
@@ -124,7 +125,9 @@
     private final TargetRegistry mTargets;
     private final RegisteredTargets mRegisteredTargets;
     private final StorePacing mPacing;
-    private final RelayingRowStore mStore;
+    private final RelayingRowStore mRelay;
+    // Makes its calls through the relay, within the limits of the platform's store.
+    private final RowStore mStore;
     private final PeerDirectory mPeers;
     private final TableFollower mPeerFollower;
     private final HttpServer mPeerServer;
@@ -163,7 +166,8 @@
         mPermits = new PeerPermitIssuer(mPeers, mOwnPacers, random, log);
         mOrganisationLimits = makeOrganisationLimits(random);
         mPacing = makePacing(store);
-        mStore = makeRelayingStore(random);
+        mRelay = makeRelayingStore(random);
+        mStore = new SizedRowStore(mRelay);
         mTargets =
                 new TargetRegistry(
                         new TurnPlacement(settings.zone()),
@@ -397,7 +401,7 @@
                 () -> PEER_LIMITS,
                 new PeerHandler(
                         directStore,
-                        mStore::isDirectFailing,
+                        mRelay::isDirectFailing,
                         mOwnAllowances,
                         mConversations,
                         mOwnPacers,
@@ -493,7 +497,7 @@
     }
 
     private void runMaintenance() {
-        mStore.probe();
+        mRelay.probe();
         mConfirmations.ifPresent(PeerConfirmations::runMaintenance);
         mCallHandler.config().ifPresent(config -> mConfigVersion.set((double) config.version()));
         mFreshness.ageMillis().ifPresent(millis -> mConfigAge.set(millis / MILLIS_PER_SECOND));
--- a/gateway/src/main/java/org/oleandertrack/gateway/host/StoreCallLog.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/host/StoreCallLog.java
@@ -19,6 +19,7 @@
     private final EventLog mLog;
     private final Counter mFailures;
     private final Line mOverRate = new Line("store over its rate", "over_rate");
+    private final Line mRejected = new Line("store rejected a call", "rejected");
     private final Line mUnavailable = new Line("store call failed", "unavailable");
 
     StoreCallLog(EventLog log, MetricsRegistry metrics) {
@@ -31,6 +32,11 @@
         mOverRate.add(reason);
     }
 
+    @Override
+    public void onRejected(String reason) {
+        mRejected.add(reason);
+    }
+
     @Override
     public void onUnavailable(String reason) {
         mUnavailable.add(reason);
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerClient.java
@@ -37,6 +37,7 @@
     private static final int OK = 200;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int TOO_MANY_REQUESTS = 429;
+    private static final int TOO_LARGE = 413;
     private static final String JSON = "application/json";
 
     // A permit delays a caller's request, so it is requested from another host soon.
@@ -298,6 +299,10 @@
             throw StoreException.overRate(
                     "a peer responded to " + path + " that the store is over its rate", 0);
         }
+        if (response.status() == TOO_LARGE) {
+            throw StoreException.rejected(
+                    "a peer responded to " + path + " with status " + response.status());
+        }
         if (response.status() != OK) {
             throw new StoreException(
                     response.status() == SERVICE_UNAVAILABLE
--- a/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/peer/PeerHandler.java
@@ -219,6 +219,9 @@
         if (StoreFailures.isOverRate(failure)) {
             return HttpResponseStatus.TOO_MANY_REQUESTS;
         }
+        if (StoreFailures.isRejected(failure)) {
+            return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
+        }
         return StoreFailures.executionOf(failure) == Execution.NOT_RUN
                 ? HttpResponseStatus.SERVICE_UNAVAILABLE
                 : HttpResponseStatus.BAD_GATEWAY;
--- a/server/src/main/java/org/oleandertrack/server/entry/EntryStateModule.java
+++ b/server/src/main/java/org/oleandertrack/server/entry/EntryStateModule.java
@@ -26,6 +26,7 @@
 import org.oleandertrack.coordination.store.ObjectStore;
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.RowTableStore;
+import org.oleandertrack.coordination.store.SizedRowStore;
 import org.oleandertrack.coordination.store.TableStore;
 import org.oleandertrack.coordination.store.TimeLimitedObjectStore;
 import org.oleandertrack.coordination.store.TimeLimitedTableStore;
@@ -243,8 +244,9 @@
     // Helpers
 
     private RowStore createRowStore(EventLoopGroup loops, String url) {
-        return new HttpRowStore(
-                createStoreHttpClient(loops, url), mSettings.platform().timeoutMillis());
+        return new SizedRowStore(
+                new HttpRowStore(
+                        createStoreHttpClient(loops, url), mSettings.platform().timeoutMillis()));
     }
 
     private static StoreHttpClient createStoreHttpClient(EventLoopGroup loops, String url) {
