Leave out the origin of a stream that the store rejects

What callers would see: streams that they take up are refused or started anew after their host has ended, because the store has no origin of them.

OriginWriter writes the origins of a part together, and repeats a failed transaction with whatever has arrived since. One origin that the store never accepts, such as one whose software version exceeds a row, keeps all later ones of its part out of the store.

Change: a rejected transaction is repeated write by write, and a write that is rejected alone is left to the memory of peers. A transaction is bounded in bytes as well as in rows.

--- a/coordination/src/main/java/org/oleandertrack/coordination/stream/OriginWriter.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/stream/OriginWriter.java
@@ -14,6 +14,7 @@
 import org.oleandertrack.coordination.store.RowJson;
 import org.oleandertrack.coordination.store.RowStore;
 import org.oleandertrack.coordination.store.RowTransaction;
+import org.oleandertrack.coordination.store.StoreCallLimits;
 import org.oleandertrack.coordination.store.StoreFailures;
 import org.oleandertrack.coordination.store.StoreRate;
 
@@ -31,6 +32,7 @@
 
     // A transaction holds at most 100 entries.
     private static final int MAX_WRITES = 50;
+    private static final long MAX_WRITTEN_BYTES = StoreCallLimits.MAX_TRANSACTION_BYTES / 2;
     private static final int MAX_REMOVALS = 50;
     private static final int MAX_WAITING = 1_000;
     // The store answers in 10 to 20 ms.
@@ -62,6 +64,8 @@
     private final Deque<Waiting> mWaiting = new ArrayDeque<>();
     private final Deque<Written> mWritten = new ArrayDeque<>();
     private boolean mWriting;
+    // Writes that are made alone, because the store has rejected them together.
+    private int mSingleWrites;
     // Refusals for the store's rate since the store last answered otherwise.
     private int mRateRefusals;
     private long mLastRateRefusalNanos;
@@ -128,9 +132,7 @@
                 return;
             }
             mWriting = true;
-            while (batch.size() < MAX_WRITES && !mWaiting.isEmpty()) {
-                batch.add(mWaiting.removeFirst());
-            }
+            takeBatch(batch);
             while (removals.size() < MAX_REMOVALS
                     && !mWritten.isEmpty()
                     && nowNanos - mWritten.getFirst().endNanos() >= 0) {
@@ -140,6 +142,19 @@
         write(batch, removals);
     }
 
+    private void takeBatch(List<Waiting> batch) {
+        int maxWrites = mSingleWrites > 0 ? 1 : MAX_WRITES;
+        mSingleWrites = Math.max(0, mSingleWrites - 1);
+        long bytes = 0;
+        while (batch.size() < maxWrites && !mWaiting.isEmpty()) {
+            bytes += StoreCallLimits.bytesOf(mWaiting.getFirst().write());
+            if (!batch.isEmpty() && bytes > MAX_WRITTEN_BYTES) {
+                return;
+            }
+            batch.add(mWaiting.removeFirst());
+        }
+    }
+
     private void write(List<Waiting> batch, List<RowId> removals) {
         var _ =
                 mStore.apply(
@@ -158,6 +173,10 @@
     }
 
     private void onWriteFailed(List<Waiting> batch, List<RowId> removals, Throwable failure) {
+        if (StoreFailures.isRejected(failure)) {
+            onRejected(batch, removals, StoreFailures.asStoreException(failure).getMessage());
+            return;
+        }
         if (StoreFailures.isOverRate(failure) && isLeftToPeers()) {
             leaveToPeers(batch, removals);
             return;
@@ -178,6 +197,19 @@
         writeAgainLater(batch, removals, RETRY_NANOS);
     }
 
+    // One of the writes may be the reason. It is left to the memory of peers and not made again.
+    private void onRejected(List<Waiting> batch, List<RowId> removals, String reason) {
+        if (batch.size() > 1) {
+            synchronized (this) {
+                mSingleWrites = batch.size();
+            }
+            writeAgainLater(batch, removals, 0);
+            return;
+        }
+        holdAtPeers(batch, reason);
+        writeAgainLater(List.of(), removals, RETRY_NANOS);
+    }
+
     private boolean isLeftToPeers() {
         return mRate.isShort() && mPeers.peerCount() > 0;
     }
--- a/coordination/src/test/java/org/oleandertrack/coordination/stream/StreamOriginServiceTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/stream/StreamOriginServiceTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.oleandertrack.coordination.sim.VirtualTime;
@@ -164,6 +165,25 @@
         assertFound(OriginLookup.Source.STORE, find(0, "r1"));
     }
 
+    /** Guards against an origin that the store never accepts and that all later ones wait for. */
+    @Test
+    void anOriginThatIsTooLargeForTheStoreDoesNotDelayOthers() {
+        StreamOrigin large = new StreamOrigin("engine", "v".repeat(70_000));
+        mHosts.get(0).mService.record(new RecordedOrigin("large", large, RETENTION_MILLIS));
+        String part = OriginRows.rowOf("large").part();
+        List<String> others =
+                IntStream.range(0, 1_000)
+                        .mapToObj(number -> "r" + number)
+                        .filter(id -> OriginRows.rowOf(id).part().equals(part))
+                        .limit(5)
+                        .toList();
+        others.forEach(id -> record(0, id));
+        mTime.runFor(3 * VirtualTime.SECOND);
+        restartAll();
+        others.forEach(id -> assertFound(OriginLookup.Source.STORE, find(1, id)));
+        assertEquals(5, others.size());
+    }
+
     /** Guards against peers that are asked to hold origins because the store is over its rate. */
     @Test
     void anOriginOverTheRateIsStoredLaterAndNotHeldByPeers() {
