--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
@@ -47,6 +47,7 @@
     private final LongSupplier mEpochMillisClock;
     private final ConversationListener mListener;
     private final ConversationCache mCache;
+    private final OpenWrites mOpenWrites;
     private final long mStartNanos;
     private final RandomGenerator mRandom;
     private final List<String> mParts = ConversationRows.parts().toList();
@@ -79,6 +80,7 @@
         mRandom = random;
         mListener = listener;
         mCache = new ConversationCache(limits.cacheBytes());
+        mOpenWrites = new OpenWrites(limits.repeatedWriteBytes());
         mStartNanos = nanoClock.getAsLong();
         mLastSearchNanos = mStartNanos;
     }
@@ -96,6 +98,7 @@
                         mScheduler,
                         mNanoClock,
                         mRandom,
+                        mOpenWrites,
                         mEpochMillisClock.getAsLong());
         return operation
                 .start()
--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/KeepOperation.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/KeepOperation.java
@@ -38,6 +38,10 @@
     // Writes to a turn's usual part, before its other parts are tried in turn.
     private static final int USUAL_PART_WRITES = 2;
     private static final int MAX_PEER_ROUNDS = 2;
+    // Peers accept messages of 2 MB. The rows of a larger turn are passed on one by one if the
+    // store
+    // refuses this host.
+    private static final int MAX_PEER_BYTES = 512 * 1024;
 
     private final KeptTurn mTurn;
     private final ConversationStore mStore;
@@ -46,9 +50,11 @@
     private final Scheduler mScheduler;
     private final LongSupplier mNanoClock;
     private final RandomGenerator mRandom;
+    private final OpenWrites mOpenWrites;
     private final long mKeptMillis;
     private final CompletableFuture<KeepResult> mResult = new CompletableFuture<>();
     private final AtomicInteger mWrites = new AtomicInteger();
+    private final AtomicInteger mOwnOpenWrites = new AtomicInteger();
     private final AtomicInteger mRefusedWrites = new AtomicInteger();
     private final AtomicInteger mRateRefusals = new AtomicInteger();
     private final AtomicInteger mPeerRounds = new AtomicInteger();
@@ -59,6 +65,7 @@
     /**
      * Creates an operation.
      *
+     * @param openWrites the unanswered writes of this host
      * @param keptMillis time of day at which the turn ended, in milliseconds since the epoch
      */
     KeepOperation(
@@ -69,6 +76,7 @@
             Scheduler scheduler,
             LongSupplier nanoClock,
             RandomGenerator random,
+            OpenWrites openWrites,
             long keptMillis) {
         mTurn = turn;
         mStore = store;
@@ -77,6 +85,7 @@
         mScheduler = scheduler;
         mNanoClock = nanoClock;
         mRandom = random;
+        mOpenWrites = openWrites;
         mKeptMillis = keptMillis;
     }
 
@@ -87,6 +96,8 @@
                 delayNanos -> mScheduler.schedule(delayNanos, this::repeatWrite));
         mScheduler.schedule(PEER_DELAY_NANOS, this::askPeersUnlessOverRate);
         mScheduler.schedule(LIMIT_NANOS, this::giveUp);
+        mOwnOpenWrites.incrementAndGet();
+        mOpenWrites.add(mTurn.conversation().sizeBytes());
         write();
         return mResult;
     }
@@ -99,6 +110,8 @@
                 mStore.write(mTurn, partChoice(), mKeptMillis)
                         .whenComplete(
                                 (receipt, failure) -> {
+                                    mOpenWrites.remove(mTurn.conversation().sizeBytes());
+                                    mOwnOpenWrites.decrementAndGet();
                                     if (failure == null) {
                                         mResult.complete(new KeepResult.Kept(receipt));
                                     } else {
@@ -149,10 +162,19 @@
         }
     }
 
+    // A large turn is repeated only if the memory for its writes is bounded.
     private void writeUnlessEnded() {
-        if (!mResult.isDone()) {
-            write();
+        if (mResult.isDone()) {
+            return;
+        }
+        int sizeBytes = mTurn.conversation().sizeBytes();
+        if (mOwnOpenWrites.getAndIncrement() == 0) {
+            mOpenWrites.add(sizeBytes);
+        } else if (!mOpenWrites.tryAdd(sizeBytes)) {
+            mOwnOpenWrites.decrementAndGet();
+            return;
         }
+        write();
     }
 
     private void giveUp() {
@@ -173,7 +195,7 @@
     }
 
     private void askPeers() {
-        if (mResult.isDone()) {
+        if (mResult.isDone() || mTurn.conversation().sizeBytes() > MAX_PEER_BYTES) {
             return;
         }
         int round = mPeerRounds.getAndIncrement();
--- a/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationTest.java
@@ -269,20 +269,17 @@
 
     /**
      * Guards against conversations that the store refuses because their size is counted in
-     * characters.
+     * characters, and against those of more than one page of which only the first page is read.
      */
     @ParameterizedTest
     @ValueSource(strings = {"a", "\u00e9", "\u982d", "\ud83c\udfbf", RANDOM_BYTES})
     void conversationsOfAllSizesAndScriptsAreReadBackUnchanged(String letter) {
-        for (int size : new int[] {1, 63_999, 64_001, 150_000, 589_960}) {
+        for (int size : new int[] {1, 63_999, 64_001, 150_000, 589_960, 1_300_032, 4_200_000}) {
             KeptTurn turn =
                     new KeptTurn(
                             "s" + size, Conversation.of(textOf(letter, size)), RETENTION_MILLIS);
             assertTrue(keep(mCluster.host(0), turn), letter + " " + size);
             mCluster.restartAll();
-            if (size > 150_000) {
-                continue;
-            }
             assertEquals(
                     Optional.of(turn.conversation()),
                     conversation(find(mCluster.host(0), turn.turnId())),
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayConversationTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayConversationTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -223,14 +224,20 @@
         }
     }
 
-    @Test
-    void aConversationOfSeveralRowsIsReadBackWhole() throws IOException {
+    /**
+     * Guards against conversations that the store refuses as too large, or of which only the first
+     * page of rows is read.
+     */
+    @ParameterizedTest
+    @CsvSource({"\u00e9, 13000, 14", "\u982d, 9830, 20", "a, 325000, 4"})
+    void aConversationOfSeveralRowsIsReadBackWhole(String letter, int letters, int turns)
+            throws IOException {
         try (ScriptedTarget target = new ScriptedTarget(TWO_EVENTS);
                 TestGateway gateway = TestGateway.with("engine", target)) {
-            String input = "é".repeat(13_000);
+            String input = letter.repeat(letters);
             StringBuilder expected = new StringBuilder();
             String previous = "";
-            for (int turn = 0; turn < 14; turn++) {
+            for (int turn = 0; turn < turns; turn++) {
                 turn(gateway, "t" + turn, previous, input);
                 previous = "t" + turn;
                 expected.append(input).append("a").append(turn).append("\n b\n");
