Fail a turn that is answered with a success that is no stream

What callers would see: on a route that keeps history, a target's 200 or 204 that is not an event stream was forwarded as a whole response, but such a turn is never written to the store, so its next turn is refused (LOST).

Cause: only the end of an event stream goes through the keeping of a turn; a buffered response ends by itself.

Change: on such a route a success that is no stream is a malformed response: the attempt has failed, and the call is tried elsewhere or fails with 502.

--- a/gateway/src/main/java/org/oleandertrack/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/oleandertrack/gateway/call/CallDispatcher.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -370,6 +371,13 @@
     boolean onAnswer(Attempt attempt, int status) {
         TargetHandle handle = attempt.handle();
         mSends.recordMayHaveRun(handle);
+        // Only a stream is kept, so nothing else may look like a turn that was answered whole.
+        boolean unkeptTurn =
+                mHistory.isPresent() && HttpStatusClass.valueOf(status) == HttpStatusClass.SUCCESS;
+        if (unkeptTurn) {
+            onFailed(attempt, OutboundFailure.MALFORMED);
+            return false;
+        }
         boolean failed = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
         // A failure of one target must not hide the response of the other one.
         if (failed && leaveToOther(attempt)) {
--- a/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayConversationTest.java
+++ b/gateway/src/test/java/org/oleandertrack/gateway/host/GatewayConversationTest.java
@@ -209,6 +209,19 @@
         }
     }
 
+    /** Guards against a turn that is answered whole and not kept, because it is no stream. */
+    @ParameterizedTest
+    @ValueSource(strings = {"200", "204"})
+    void aSuccessThatIsNoStreamIsNotForwarded(String status) throws IOException {
+        try (ScriptedTarget target =
+                        new ScriptedTarget(
+                                (exchange, number) ->
+                                        exchange.answer(Integer.parseInt(status), "", ""));
+                TestGateway gateway = TestGateway.with("engine", target)) {
+            assertTrue(turn(gateway, "t1", "", "one").startsWith("HTTP/1.1 502"));
+        }
+    }
+
     @Test
     void aTurnThatWasNotAnsweredWholeIsNotKept() throws IOException {
         try (ScriptedTarget target =
