--- a/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
+++ b/core/src/main/java/org/oleandertrack/core/result/ResultCode.java
@@ -173,7 +173,7 @@
             502,
             RetryAdvice.CALLER_DECIDES,
             Execution.RUN,
-            "The turn ran, but neither the store nor a peer could keep it."),
+            "The turn ran, but the store did not confirm it in time."),
     // Admission and limits.
     OVERLOADED(
             3001,
--- a/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
+++ b/telemetry/src/main/java/org/oleandertrack/telemetry/metrics/Metric.java
@@ -106,7 +106,7 @@
             "oleandertrack_store_call_failures_total",
             MetricKind.COUNTER,
             "calls",
-            "Direct calls to the store that failed, by cause: over_rate or unavailable.",
+            "Direct calls to the store that failed, by cause: over_rate, rejected or unavailable.",
             "cause"),
     STORE_WRITE_LIMIT(
             "oleandertrack_store_write_limit",
