Have one retry pending for each turn that the store refuses

Cause: KeepOperation repeats a write at fixed times, and each write that fails schedules one more after 50 ms, so that the writes of a store that refuses them multiply: 237 for one turn in 1.8 s.

Change: at most one retry is pending for a turn; its pause doubles from 50 to 200 ms, and the repetitions at fixed times, which are for writes without an answer, wait for it.

--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/KeepOperation.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/KeepOperation.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -34,7 +35,9 @@
     // A slow store answers within 500 ms. After this time, peers write the turn as well.
     private static final long PEER_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
     private static final long PEER_REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+    // Pause after the first failed write; doubled after each of the next ones.
     private static final long WRITE_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final int MAX_DOUBLINGS = 2;
     // Writes to a turn's usual part, before its other parts are tried in turn.
     private static final int USUAL_PART_WRITES = 2;
     private static final int MAX_PEER_ROUNDS = 2;
@@ -55,11 +58,12 @@
     private final CompletableFuture<KeepResult> mResult = new CompletableFuture<>();
     private final AtomicInteger mWrites = new AtomicInteger();
     private final AtomicInteger mOwnOpenWrites = new AtomicInteger();
+    private final AtomicInteger mFailedWrites = new AtomicInteger();
     private final AtomicInteger mRefusedWrites = new AtomicInteger();
+    private final AtomicBoolean mRetryPending = new AtomicBoolean();
     private final AtomicInteger mRateRefusals = new AtomicInteger();
     private final AtomicInteger mPeerRounds = new AtomicInteger();
     private volatile long mLastRateRefusalNanos;
-    private volatile boolean mPausing;
     private volatile String mLastFailure = "the store has not answered";
 
     /**
@@ -105,7 +109,6 @@
     // Writes of this host
 
     private void write() {
-        mPausing = false;
         var _ =
                 mStore.write(mTurn, partChoice(), mKeptMillis)
                         .whenComplete(
@@ -141,23 +144,32 @@
             return;
         }
         if (StoreFailures.isOverRate(failure)) {
-            mPausing = true;
             mLastRateRefusalNanos = mNanoClock.getAsLong();
-            mScheduler.schedule(
-                    RateRetry.pauseNanos(mRateRefusals.getAndIncrement(), mRandom),
-                    this::writeUnlessEnded);
+            retryAfter(RateRetry.pauseNanos(mRateRefusals.getAndIncrement(), mRandom));
             return;
         }
         boolean refused = StoreFailures.executionOf(failure) == Execution.NOT_RUN;
         if (refused && mRefusedWrites.incrementAndGet() == 2) {
             askPeers();
         }
-        mScheduler.schedule(WRITE_RETRY_NANOS, this::writeUnlessEnded);
+        retryAfter(WRITE_RETRY_NANOS << Math.min(mFailedWrites.getAndIncrement(), MAX_DOUBLINGS));
+    }
+
+    // At most one retry is pending, or the writes of a store that refuses them would multiply.
+    private void retryAfter(long delayNanos) {
+        if (mRetryPending.compareAndSet(false, true)) {
+            mScheduler.schedule(
+                    delayNanos,
+                    () -> {
+                        mRetryPending.set(false);
+                        writeUnlessEnded();
+                    });
+        }
     }
 
-    // A write that was refused for the rate is made again after its own pause.
+    // A write that has failed is made again after its own pause.
     private void repeatWrite() {
-        if (!mPausing) {
+        if (!mRetryPending.get()) {
             writeUnlessEnded();
         }
     }
--- a/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationTest.java
@@ -301,6 +301,14 @@
         return text;
     }
 
+    /** Guards against writes that multiply while the store refuses them. */
+    @Test
+    void aStoreThatRefusesATurnGetsFewWrites() {
+        mStore.setDown(true);
+        assertFalse(keep(mCluster.host(0), turn("t1", "text")));
+        assertTrue(mStore.transactions() <= 20, "" + mStore.transactions());
+    }
+
     /** Guards against a write that the store never accepts and that is repeated for ever. */
     @Test
     void aRejectedTurnIsNotKeptAndNotWrittenAgain() {
