Bound the time in which a host writes a turn for a peer

What callers would see: while the store answers nobody, a host that is asked to write a turn waits for its own call to the store, 1.2 s, and the asking host takes it to be silent after 0.8 s and leaves it out for two seconds, so that lookups of turns, permits and relayed calls miss it.

Change: the host answers after at most 0.5 s that the turn is not confirmed.

Evidence: ConversationTest.aHostThatWritesForAPeerAnswersBeforeItsCallTimesOut.

--- a/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/conversation/ConversationService.java
@@ -11,8 +11,10 @@
 import org.oleandertrack.coordination.schedule.Scheduler;
 import org.oleandertrack.coordination.store.RateRetry;
 import org.oleandertrack.coordination.store.RowStore;
+import org.oleandertrack.coordination.store.StoreException;
 import org.oleandertrack.coordination.store.StoreFailures;
 import org.oleandertrack.coordination.store.StoreRate;
+import org.oleandertrack.core.result.Execution;
 
 /**
  * Keeps the turns of conversations and finds them by id. A turn is kept once the store has
@@ -31,6 +33,8 @@
     private static final long REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
     // A caller's next turn should not wait for a store that is away if a peer has the turn.
     private static final long READ_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    // Less than the timeout of a call between hosts, after which this host would count as silent.
+    private static final long PEER_WRITE_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     // A read that is refused for the store's rate is repeated for this long.
     private static final long READ_RATE_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
     // Searches are this much rarer while the store's rate is short. They are not left out, so that
@@ -112,19 +116,34 @@
 
     /**
      * Writes a turn of a peer that cannot reach the store; the future fails if the store does not
-     * confirm it.
+     * confirm it in time.
      *
      * @param choice number of the part to which the turn is written
      * @param keptMillis time of day at which the turn ended, in milliseconds since the epoch
      */
     public CompletableFuture<StoreReceipt> writeForPeer(
             KeptTurn turn, int choice, long keptMillis) {
-        return mStore.write(turn, Math.floorMod(choice, ConversationRows.PART_CHOICES), keptMillis)
-                .thenApply(
-                        receipt -> {
-                            mCache.put(turn.turnId(), turn.conversation());
-                            return receipt;
-                        });
+        CompletableFuture<StoreReceipt> result = new CompletableFuture<>();
+        mScheduler.schedule(
+                PEER_WRITE_LIMIT_NANOS,
+                () ->
+                        result.completeExceptionally(
+                                new StoreException(
+                                        Execution.UNKNOWN,
+                                        "the store has not answered in time",
+                                        null)));
+        var _ =
+                mStore.write(turn, Math.floorMod(choice, ConversationRows.PART_CHOICES), keptMillis)
+                        .whenComplete(
+                                (receipt, failure) -> {
+                                    if (failure != null) {
+                                        result.completeExceptionally(failure);
+                                        return;
+                                    }
+                                    mCache.put(turn.turnId(), turn.conversation());
+                                    result.complete(receipt);
+                                });
+        return result;
     }
 
     /**
--- a/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationTest.java
+++ b/coordination/src/test/java/org/oleandertrack/coordination/conversation/ConversationTest.java
@@ -169,6 +169,15 @@
         assertEquals(Optional.of(turn.conversation()), conversation(find(mCluster.host(1), "t1")));
     }
 
+    /** Guards against hosts that count as silent because the store does not answer them. */
+    @Test
+    void aHostThatWritesForAPeerAnswersBeforeItsCallTimesOut() {
+        mStore.setSilentParts(ALL_PARTS);
+        var written = mCluster.host(0).service().writeForPeer(turn("t1", "text"), 0, 1);
+        mTime.runFor(600 * VirtualTime.MILLI);
+        assertTrue(written.isCompletedExceptionally());
+    }
+
     /** Guards against turns that hosts alone hold while the store refuses only some calls. */
     @Test
     void aRefusedWriteIsRepeatedWhileTheStoreServesOtherWrites() {
