Count conditions as entries when the daemons' tables are written

What callers would see: on the users' platform, a daemon that writes more than 50 rows at once has the transaction refused, again and again.

RowTableStore put 100 writes into a transaction; each has a condition, which is an entry too, and a call holds at most 100 entries. Sizes were counted in characters. The stand-in of the daemons' platform allows 100 writes with their conditions, so no test saw it.

--- a/coordination/src/main/java/org/oleandertrack/coordination/store/RowTableStore.java
+++ b/coordination/src/main/java/org/oleandertrack/coordination/store/RowTableStore.java
@@ -15,9 +15,8 @@
  */
 public final class RowTableStore implements TableStore {
 
-    // The platform accepts at most 100 entries and 1 MB in one transaction.
-    private static final int MAX_TRANSACTION_WRITES = 100;
-    private static final int MAX_TRANSACTION_CHARS = 500_000;
+    // Each write has a condition, which is an entry of its own.
+    private static final int MAX_TRANSACTION_WRITES = StoreCallLimits.MAX_TRANSACTION_ENTRIES / 2;
     // The platform returns at most 500 rows for one read.
     private static final int MAX_PAGE_ROWS = 500;
     // All rows are in this part.
@@ -109,13 +108,12 @@
 
         private List<Integer> nextChunk() {
             List<Integer> chunk = new ArrayList<>();
-            int chars = 0;
+            long bytes = 0;
             while (mNextIndex < mWrites.size() && chunk.size() < MAX_TRANSACTION_WRITES) {
-                int length = mWrites.get(mNextIndex).value().map(String::length).orElse(0);
-                if (!chunk.isEmpty() && chars + length > MAX_TRANSACTION_CHARS) {
+                bytes += StoreCallLimits.bytesOf(transaction(List.of(mNextIndex)));
+                if (!chunk.isEmpty() && bytes > StoreCallLimits.MAX_TRANSACTION_BYTES) {
                     break;
                 }
-                chars += length;
                 chunk.add(mNextIndex++);
             }
             return chunk;
