Review case 12: a request that silences its targets is never quarantined

A crash is noticed only if the connection breaks while the call lasts. If the crashed target stays silent until the deadline, nobody watches it, and the request crashes one target after the other.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 (. bin/find-jdk) || exit 2
 . bin/find-jdk
-timeout 110 java -Xmx500m -cp target/review-3 Run LimitCase review/12
+timeout 110 java -Xmx500m -cp target/review-3 Run CrashCase review/12
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
